Module hyssopwick_platform becomes hyssopwick_transport

Cause: an adapter for the users' platform comes into platform/, and the module with the HTTP, RPC and key-value clients of the project's own interface must not be taken for it.

--- a/fakes/hyssopwick_fakes/hyssopwick_fakes.h
+++ b/fakes/hyssopwick_fakes/hyssopwick_fakes.h
@@ -1,5 +1,5 @@
 // Module: hyssopwick_fakes
-// Dependencies: hyssopwick_platform, hyssopwick_distribution, hyssopwick_requests
+// Dependencies: hyssopwick_transport, hyssopwick_distribution, hyssopwick_requests
 // Purpose: small stand-ins for the platform, the origin, the model engine and a
 // plain service, with fault switches that POST /fault sets. For tests, benches and
 // the demo only.
--- a/modules/hyssopwick_node/hyssopwick_node.h
+++ b/modules/hyssopwick_node/hyssopwick_node.h
@@ -1,5 +1,5 @@
 // Module: hyssopwick_node
-// Dependencies: hyssopwick_platform, hyssopwick_distribution, hyssopwick_requests,
+// Dependencies: hyssopwick_transport, hyssopwick_distribution, hyssopwick_requests,
 // hyssopwick_membership
 // Purpose: the shells around the decisions: the entry process and the agent
 // process, each a class that a thin daemon or an in-process bench starts and stops.
--- a/modules/hyssopwick_node/runtime/OperationalPaths.h
+++ b/modules/hyssopwick_node/runtime/OperationalPaths.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <hyssopwick_platform.h>
+#include <hyssopwick_transport.h>
 
 namespace hyssopwick {
 
--- a/modules/hyssopwick_operator/apply/Applier.h
+++ b/modules/hyssopwick_operator/apply/Applier.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <hyssopwick_platform.h>
+#include <hyssopwick_transport.h>
 #include <hyssopwick_records.h>
 
 namespace hyssopwick {
--- a/modules/hyssopwick_operator/hyssopwick_operator.h
+++ b/modules/hyssopwick_operator/hyssopwick_operator.h
@@ -1,5 +1,5 @@
 // Module: hyssopwick_operator
-// Dependencies: hyssopwick_platform, hyssopwick_records, hyssopwick_audit,
+// Dependencies: hyssopwick_transport, hyssopwick_records, hyssopwick_audit,
 // Boost.Program_options
 // Purpose: the operators' command line: validate, plan, apply, status, audit. Its
 // only write is a record.
--- a/modules/hyssopwick_platform/hyssopwick_platform.h
+++ b/modules/hyssopwick_transport/hyssopwick_transport.h
@@ -1,4 +1,4 @@
-// Module: hyssopwick_platform
+// Module: hyssopwick_transport
 // Dependencies: hyssopwick_core, Pistache, libcurl, libjsonrpccpp, nlohmann-json
 // Purpose: HTTP server and client, JSON-RPC between our processes with peer
 // authentication, and the clients of the platform's key-value service and VM list.
