Weights are pulled, and engines load in turns

Cause: SwarmDecision is made for thin links between regions; here a VM's own link (9.4 Mbit/s) binds, and one sender a region needed 5.3 to 6.2 s for a copy everywhere. News of other engines' loads was dropped until the own copy was whole, so all loaded at once.

--- a/modules/hyssopwick_distribution/hyssopwick_distribution.h
+++ b/modules/hyssopwick_distribution/hyssopwick_distribution.h
@@ -9,6 +9,7 @@
 #include "rollout/PlacementDecision.h"
 #include "rollout/RolloutDecision.h"
 #include "swarm/ChunkSet.h"
+#include "swarm/PullDecision.h"
 #include "swarm/SwarmDecision.h"
 #include "weights/ChunkStore.h"
 #include "weights/Manifest.h"
--- a/modules/hyssopwick_distribution/swarm/SwarmDecision.h
+++ b/modules/hyssopwick_distribution/swarm/SwarmDecision.h
@@ -5,6 +5,7 @@
 #include <hyssopwick_records.h>
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 
 namespace hyssopwick {
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -25,7 +25,7 @@
     // Before its bound, an older version is loaded this early if the newest is not whole.
     constexpr Milliseconds olderVersionLead { 3500 };
     // Between the latest order and the bound on the version.
-    constexpr Milliseconds orderMargin { 1000 };
+    constexpr Milliseconds orderMargin { 500 };
     constexpr Milliseconds unnamedBound { 3600000 };
 
     VmIdentity identityOf(const GatewayContext& context)
@@ -233,7 +233,7 @@
         service.originAddress = m_origin->originAddress;
         service.originFailureDomain = m_origin->originFailureDomain;
         service.originBytesPerSecond = m_origin->originBytesPerSecond;
-        const auto swarm = std::make_shared<WeightsSwarm>(m_context, m_engine, WeightsVersion { m_service->models.front(), version }, service, self);
+        const auto swarm = std::make_shared<WeightsSwarm>(m_context, m_hub, m_engine, WeightsVersion { m_service->models.front(), version }, service, self);
         m_swarms[version] = swarm;
         updatePeers();
         swarm->onComplete([this] { asio::post(m_context.loop, [this] { plan(); }); });
@@ -286,8 +286,10 @@
             continue;
         const auto& speed = *m_service->engine;
         const auto loadTime = Milliseconds(static_cast<std::int64_t>(speed.loadMilliseconds + speed.usualAnswerTokens * speed.stepMilliseconds));
+        m_turnVersion = version;
         m_turn.emplace(m_context.description.ip, WeightsSwarm::pathOf(swarm->second->weights()), loadTime, bound - orderMargin);
         updatePeers();
+        recordPeerActivations();
         m_activation = std::make_shared<EngineActivation>(m_context, m_engine, swarm->second);
         m_activation->recordReport(m_report);
         m_activation->start([this] { return mayLoad(); }, [this] {
@@ -299,6 +301,16 @@
     }
 }
 
+void AgentGateway::recordPeerActivations()
+{
+    if (!m_turn)
+        return;
+    for (const auto& [node, peer] : m_peerActivations) {
+        const bool isLoaded = peer.news.loaded >= m_turnVersion;
+        m_turn->recordPeer(node, { peer.news.isReady, peer.news.isLoading, isLoaded }, peer.receivedAt);
+    }
+}
+
 bool AgentGateway::mayLoad() const { return m_turn && m_turn->mayLoad(loadedVersion() != 0, monotonicNow()); }
 
 void AgentGateway::announceActivation()
@@ -338,13 +350,16 @@
         }
         void operator()(const ActivationNews& news) const
         {
-            if (!agent.m_turn)
-                return;
-            const bool isLoaded = agent.m_activation && news.loaded >= agent.m_activation->weights().version;
-            agent.m_turn->recordPeer(news.node, { news.isReady, news.isLoading, isLoaded }, monotonicNow());
+            agent.m_peerActivations[news.node] = { news, monotonicNow() };
+            agent.recordPeerActivations();
             if (agent.m_activation)
                 agent.m_activation->proceed();
         }
+        void operator()(const HeldNews& news) const
+        {
+            if (const auto swarm = agent.swarmOf(news.model, std::to_string(news.version)))
+                swarm->receive(news);
+        }
     };
     std::visit(Visitor { *this, sender }, message);
 }
@@ -358,7 +373,7 @@
     return nullptr;
 }
 
-// Paths are /weights/{manifest|offer|chunk}/MODEL/VERSION[/CHUNK].
+// Paths are /weights/{manifest|chunk}/MODEL/VERSION[/CHUNK].
 void AgentGateway::serveInternal(const ServerExchangePointer& exchange)
 {
     std::vector<std::string> parts;
@@ -374,8 +389,6 @@
         return exchange->respond(statusNotFound, {}, "");
     if (parts[1] == "manifest")
         return swarm->serveManifest(exchange);
-    if (parts[1] == "offer")
-        return swarm->serveOffer(exchange);
     const bool isChunk = parts[1] == "chunk" && parts.size() == versionParts + 1 && !parts[4].empty() && parts[4].size() < 9 && parts[4].find_first_not_of("0123456789") == std::string::npos;
     if (isChunk)
         return swarm->serveChunk(exchange, static_cast<unsigned>(std::stoul(parts[4])));
--- a/modules/hyssopwick_gateway/agent/AgentGateway.h
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.h
@@ -26,6 +26,11 @@
         bool isNamed = false; ///< false for the first version, which nobody names
     };
 
+    struct PeerActivation {
+        ActivationNews news;
+        TimePoint receivedAt;
+    };
+
     void serveInternal(const ServerExchangePointer& exchange);
     void serveMetrics(const ServerExchangePointer& exchange);
     void receive(const PeerMessage& message, const std::string& sender);
@@ -38,6 +43,7 @@
     void planActivation();
     void updatePeers();
     void announceActivation();
+    void recordPeerActivations();
     bool mayLoad() const;
     std::uint64_t loadedVersion() const;
     std::shared_ptr<WeightsSwarm> swarmOf(const std::string& model, const std::string& version) const;
@@ -59,6 +65,8 @@
     std::map<std::uint64_t, std::shared_ptr<WeightsSwarm>> m_swarms;
     std::shared_ptr<EngineActivation> m_activation;
     std::optional<ActivationTurn> m_turn;
+    std::uint64_t m_turnVersion = 0; // that m_turn is for
+    std::map<std::string, PeerActivation> m_peerActivations; // by node
     std::vector<std::string> m_peerAddresses;
     EngineReport m_report;
     bool m_hasReport = false;
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
@@ -1,7 +1,5 @@
 #include "WeightsSwarm.h"
 
-#include <nlohmann/json.hpp>
-
 namespace hyssopwick {
 
 namespace {
@@ -12,18 +10,16 @@
     constexpr unsigned peerAsksPerOriginAsk = 6;
     // VMs that ask the origin for the manifest at once; the others ask these.
     constexpr std::size_t manifestLeaders = 2;
-    // The platform's region links carry about 25 Mbit/s each way; weights may use 80 %.
-    constexpr double regionLinkBytesPerSecond = 25e6 / 8 * 0.8;
-    constexpr Milliseconds originFailurePause { 100 };
+    // Chunks that are sent to peers at a time; more would all arrive later.
+    constexpr unsigned maxUploads = 3;
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusNotFound = 404;
-    constexpr unsigned statusConflict = 409;
-    constexpr unsigned statusBadRequest = 400;
-    constexpr const char* senderHeader = "X-Hyssopwick-Node";
+    constexpr unsigned statusUnavailable = 503;
 }
 
-WeightsSwarm::WeightsSwarm(GatewayContext& context, EngineLink& engine, WeightsVersion weights, ServiceDescription service, SwarmMember self)
+WeightsSwarm::WeightsSwarm(GatewayContext& context, DatagramHub& hub, EngineLink& engine, WeightsVersion weights, ServiceDescription service, SwarmMember self)
     : m_context(context)
+    , m_hub(hub)
     , m_engine(engine)
     , m_weights(std::move(weights))
     , m_service(std::move(service))
@@ -140,21 +136,17 @@
 
 void WeightsSwarm::beginSwarm()
 {
-    SwarmSettings settings;
+    PullSettings settings;
     settings.self = m_self;
-    const auto& regions = m_context.description.regionOfFailureDomain;
-    const auto origin = regions.find(m_service.originFailureDomain);
-    settings.originRegion = origin == regions.end() ? m_self.region : origin->second;
-    settings.uplinkBytesPerSecond = m_context.description.linkBytesPerSecond;
-    settings.downlinkBytesPerSecond = m_context.description.linkBytesPerSecond;
-    settings.regionLinkBytesPerSecond = regionLinkBytesPerSecond;
-    const std::vector<std::uint64_t> sizes(m_manifest->chunks.size(), m_manifest->chunkBytes);
+    settings.linkBytesPerSecond = m_context.description.linkBytesPerSecond;
+    settings.originBytesPerSecond = std::max(1.0, m_service.originBytesPerSecond);
+    const auto count = static_cast<std::uint32_t>(m_manifest->chunks.size());
     const auto now = monotonicNow();
-    m_swarm = std::make_unique<SwarmDecision>(settings, pathOf(m_weights), sizes, stableHash(m_self.id) ^ m_context.incarnation, now);
+    m_swarm = std::make_unique<PullDecision>(settings, pathOf(m_weights), count, m_manifest->chunkBytes, stableHash(m_self.id) ^ m_context.incarnation, now);
     m_swarm->setMembers(members());
     for (const auto chunk : m_stagedAtStart)
         m_swarm->recordChunkKept(chunk, now);
-    m_context.log.write("weights.begun", { { "model", m_weights.model }, { "version", std::to_string(m_weights.version) }, { "staged", std::to_string(m_stagedAtStart.size()) }, { "chunks", std::to_string(sizes.size()) } });
+    m_context.log.write("weights.begun", { { "model", m_weights.model }, { "version", std::to_string(m_weights.version) }, { "staged", std::to_string(m_stagedAtStart.size()) }, { "chunks", std::to_string(count) } });
     advance();
 }
 
@@ -165,11 +157,12 @@
     const auto now = monotonicNow();
     if (m_swarm->isComplete() && !m_wasComplete) {
         m_wasComplete = true;
-        m_context.log.write("weights.complete", { { "model", m_weights.model }, { "version", std::to_string(m_weights.version) }, { "took_ms", std::to_string(millisecondsBetween(m_startedAt, now)) } });
+        m_context.log.write("weights.complete", { { "model", m_weights.model }, { "version", std::to_string(m_weights.version) }, { "took_ms", std::to_string(millisecondsBetween(m_startedAt, now)) }, { "pulled", std::to_string(m_context.metrics.counter("chunks_kept_total", "peer")) }, { "from_origin", std::to_string(m_context.metrics.counter("chunks_kept_total", "origin")) }, { "busy", std::to_string(m_context.metrics.counter("chunk_pull_failures_total", "busy")) }, { "not_sent", std::to_string(m_context.metrics.counter("chunk_pull_failures_total", "not-sent")) }, { "timeouts", std::to_string(m_context.metrics.counter("chunk_pull_failures_total", "timeout")) }, { "lost", std::to_string(m_context.metrics.counter("chunk_pull_failures_total", "lost") + m_context.metrics.counter("chunk_pull_failures_total", "complete")) } });
         if (m_onComplete)
             m_onComplete();
     }
-    perform(m_swarm->advance(now));
+    for (const auto& action : m_swarm->advance(now))
+        std::visit([this](const auto& value) { perform(value); }, action);
     advanceLater();
 }
 
@@ -183,12 +176,6 @@
     });
 }
 
-void WeightsSwarm::perform(const std::vector<SwarmAction>& actions)
-{
-    for (const auto& action : actions)
-        std::visit([this](const auto& value) { perform(value); }, action);
-}
-
 void WeightsSwarm::perform(const FetchFromOrigin& action)
 {
     const auto now = monotonicNow();
@@ -202,72 +189,50 @@
         }
         self->m_context.metrics.count("origin_failures_total", exchangeEndName(response.end));
         self->m_context.log.write("origin.failed", { { "version", std::to_string(self->m_weights.version) }, { "chunk", std::to_string(chunk) }, { "problem", exchangeEndName(response.end) }, { "status", std::to_string(response.status) } });
-        self->m_swarm->recordOriginFailure(chunk, originFailurePause, monotonicNow());
+        self->m_swarm->recordOriginFailure(chunk, monotonicNow());
+        self->advance();
     });
 }
 
-void WeightsSwarm::perform(const SendOffer& action)
+void WeightsSwarm::perform(const PullChunk& action)
 {
-    std::string body;
-    nlohmann::json::to_cbor(nlohmann::json::array({ m_self.id, action.offered.hex(), m_swarm->held().hex(), action.isAcrossRegions }), body);
-    HttpCall call { "POST", "/weights/offer/" + pathOf(m_weights), {}, std::move(body) };
-    m_context.metrics.count("offers_total");
+    HttpCall call { "GET", "/weights/chunk/" + pathOf(m_weights) + "/" + std::to_string(action.chunk), {}, "" };
     const auto now = monotonicNow();
-    fetchWhole(m_context.loop, addressOf(action.member), std::move(call), now + connectTimeout, action.deadline, [self = shared_from_this(), action](const WholeResponse& response) {
+    fetchWhole(m_context.loop, addressOf(action.member), std::move(call), now + connectTimeout, action.deadline, [self = shared_from_this(), action](WholeResponse response) {
         if (self->m_isStopped)
             return;
-        const auto now = monotonicNow();
-        if (!response.isComplete() || response.status != statusOk)
-            return self->m_swarm->recordOfferFailure(action.member, action.isAcrossRegions, now);
-        try {
-            const auto json = nlohmann::json::from_cbor(response.body);
-            const auto count = static_cast<std::uint32_t>(self->m_manifest->chunks.size());
-            OfferAnswer answer;
-            const auto accepted = json.at(0).get<std::int64_t>();
-            if (accepted >= 0 && accepted < count)
-                answer.accepted = static_cast<std::uint32_t>(accepted);
-            answer.held = ChunkSet::fromHex(json.at(1).get<std::string>(), count);
-            answer.reserved = ChunkSet::fromHex(json.at(2).get<std::string>(), count);
-            answer.busyFor = Milliseconds(json.at(3).get<std::int64_t>());
-            self->perform(self->m_swarm->recordOfferAnswer(action.member, action.isAcrossRegions, answer, now));
-        } catch (const std::exception& problem) {
-            self->m_context.log.write("offer.malformed-answer", { { "peer", action.member }, { "problem", problem.what() } });
-            self->m_swarm->recordOfferFailure(action.member, action.isAcrossRegions, now);
+        if (response.isComplete() && response.status == statusOk) {
+            self->m_context.metrics.count(action.isAcrossRegions ? "region_link_bytes_total" : "peer_bytes_total", "", response.body.size());
+            self->keepChunk(action.chunk, std::move(response.body), action.member);
+            return self->advance();
         }
+        const bool isBusy = response.isComplete() && response.status == statusUnavailable;
+        self->m_context.metrics.count("chunk_pull_failures_total", isBusy ? "busy" : exchangeEndName(response.end));
+        self->m_swarm->recordPullFailure(action.member, action.chunk, isBusy, monotonicNow());
+        self->advance();
     });
 }
 
-void WeightsSwarm::perform(const SendChunk& action)
+HeldNews WeightsSwarm::heldNews(bool wantsAnswer) const { return { m_self.id, m_weights.model, m_weights.version, m_swarm->held().hex(), wantsAnswer }; }
+
+void WeightsSwarm::perform(const AnnounceHeld& action)
 {
-    const auto timer = std::make_shared<LoopTimer>(m_context.loop, action.notBefore);
-    timer->async_wait([self = shared_from_this(), action, timer](boost::system::error_code error) {
-        if (!error && !self->m_isStopped)
-            self->sendNow(action);
-    });
+    std::vector<std::string> addresses;
+    for (const auto& member : action.members)
+        addresses.push_back(addressOf(member));
+    m_hub.sendToAll(addresses, heldNews(action.wantsAnswer));
 }
 
-void WeightsSwarm::sendNow(const SendChunk& action)
+void WeightsSwarm::receive(const HeldNews& news)
 {
-    readChunk(action.chunk, [self = shared_from_this(), action](Outcome<std::string> bytes) {
-        if (self->m_isStopped)
-            return;
-        if (!bytes) {
-            self->m_context.log.write("chunk.unreadable", { { "version", std::to_string(self->m_weights.version) }, { "chunk", std::to_string(action.chunk) }, { "problem", bytes.error().message } });
-            return self->m_swarm->recordChunkSent(action.member, action.chunk, false, monotonicNow());
-        }
-        HttpCall call { "PUT", "/weights/chunk/" + pathOf(self->m_weights) + "/" + std::to_string(action.chunk), { { senderHeader, self->m_self.id } }, std::move(bytes.value()) };
-        const auto now = monotonicNow();
-        self->m_context.metrics.count(action.isAcrossRegions ? "region_link_bytes_total" : "peer_bytes_total", "", call.body.size());
-        fetchWhole(self->m_context.loop, self->addressOf(action.member), std::move(call), now + connectTimeout, action.deadline, [self, action](const WholeResponse& response) {
-            if (self->m_isStopped)
-                return;
-            const bool isSuccess = response.isComplete() && (response.status == statusOk || response.status == statusConflict);
-            if (!isSuccess)
-                self->m_context.metrics.count("chunk_send_failures_total", exchangeEndName(response.end));
-            self->m_swarm->recordChunkSent(action.member, action.chunk, isSuccess, monotonicNow());
-            self->advance();
-        });
-    });
+    if (!m_swarm || m_isStopped)
+        return;
+    m_swarm->recordHeld(news.node, ChunkSet::fromHex(news.held, static_cast<std::uint32_t>(m_manifest->chunks.size())));
+    const auto address = addressOf(news.node);
+    if (news.wantsAnswer && !address.empty())
+        m_hub.send(address, heldNews(false));
+    if (!m_swarm->isComplete())
+        advance();
 }
 
 void WeightsSwarm::readChunk(unsigned chunk, std::function<void(Outcome<std::string>)> handler)
@@ -320,32 +285,23 @@
     exchange->respond(statusOk, {}, m_context.ports.engines->encodeManifest(*m_manifest));
 }
 
-void WeightsSwarm::serveOffer(const ServerExchangePointer& exchange)
-{
-    if (!m_swarm)
-        return exchange->respond(statusNotFound, {}, "");
-    try {
-        const auto json = nlohmann::json::from_cbor(exchange->request().body);
-        const auto count = static_cast<std::uint32_t>(m_manifest->chunks.size());
-        const auto answer = m_swarm->answerOffer(json.at(0).get<std::string>(), ChunkSet::fromHex(json.at(1).get<std::string>(), count), ChunkSet::fromHex(json.at(2).get<std::string>(), count), json.at(3).get<bool>(), monotonicNow());
-        std::string body;
-        nlohmann::json::to_cbor(nlohmann::json::array({ answer.accepted ? std::int64_t(*answer.accepted) : std::int64_t(-1), answer.held.hex(), answer.reserved.hex(), answer.busyFor.count() }), body);
-        exchange->respond(statusOk, {}, std::move(body));
-    } catch (const std::exception& problem) {
-        m_context.log.write("offer.malformed", { { "problem", problem.what() } });
-        exchange->respond(statusBadRequest, {}, "");
-    }
-}
-
 void WeightsSwarm::serveChunk(const ServerExchangePointer& exchange, unsigned chunk)
 {
-    if (!m_swarm || chunk >= m_manifest->chunks.size())
+    if (!m_swarm || chunk >= m_manifest->chunks.size() || !m_swarm->held().contains(chunk))
         return exchange->respond(statusNotFound, {}, "");
-    if (m_swarm->held().contains(chunk))
-        return exchange->respond(statusConflict, {}, "");
-    const bool isKept = keepChunk(chunk, exchange->request().body, std::string(headerValue(exchange->request().fields, senderHeader)));
-    exchange->respond(isKept ? statusOk : statusBadRequest, {}, "");
-    advance();
+    if (m_uploads >= maxUploads)
+        return exchange->respond(statusUnavailable, {}, "");
+    ++m_uploads;
+    // An upload counts as long as its bytes take on this VM's link.
+    const auto timer = std::make_shared<LoopTimer>(m_context.loop);
+    timer->expires_after(Milliseconds(static_cast<std::int64_t>(1000 * double(m_manifest->chunkBytes) / m_context.description.linkBytesPerSecond) * maxUploads));
+    timer->async_wait([self = shared_from_this(), timer](boost::system::error_code) { --self->m_uploads; });
+    readChunk(chunk, [self = shared_from_this(), exchange, chunk](Outcome<std::string> bytes) {
+        if (bytes)
+            return exchange->respond(statusOk, {}, std::move(bytes.value()));
+        self->m_context.log.write("chunk.unreadable", { { "version", std::to_string(self->m_weights.version) }, { "chunk", std::to_string(chunk) }, { "problem", bytes.error().message } });
+        exchange->respond(statusNotFound, {}, "");
+    });
 }
 
 }
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.h
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../http/ServerExchange.h"
+#include "../runtime/DatagramHub.h"
 #include "EngineLink.h"
 
 #include <hyssopwick_distribution.h>
@@ -8,7 +9,7 @@
 namespace hyssopwick {
 
 /// Brings one version of a model's weights to this VM and passes it on to others: carries
-/// out what SwarmDecision decides. Chunks are checked against the manifest when they
+/// out what PullDecision decides. Chunks are checked against the manifest when they
 /// arrive and again when they are read from the staging area.
 class WeightsSwarm : public std::enable_shared_from_this<WeightsSwarm> {
 public:
@@ -21,7 +22,7 @@
         bool operator!=(const Peer& other) const { return !(*this == other); }
     };
 
-    WeightsSwarm(GatewayContext& context, EngineLink& engine, WeightsVersion weights, ServiceDescription service, SwarmMember self);
+    WeightsSwarm(GatewayContext& context, DatagramHub& hub, EngineLink& engine, WeightsVersion weights, ServiceDescription service, SwarmMember self);
     ~WeightsSwarm();
 
     /// Fetches the manifest and begins. \param mayBeStaged  look for chunks in the staging area first
@@ -50,9 +51,11 @@
 
     /// Answers a peer's request for this version.
     void serveManifest(const ServerExchangePointer& exchange);
-    void serveOffer(const ServerExchangePointer& exchange);
     void serveChunk(const ServerExchangePointer& exchange, unsigned chunk);
 
+    /// Takes over what a peer says it holds.
+    void receive(const HeldNews& news);
+
     /// Returns the path that names this version in requests between agents.
     static std::string pathOf(const WeightsVersion& weights) { return weights.model + "/" + std::to_string(weights.version); }
 
@@ -63,16 +66,16 @@
     void beginSwarm();
     void advance();
     void advanceLater();
-    void perform(const std::vector<SwarmAction>& actions);
     void perform(const FetchFromOrigin& action);
-    void perform(const SendOffer& action);
-    void perform(const SendChunk& action);
-    void sendNow(const SendChunk& action);
+    void perform(const PullChunk& action);
+    void perform(const AnnounceHeld& action);
+    HeldNews heldNews(bool wantsAnswer) const;
     bool keepChunk(unsigned chunk, std::string bytes, const std::string& from);
     std::vector<SwarmMember> members() const;
     std::string addressOf(const std::string& member) const;
 
     GatewayContext& m_context;
+    DatagramHub& m_hub;
     EngineLink& m_engine;
     WeightsVersion m_weights;
     ServiceDescription m_service;
@@ -80,12 +83,13 @@
     LoopTimer m_timer;
     std::vector<Peer> m_peers;
     std::optional<WeightsManifest> m_manifest;
-    std::unique_ptr<SwarmDecision> m_swarm;
+    std::unique_ptr<PullDecision> m_swarm;
     std::map<unsigned, std::string> m_bytes; // chunks held in memory
     std::vector<unsigned> m_stagedAtStart;
     std::function<void()> m_onComplete;
     TimePoint m_startedAt;
     unsigned m_manifestAttempts = 0;
+    unsigned m_uploads = 0;
     bool m_mayBeStaged = false;
     bool m_isStopped = false;
     bool m_wasComplete = false;
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -166,6 +166,7 @@
         void operator()(const CrashSighting&) const { }
         void operator()(const NewsSubscription&) const { }
         void operator()(const ActivationNews&) const { }
+        void operator()(const HeldNews&) const { }
     };
     std::visit(Visitor { *this, sender }, message);
 }
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
@@ -65,6 +65,7 @@
         {
             return { message.node, message.model, message.wanted, message.loaded, message.isReady, message.isLoading };
         }
+        Json operator()(const HeldNews& message) const { return { message.node, message.model, message.version, message.held, message.wantsAnswer }; }
     };
 
     EngineNews engineNewsFromJson(const Json& json)
@@ -108,6 +109,9 @@
         case 7:
             return ActivationNews { json.at(1).get<std::string>(), json.at(2).get<std::string>(), json.at(3).get<std::uint64_t>(),
                 json.at(4).get<std::uint64_t>(), json.at(5).get<bool>(), json.at(6).get<bool>() };
+        case 8:
+            return HeldNews { json.at(1).get<std::string>(), json.at(2).get<std::string>(), json.at(3).get<std::uint64_t>(),
+                json.at(4).get<std::string>(), json.at(5).get<bool>() };
         default:
             throw std::invalid_argument("unknown message type");
         }
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.h
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.h
@@ -64,7 +64,16 @@
     bool isLoading = false;
 };
 
-using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineNews, NewsSubscription, CrashNews, CrashSighting, ActivationNews>;
+/// An agent tells which chunks of a version its VM holds.
+struct HeldNews {
+    std::string node;
+    std::string model;
+    std::uint64_t version = 0;
+    std::string held; ///< ChunkSet::hex()
+    bool wantsAnswer = false;
+};
+
+using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineNews, NewsSubscription, CrashNews, CrashSighting, ActivationNews, HeldNews>;
 
 /// Encodes a message as CBOR (RFC 8949).
 std::string encodePeerMessage(const PeerMessage& message);
