Queue before the engines; weights leave room on the link; connect timer race mended

Handlers now check the phase they were armed for. Cause 2: entries refused or overfilled engines; CallQueue holds calls that can be served and sends what can be in time first. Cause 3: whole chunks filled the VMs' links and the engines' streams waited behind them (seen first events 292 ms against 125 predicted, from 18 s to 22 s). Uploads are paced.

--- a/modules/hyssopwick_distribution/swarm/PullDecision.cpp
+++ b/modules/hyssopwick_distribution/swarm/PullDecision.cpp
@@ -8,7 +8,7 @@
 
     // Two fetches keep a downlink busy while one ends and the next begins; the third
     // covers one that waits at a busy member.
-    constexpr std::size_t maxPending = 3;
+    constexpr std::size_t maxPending = 4;
     // Requests that the origin should have at a time, so that its link never idles.
     constexpr std::uint32_t originOverlap = 3;
     // Members of the region hear of new chunks this often.
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -155,6 +155,7 @@
     news.report = m_report;
     news.isAnswering = m_isAnswering;
     news.isLoading = m_activation && m_activation->isLoading();
+    news.readyIn = readyIn();
     const bool isNew = !(news.report == m_lastNews.report) || news.isAnswering != m_lastNews.isAnswering || news.isLoading != m_lastNews.isLoading;
     if (!isUrgent && !isNew && now < m_lastNewsAt + newsKeepalive)
         return;
@@ -174,6 +175,20 @@
     m_hub.sendToAll({ addresses.begin(), addresses.end() }, news);
 }
 
+// The chunks that are missing at the pace of this VM's link, and the load.
+std::optional<Milliseconds> AgentGateway::readyIn() const
+{
+    if (!m_isAnswering || loadedVersion() != 0 || !m_service || !m_service->engine)
+        return std::nullopt;
+    std::optional<Milliseconds> soonest;
+    for (const auto& [version, swarm] : m_swarms) {
+        const auto wait = swarm->timeToComplete() + Milliseconds(static_cast<std::int64_t>(m_service->engine->loadMilliseconds));
+        if (!soonest || wait < *soonest)
+            soonest = wait;
+    }
+    return soonest;
+}
+
 std::uint64_t AgentGateway::loadedVersion() const
 {
     if (!m_service || m_service->models.empty())
--- a/modules/hyssopwick_gateway/agent/AgentGateway.h
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.h
@@ -38,6 +38,7 @@
     void pollLater(Milliseconds pause);
     void recordReport(const Outcome<EngineReport>& report);
     void sendNews(bool isUrgent);
+    std::optional<Milliseconds> readyIn() const;
     void plan();
     void planSwarms();
     void planActivation();
--- a/modules/hyssopwick_gateway/agent/EngineActivation.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineActivation.cpp
@@ -5,7 +5,7 @@
 namespace {
     // Entries learn by datagram that the engine is about to load; what they sent before
     // has reached it after this.
-    constexpr Milliseconds announcementLead { 5 };
+    constexpr Milliseconds announcementLead { 40 };
     // Longer than a load and the longest answer that it waits for.
     constexpr Milliseconds longestLoad { 12000 };
 
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
@@ -10,7 +10,15 @@
     constexpr unsigned peerAsksPerOriginAsk = 6;
     // VMs that ask the origin for the manifest at once; the others ask these.
     constexpr std::size_t manifestLeaders = 2;
-    // Chunks that are sent to peers at a time; more would all arrive later.
+    // Time for a copy against that of its bytes on the VM's link (docs/RESULTS.md).
+    constexpr double transferOverhead = 1.6;
+    // Further peers are told to ask elsewhere.
+    constexpr std::size_t maxQueuedUploads = 1;
+    // What weights may take of a VM's link; the rest is left to calls and streams.
+    constexpr double weightsShareOfLink = 0.85;
+    constexpr Milliseconds pacePeriod { 10 };
+    // Chunks that are sent to peers at a time, each at its part of the link. Receivers
+    // fetch as many, so that no link gets more than its share.
     constexpr unsigned maxUploads = 3;
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusNotFound = 404;
@@ -264,6 +272,13 @@
     return true;
 }
 
+Milliseconds WeightsSwarm::timeToComplete() const
+{
+    const double chunks = m_swarm ? double(m_swarm->held().capacity() - m_swarm->held().size()) : double(m_service.chunkCount);
+    const double bytes = chunks * double(m_service.chunkBytes);
+    return Milliseconds(static_cast<std::int64_t>(1000 * bytes / m_context.description.linkBytesPerSecond * transferOverhead));
+}
+
 void WeightsSwarm::recordStaged() { m_bytes.clear(); }
 
 void WeightsSwarm::recordSpoilt()
@@ -289,16 +304,50 @@
 {
     if (!m_swarm || chunk >= m_manifest->chunks.size() || !m_swarm->held().contains(chunk))
         return exchange->respond(statusNotFound, {}, "");
-    if (m_uploads >= maxUploads)
+    if (m_uploadQueue.size() >= maxQueuedUploads)
         return exchange->respond(statusUnavailable, {}, "");
+    exchange->onGone([weak = weak_from_this(), raw = exchange.get()] {
+        if (const auto self = weak.lock())
+            self->m_uploadQueue.remove_if([raw](const auto& upload) { return upload.first.get() == raw; });
+    });
+    m_uploadQueue.emplace_back(exchange, chunk);
+    uploadNext();
+}
+
+// The link also carries calls and streams of the engine, which would wait behind whole
+// chunks; so each upload gets an equal part of the link, in small pieces.
+void WeightsSwarm::sendPaced(const ServerExchangePointer& exchange, const std::shared_ptr<const std::string>& bytes, std::size_t from)
+{
+    const double bytesPerSecond = m_context.description.linkBytesPerSecond * weightsShareOfLink / maxUploads;
+    const auto size = std::max<std::size_t>(1, static_cast<std::size_t>(bytesPerSecond * double(pacePeriod.count()) / 1000));
+    exchange->write(bytes->substr(from, size));
+    if (from + size >= bytes->size())
+        return exchange->finish();
+    const auto timer = std::make_shared<LoopTimer>(m_context.loop, pacePeriod);
+    timer->async_wait([self = shared_from_this(), exchange, bytes, next = from + size, timer](boost::system::error_code) {
+        if (!self->m_isStopped)
+            self->sendPaced(exchange, bytes, next);
+        else
+            exchange->abort();
+    });
+}
+
+void WeightsSwarm::uploadNext()
+{
+    if (m_uploads >= maxUploads || m_uploadQueue.empty())
+        return;
+    const auto [exchange, chunk] = m_uploadQueue.front();
+    m_uploadQueue.pop_front();
     ++m_uploads;
-    // An upload counts as long as its bytes take on this VM's link.
-    const auto timer = std::make_shared<LoopTimer>(m_context.loop);
-    timer->expires_after(Milliseconds(static_cast<std::int64_t>(1000 * double(m_manifest->chunkBytes) / m_context.description.linkBytesPerSecond) * maxUploads));
-    timer->async_wait([self = shared_from_this(), timer](boost::system::error_code) { --self->m_uploads; });
-    readChunk(chunk, [self = shared_from_this(), exchange, chunk](Outcome<std::string> bytes) {
-        if (bytes)
-            return exchange->respond(statusOk, {}, std::move(bytes.value()));
+    exchange->onDone([self = shared_from_this()] {
+        --self->m_uploads;
+        asio::post(self->m_context.loop, [self] { self->uploadNext(); });
+    });
+    readChunk(chunk, [self = shared_from_this(), exchange = exchange, chunk = chunk](Outcome<std::string> bytes) {
+        if (bytes) {
+            exchange->startStream(statusOk, {});
+            return self->sendPaced(exchange, std::make_shared<const std::string>(std::move(bytes.value())), 0);
+        }
         self->m_context.log.write("chunk.unreadable", { { "version", std::to_string(self->m_weights.version) }, { "chunk", std::to_string(chunk) }, { "problem", bytes.error().message } });
         exchange->respond(statusNotFound, {}, "");
     });
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.h
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.h
@@ -5,6 +5,7 @@
 #include "EngineLink.h"
 
 #include <hyssopwick_distribution.h>
+#include <list>
 
 namespace hyssopwick {
 
@@ -36,6 +37,9 @@
     /// Called when the last chunk has arrived.
     void onComplete(std::function<void()> handler) { m_onComplete = std::move(handler); }
 
+    /// Estimates how long it takes until all chunks are here.
+    Milliseconds timeToComplete() const;
+
     bool isComplete() const { return m_swarm && m_swarm->isComplete(); }
     const WeightsVersion& weights() const { return m_weights; }
     const std::optional<WeightsManifest>& manifest() const { return m_manifest; }
@@ -69,6 +73,8 @@
     void perform(const FetchFromOrigin& action);
     void perform(const PullChunk& action);
     void perform(const AnnounceHeld& action);
+    void uploadNext();
+    void sendPaced(const ServerExchangePointer& exchange, const std::shared_ptr<const std::string>& bytes, std::size_t from);
     HeldNews heldNews(bool wantsAnswer) const;
     bool keepChunk(unsigned chunk, std::string bytes, const std::string& from);
     std::vector<SwarmMember> members() const;
@@ -90,6 +96,7 @@
     TimePoint m_startedAt;
     unsigned m_manifestAttempts = 0;
     unsigned m_uploads = 0;
+    std::list<std::pair<ServerExchangePointer, unsigned>> m_uploadQueue;
     bool m_mayBeStaged = false;
     bool m_isStopped = false;
     bool m_wasComplete = false;
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -21,6 +21,8 @@
     // with longer ways.
     constexpr Milliseconds connectTimeouts[] = { Milliseconds(60), Milliseconds(250), Milliseconds(1000) };
     constexpr unsigned lastConnectRound = 2;
+    // Engines that may turn out unreachable before a call is refused.
+    constexpr unsigned maxEngineConnects = 4;
     constexpr Milliseconds connectRoundPause { 30 };
     constexpr Milliseconds notReadyRetryAfter { 500 };
     constexpr Milliseconds overloadRetryAfter { 500 };
@@ -34,9 +36,10 @@
 
 }
 
-CallFlow::CallFlow(EntryServices& services, ServerExchangePointer exchange, EndHandler onEnd)
+CallFlow::CallFlow(EntryServices& services, ServerExchangePointer exchange, QueuedHandler onQueued, EndHandler onEnd)
     : m_services(services)
     , m_exchange(std::move(exchange))
+    , m_onQueued(std::move(onQueued))
     , m_onEnd(std::move(onEnd))
     , m_deadlineTimer(services.context().loop)
     , m_pauseTimer(services.context().loop)
@@ -113,14 +116,11 @@
     if (m_phase == Phase::Ended)
         return;
     const auto now = monotonicNow();
+    if (isEngineCall())
+        return enqueue();
     if (m_service) {
-        if (auto* engines = isEngineCall() ? m_services.engines(m_service->name) : nullptr) {
-            if (const auto choice = engines->choose(m_size, m_tried, now))
-                return send(choice->upstream, m_connectRounds);
-        } else if (!isEngineCall()) {
-            if (const auto choice = m_services.plain(m_service->name).choose(m_tried, now))
-                return send(*choice, m_connectRounds);
-        }
+        if (const auto choice = m_services.plain(m_service->name).choose(m_tried, now))
+            return send(*choice, m_connectRounds);
     }
     // All were tried without a connection: another round, with more patience.
     if (!m_tried.empty() && m_sentAttempts == 0 && m_connectRounds < lastConnectRound) {
@@ -142,15 +142,56 @@
     refuse(RefusalReason::NoUpstream, statusUnavailable, overloadRetryAfter);
 }
 
+void CallFlow::enqueue()
+{
+    m_isQueued = true;
+    m_attempt.reset();
+    m_phase = m_eventsForwarded > 0 ? Phase::Answering : Phase::Waiting;
+    const auto onTimeBy = m_exchange->request().receivedAt + m_route->objective;
+    m_services.queue(m_service->name).add({ m_id, m_size, m_priority, onTimeBy, m_deadline, m_tried });
+    m_onQueued(m_service->name);
+}
+
+void CallFlow::leaveQueue()
+{
+    if (!m_isQueued)
+        return;
+    m_isQueued = false;
+    m_services.queue(m_service->name).remove(m_id);
+}
+
+void CallFlow::sendTo(const QueueDecisions::Send& decision)
+{
+    m_isQueued = false;
+    m_predictedFirstEvent = decision.prediction.firstEventMilliseconds;
+    send(decision.upstream, m_connectRounds);
+}
+
+void CallFlow::refuseUnservable(Milliseconds retryAfter)
+{
+    m_isQueued = false;
+    if (m_eventsForwarded > 0) {
+        m_exchange->abort();
+        return end("broken", statusOk);
+    }
+    if (m_sentAttempts > 0 && !m_answer.isNotRun)
+        return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
+    refuse(RefusalReason::DeadlineUnreachable, statusUnavailable, retryAfter);
+}
+
 void CallFlow::send(const std::string& upstreamId, unsigned connectRound)
 {
     const auto* upstream = m_services.upstream(upstreamId);
     const auto now = monotonicNow();
     if (!upstream) {
+        if (isEngineCall())
+            m_services.engines(m_service->name)->recordEnd(m_id, now);
         m_tried.insert(upstreamId);
         return place();
     }
     m_phase = m_eventsForwarded > 0 ? Phase::Answering : Phase::Sent;
+    m_sentAt = now;
+    m_firstEventAfterSend = -1;
     m_upstream = upstreamId;
     m_upstreamAddress = upstream->address;
     m_tried.insert(upstreamId);
@@ -164,7 +205,6 @@
     forwarding.resumeAfter = m_lastEventId;
     if (isEngineCall()) {
         forwarding.priority = m_priority;
-        m_services.engines(m_service->name)->recordSend(upstreamId, m_id, m_size, now);
     } else {
         m_services.plain(m_service->name).recordSend(upstreamId);
     }
@@ -185,7 +225,7 @@
             self->handleEnd(end);
     };
     m_services.context().log.write("call.sent", { { "request", m_call.requestId }, { "upstream", upstreamId }, { "attempt", std::to_string(m_sentAttempts + 1) }, { "left_ms", milliseconds(forwarding.timeLeft) }, { "resume", m_lastEventId.empty() ? "no" : m_lastEventId } });
-    m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), now + connectTimeouts[connectRound], TimePoint::max(), std::move(handlers));
+    m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), std::move(handlers));
 }
 
 void CallFlow::handleHead(const ResponseHead& head)
@@ -216,6 +256,8 @@
         if (!event.id.empty())
             m_lastEventId = event.id;
     }
+    if (m_firstEventAfterSend < 0)
+        m_firstEventAfterSend = millisecondsBetween(m_sentAt, monotonicNow());
     if (m_eventsForwarded == 0) {
         m_phase = Phase::Answering;
         m_exchange->startStream(m_head.status, m_services.context().ports.calls->encodeAnswer(m_head.fields));
@@ -278,6 +320,8 @@
     auto& context = m_services.context();
     context.metrics.count("attempts_failed_total", attemptFailureName(failure));
     context.log.write("call.attempt-failed", { { "request", m_call.requestId }, { "failure", attemptFailureName(failure) }, { "reason", reason }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "after_ms", milliseconds(elapsed()) } });
+    if (failure == AttemptFailure::NotSent && isEngineCall() && ++m_connectRounds > maxEngineConnects)
+        return refuse(RefusalReason::NoUpstream, statusUnavailable, overloadRetryAfter);
     if (failure == AttemptFailure::NotSent)
         return place();
     const bool isSafe = failure == AttemptFailure::Refused || mayRunAgain();
@@ -355,12 +399,6 @@
     attemptFailed(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "engine-down");
 }
 
-void CallFlow::retryPlacing()
-{
-    if (m_phase == Phase::Waiting && !m_attempt)
-        place();
-}
-
 void CallFlow::cut()
 {
     if (m_phase == Phase::Ended)
@@ -379,12 +417,13 @@
 {
     if (m_phase == Phase::Ended)
         return;
+    leaveQueue();
     leaveUpstream();
     m_phase = Phase::Ended;
     m_deadlineTimer.cancel();
     m_pauseTimer.cancel();
     auto& context = m_services.context();
-    context.log.write("call.ended", { { "request", m_call.requestId }, { "route", m_route ? m_route->name : "none" }, { "account", m_account.empty() ? "none" : m_account }, { "outcome", outcome }, { "status", std::to_string(status) }, { "took_ms", milliseconds(elapsed()) }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "configuration", m_routes ? std::to_string(m_routes->configuration().version) : "none" } });
+    context.log.write("call.ended", { { "request", m_call.requestId }, { "route", m_route ? m_route->name : "none" }, { "account", m_account.empty() ? "none" : m_account }, { "outcome", outcome }, { "status", std::to_string(status) }, { "took_ms", milliseconds(elapsed()) }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "predicted_ms", std::to_string(static_cast<int>(m_predictedFirstEvent)) }, { "first_ms", std::to_string(m_firstEventAfterSend) }, { "configuration", m_routes ? std::to_string(m_routes->configuration().version) : "none" } });
     context.metrics.count("calls_total", outcome);
     const auto self = shared_from_this();
     if (m_onEnd)
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -13,8 +13,10 @@
 public:
     /// Called once when the call has ended.
     using EndHandler = std::function<void(CallFlow*)>;
+    /// Called when the call entered its service's queue.
+    using QueuedHandler = std::function<void(const std::string& service)>;
 
-    CallFlow(EntryServices& services, ServerExchangePointer exchange, EndHandler onEnd);
+    CallFlow(EntryServices& services, ServerExchangePointer exchange, QueuedHandler onQueued, EndHandler onEnd);
     ~CallFlow();
 
     void start();
@@ -26,8 +28,14 @@
     /// Ends the call now, because the process stops.
     void cut();
 
-    /// Tries to place the call again, if it waits for an upstream.
-    void retryPlacing();
+    /// Returns the id under which the call waits in its service's queue.
+    std::uint64_t id() const { return m_id; }
+
+    /// Sends the call to an engine that the queue has chosen for it.
+    void sendTo(const QueueDecisions::Send& decision);
+
+    /// Refuses the call, which the queue found impossible to serve in time.
+    void refuseUnservable(Milliseconds retryAfter);
 
 private:
     enum class Phase {
@@ -39,6 +47,8 @@
 
     bool admit();
     void place();
+    void enqueue();
+    void leaveQueue();
     void send(const std::string& upstreamId, unsigned connectRound);
     void handleHead(const ResponseHead& head);
     void handleBody(std::string_view bytes);
@@ -59,6 +69,7 @@
 
     EntryServices& m_services;
     ServerExchangePointer m_exchange;
+    QueuedHandler m_onQueued;
     EndHandler m_onEnd;
     LoopTimer m_deadlineTimer;
     LoopTimer m_pauseTimer;
@@ -87,6 +98,10 @@
     EventStreamSplitter m_splitter;
     std::string m_lastEventId; // of the last event that went to the caller
     unsigned m_eventsForwarded = 0;
+    bool m_isQueued = false;
+    double m_predictedFirstEvent = 0; // milliseconds after the send
+    TimePoint m_sentAt;
+    std::int64_t m_firstEventAfterSend = -1;
 };
 
 }
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -65,6 +65,14 @@
     BOOST_OUTCOME_TRY(listenIfServed(m_directory, description.directoryAddress));
     BOOST_OUTCOME_TRY(listenIfServed(m_callers, description.callerAddress));
     m_gossip.onChange([this] { membersChanged(); });
+    m_services.onCapacity([this] {
+        if (!m_services.routes())
+            return;
+        for (const auto& [name, service] : m_services.routes()->configuration().services) {
+            if (service.engine && m_services.queue(name).size() > 0)
+                advanceQueueSoon(name);
+        }
+    });
     m_services.onEngineDown([this](const std::string& address) {
         const auto calls = m_calls;
         for (const auto& [raw, call] : calls)
@@ -89,11 +97,49 @@
 
 void EntryGateway::serveCaller(const ServerExchangePointer& exchange)
 {
-    const auto call = std::make_shared<CallFlow>(m_services, exchange, [this](CallFlow* ended) { m_calls.erase(ended); });
-    m_calls[call.get()] = call;
+    const auto call = std::make_shared<CallFlow>(m_services, exchange, [this](const std::string& service) { advanceQueueSoon(service); }, [this](CallFlow* ended) { m_calls.erase(ended->id()); });
+    m_calls[call->id()] = call;
     call->start();
 }
 
+// Queues are looked at once for all events that are ready now.
+void EntryGateway::advanceQueueSoon(const std::string& service)
+{
+    if (!m_queuesToAdvance.insert(service).second || m_queuesToAdvance.size() > 1)
+        return;
+    asio::post(m_context.loop, [this] {
+        const auto services = std::move(m_queuesToAdvance);
+        m_queuesToAdvance.clear();
+        for (const auto& name : services)
+            advanceQueue(name);
+    });
+}
+
+void EntryGateway::advanceQueue(const std::string& service)
+{
+    auto& queue = m_services.queue(service);
+    const auto decisions = queue.advance(monotonicNow());
+    for (const auto& decision : decisions.sent) {
+        const auto call = m_calls.find(decision.call);
+        if (call != m_calls.end())
+            std::shared_ptr<CallFlow>(call->second)->sendTo(decision);
+    }
+    for (const auto id : decisions.refused) {
+        const auto call = m_calls.find(id);
+        if (call != m_calls.end())
+            std::shared_ptr<CallFlow>(call->second)->refuseUnservable(decisions.retryAfter);
+    }
+    const auto wake = queue.nextWake();
+    if (!wake)
+        return;
+    auto& timer = m_queueTimers.try_emplace(service, m_context.loop).first->second;
+    timer.expires_at(*wake);
+    timer.async_wait([this, service](boost::system::error_code error) {
+        if (!error)
+            advanceQueue(service);
+    });
+}
+
 void EntryGateway::serveDirectory(const ServerExchangePointer& exchange)
 {
     const auto& request = exchange->request();
@@ -201,7 +247,7 @@
 
 void EntryGateway::subscribeToAgents()
 {
-    for (const auto& address : m_services.agentAddresses())
+    for (const auto& address : m_services.silentAgents())
         m_hub.send(address, NewsSubscription { m_gossip.self() });
 }
 
--- a/modules/hyssopwick_gateway/entry/EntryGateway.h
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.h
@@ -26,6 +26,8 @@
 
 private:
     void serveCaller(const ServerExchangePointer& exchange);
+    void advanceQueue(const std::string& service);
+    void advanceQueueSoon(const std::string& service);
     void serveDirectory(const ServerExchangePointer& exchange);
     void serveReadiness(const ServerExchangePointer& exchange);
     void serveInternal(const ServerExchangePointer& exchange);
@@ -54,7 +56,9 @@
     LoopTimer m_maintenanceTimer;
     LoopTimer m_registrationTimer;
     LoopTimer m_stopTimer;
-    std::map<CallFlow*, std::shared_ptr<CallFlow>> m_calls;
+    std::map<std::string, LoopTimer> m_queueTimers; // by service
+    std::set<std::string> m_queuesToAdvance;
+    std::map<std::uint64_t, std::shared_ptr<CallFlow>> m_calls;
     std::uint64_t m_lease = 0;
     bool m_isReady = false;
     bool m_isStopping = false;
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -96,6 +96,7 @@
                     usable.insert(upstream.id);
             }
             pool.setEngines(usable);
+            queue(name).setEnginesExpectedAt(enginesExpectedAt(name));
             for (const auto& id : usable) {
                 if (const auto* status = engineAt(m_registry.find(id)->address))
                     pool.recordReport(id, status->news.report, status->receivedAt);
@@ -111,15 +112,31 @@
         m_onCapacity();
 }
 
+// The soonest of what the agents of engines without weights expect.
+std::optional<TimePoint> EntryServices::enginesExpectedAt(const std::string& service) const
+{
+    std::optional<TimePoint> soonest;
+    for (const auto& upstream : m_registry.usable(service)) {
+        const auto* status = engineAt(upstream.address);
+        if (!status || !status->news.readyIn)
+            continue;
+        const auto at = status->receivedAt + *status->news.readyIn;
+        if (!soonest || at < *soonest)
+            soonest = at;
+    }
+    return soonest;
+}
+
 void EntryServices::recordEngineNews(const EngineNews& news)
 {
     const auto known = m_engineStatus.find(news.engineAddress);
     const bool wasAnswering = known == m_engineStatus.end() || known->second.news.isAnswering;
-    const bool isNewState = known == m_engineStatus.end() || wasAnswering != news.isAnswering || known->second.news.isLoading != news.isLoading
+    const bool isNewState = news.readyIn.has_value() || known == m_engineStatus.end() || wasAnswering != news.isAnswering || known->second.news.isLoading != news.isLoading
         || known->second.news.report.heldVersions != news.report.heldVersions || known->second.news.report.bornAt != news.report.bornAt;
     m_engineStatus[news.engineAddress] = { news, monotonicNow() };
     if (isNewState) {
-        m_context.log.write("engine.state", { { "engine", news.engineAddress }, { "answering", news.isAnswering ? "true" : "false" }, { "loading", news.isLoading ? "true" : "false" }, { "held", news.report.heldVersions.empty() ? "none" : std::to_string(news.report.heldVersions.begin()->second) } });
+        if (!news.readyIn)
+            m_context.log.write("engine.state", { { "engine", news.engineAddress }, { "answering", news.isAnswering ? "true" : "false" }, { "loading", news.isLoading ? "true" : "false" }, { "held", news.report.heldVersions.empty() ? "none" : std::to_string(news.report.heldVersions.begin()->second) } });
         refresh();
         if (wasAnswering && !news.isAnswering && m_onEngineDown)
             m_onEngineDown(news.engineAddress);
@@ -149,6 +166,9 @@
 
 void EntryServices::setFleetSize(std::size_t entries)
 {
+    m_fleetSize = std::max<std::size_t>(1, entries);
+    for (auto& [name, queue] : m_queues)
+        queue.setFleetSize(m_fleetSize);
     m_budget.setCapacity(m_context.description.retrySlack * budgetShare / double(std::max<std::size_t>(1, entries)));
 }
 
@@ -158,9 +178,20 @@
     return found == m_engines.end() ? nullptr : &found->second;
 }
 
+CallQueue& EntryServices::queue(const std::string& service)
+{
+    const auto found = m_queues.find(service);
+    if (found != m_queues.end())
+        return found->second;
+    auto& pool = m_engines.try_emplace(service, m_random.next()).first->second;
+    auto& queue = m_queues.try_emplace(service, pool).first->second;
+    queue.setFleetSize(m_fleetSize);
+    return queue;
+}
+
 UpstreamPool& EntryServices::plain(const std::string& service) { return m_plain.try_emplace(service, m_random.next()).first->second; }
 
-std::vector<std::string> EntryServices::agentAddresses() const
+std::vector<std::string> EntryServices::silentAgents() const
 {
     std::vector<std::string> addresses;
     if (!m_routes)
@@ -168,8 +199,11 @@
     for (const auto& [name, service] : m_routes->configuration().services) {
         if (!service.engine)
             continue;
-        for (const auto& upstream : m_registry.registered(name))
+        for (const auto& upstream : m_registry.registered(name)) {
+            if (engineAt(upstream.address))
+                continue;
             addresses.push_back(upstream.address.substr(0, upstream.address.find(':')) + ":" + std::to_string(m_context.description.internalPort));
+        }
     }
     return addresses;
 }
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -39,6 +39,8 @@
 
     /// Returns the pool of a service with engines, or nullptr.
     EnginePool* engines(const std::string& service);
+    /// Returns the queue before a service's engines; the service must have some.
+    CallQueue& queue(const std::string& service);
     /// Returns the pool of a plain service.
     UpstreamPool& plain(const std::string& service);
 
@@ -47,8 +49,8 @@
     /// Returns the status of the engine at an address, or nullptr.
     const EngineStatus* engineAt(const std::string& address) const;
 
-    /// Returns the addresses of all agents.
-    std::vector<std::string> agentAddresses() const;
+    /// Returns the addresses of agents that were not heard of lately.
+    std::vector<std::string> silentAgents() const;
 
     RetryBudget& budget() { return m_budget; }
     CrashSuspicion& suspicion() { return m_suspicion; }
@@ -62,6 +64,7 @@
 
 private:
     bool isUsableEngine(const Upstream& upstream) const;
+    std::optional<TimePoint> enginesExpectedAt(const std::string& service) const;
 
     GatewayContext& m_context;
     RouteTablePointer m_routes;
@@ -69,6 +72,8 @@
     std::map<std::string, EngineStatus> m_engineStatus; // by engine address
     std::map<std::string, std::pair<std::uint64_t, TimePoint>> m_wantedVersions; // model to version and when it was learnt
     std::map<std::string, EnginePool> m_engines;
+    std::map<std::string, CallQueue> m_queues;
+    std::size_t m_fleetSize = 1;
     std::map<std::string, UpstreamPool> m_plain;
     RetryBudget m_budget;
     CrashSuspicion m_suspicion;
--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -45,6 +45,7 @@
 
     TcpSocket socket;
     LoopTimer timer;
+    unsigned timerGeneration = 0;
     std::string address;
     HttpCall call;
     ExchangeHandlers handlers;
@@ -86,9 +87,12 @@
 
 void HttpExchange::armTimer(TimePoint deadline, ExchangeEnd reason)
 {
+    // A timer that has expired already cannot be cancelled any more; its handler must not
+    // take effect once the next phase has begun.
+    const auto generation = ++m_state->timerGeneration;
     m_state->timer.expires_at(deadline);
-    m_state->timer.async_wait([self = shared_from_this(), reason](error_code error) {
-        if (!error)
+    m_state->timer.async_wait([self = shared_from_this(), reason, generation](error_code error) {
+        if (!error && generation == self->m_state->timerGeneration)
             self->end(reason);
     });
 }
--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -82,6 +82,17 @@
 
     void onGone(std::function<void()> handler) override { m_onGone = std::move(handler); }
 
+    void onDone(std::function<void()> handler) override { m_onDone = std::move(handler); }
+
+    void done()
+    {
+        m_isEnded = true;
+        const auto handler = std::move(m_onDone);
+        m_onDone = nullptr;
+        if (handler)
+            handler();
+    }
+
     void callerLeft()
     {
         if (m_isEnded)
@@ -97,6 +108,7 @@
     std::weak_ptr<ServerConnection> m_connection;
     ServerRequest m_request;
     std::function<void()> m_onGone;
+    std::function<void()> m_onDone;
     bool m_isEnded = false;
 };
 
@@ -111,8 +123,17 @@
 ServerConnection::~ServerConnection()
 {
     m_shared->connections.erase(this);
-    if (m_exchange)
-        --m_shared->openExchanges;
+    endExchange();
+}
+
+void ServerConnection::endExchange()
+{
+    const auto exchange = std::move(m_exchange);
+    m_exchange.reset();
+    if (!exchange)
+        return;
+    --m_shared->openExchanges;
+    exchange->done();
 }
 
 void ServerConnection::start()
@@ -129,13 +150,21 @@
 
 void ServerConnection::armTimer(TimePoint deadline, std::function<void()> handler)
 {
+    // An expired timer cannot be cancelled; its handler must not act in the next phase.
+    const auto generation = ++m_timerGeneration;
     m_timer.expires_at(deadline);
-    m_timer.async_wait([self = shared_from_this(), handler = std::move(handler)](error_code error) {
-        if (!error && !self->m_isClosed)
+    m_timer.async_wait([self = shared_from_this(), generation, handler = std::move(handler)](error_code error) {
+        if (!error && !self->m_isClosed && generation == self->m_timerGeneration)
             handler();
     });
 }
 
+void ServerConnection::disarmTimer()
+{
+    ++m_timerGeneration;
+    m_timer.cancel();
+}
+
 void ServerConnection::readNext()
 {
     m_isIdle = true;
@@ -147,6 +176,7 @@
     m_socket.async_wait(TcpSocket::wait_read, [self = shared_from_this()](error_code error) {
         if (error || self->m_isClosed)
             return self->close();
+        self->disarmTimer();
         self->readHeader();
     });
 }
@@ -223,7 +253,7 @@
 
 void ServerConnection::dispatch()
 {
-    m_timer.cancel();
+    disarmTimer();
     auto message = m_parser->release();
     m_isKeptAlive = message.keep_alive();
     m_isHeadMethod = message.method() == http::verb::head;
@@ -268,9 +298,9 @@
 void ServerConnection::callerLeft()
 {
     const auto exchange = m_exchange;
-    close();
     if (exchange)
         exchange->callerLeft();
+    close();
 }
 
 void ServerConnection::reject(unsigned status, const char* reason)
@@ -346,10 +376,7 @@
 void ServerConnection::answerDone()
 {
     m_isLastQueued = false;
-    if (m_exchange) {
-        m_exchange.reset();
-        --m_shared->openExchanges;
-    }
+    endExchange();
     if (!m_isKeptAlive)
         return closeLingering();
     if (m_shared->isClosing && m_buffer.size() == 0)
@@ -375,10 +402,7 @@
     error_code ignored;
     m_timer.cancel(ignored);
     m_socket.close(ignored);
-    if (m_exchange) {
-        m_exchange.reset();
-        --m_shared->openExchanges;
-    }
+    endExchange();
 }
 
 }
--- a/modules/hyssopwick_gateway/http/ServerConnection.h
+++ b/modules/hyssopwick_gateway/http/ServerConnection.h
@@ -57,9 +57,11 @@
     void enqueue(std::string data, bool isLast);
     void flush();
     void answerDone();
+    void endExchange();
     void closeLingering();
     void close();
     void armTimer(TimePoint deadline, std::function<void()> handler);
+    void disarmTimer();
     std::string headText(unsigned status, const HeaderFields& fields, const std::string& framing) const;
 
     TcpSocket m_socket;
@@ -70,6 +72,7 @@
     std::shared_ptr<Exchange> m_exchange;
     std::deque<std::string> m_unsent;
     std::string m_sending;
+    unsigned m_timerGeneration = 0;
     bool m_isSending = false;
     bool m_isLastQueued = false;
     bool m_isKeptAlive = true;
--- a/modules/hyssopwick_gateway/http/ServerExchange.h
+++ b/modules/hyssopwick_gateway/http/ServerExchange.h
@@ -39,6 +39,10 @@
 
     /// Sets what is called once when the caller leaves before the answer has ended.
     virtual void onGone(std::function<void()> handler) = 0;
+
+    /// Sets what is called once when the answer was handed to the network in full, or
+    /// the connection ended.
+    virtual void onDone(std::function<void()> handler) = 0;
 };
 
 using ServerExchangePointer = std::shared_ptr<ServerExchange>;
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
@@ -52,7 +52,8 @@
         {
             const auto& report = message.report;
             return { message.upstream, message.engineAddress, message.isAnswering, message.isLoading, report.orderSequence, report.isOrderRunning,
-                report.waitingCalls, report.runningCalls, report.usedTokens, report.tokenCapacity, report.slowness, report.bornAt, Json(report.heldVersions) };
+                report.waitingCalls, report.runningCalls, report.usedTokens, report.tokenCapacity, report.slowness, report.bornAt, Json(report.heldVersions),
+                message.readyIn ? message.readyIn->count() : std::int64_t(-1) };
         }
         Json operator()(const NewsSubscription& message) const
         {
@@ -85,6 +86,8 @@
         json.at(11).get_to(report.slowness);
         json.at(12).get_to(report.bornAt);
         json.at(13).get_to(report.heldVersions);
+        if (const auto readyIn = json.at(14).get<std::int64_t>(); readyIn >= 0)
+            news.readyIn = Milliseconds(readyIn);
         return news;
     }
 
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.h
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.h
@@ -35,6 +35,7 @@
     EngineReport report;
     bool isAnswering = true; ///< whether the engine answers its agent
     bool isLoading = false; ///< about to load weights: it should get no further calls
+    std::optional<Milliseconds> readyIn; ///< until an engine without weights serves
 };
 
 /// An entry asks an agent for its engine's news.
--- a/modules/hyssopwick_requests/hyssopwick_requests.h
+++ b/modules/hyssopwick_requests/hyssopwick_requests.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "admission/AdmissionDecision.h"
+#include "admission/CallQueue.h"
 #include "admission/ConcurrencyDecision.h"
 #include "admission/ShareDecision.h"
 #include "claims/ClaimBucket.h"
--- a/modules/hyssopwick_requests/placing/EnginePool.cpp
+++ b/modules/hyssopwick_requests/placing/EnginePool.cpp
@@ -43,6 +43,9 @@
 void EnginePool::recordSend(const std::string& upstream, std::uint64_t call, const CallSize& size, TimePoint now)
 {
     m_calls[call] = { upstream, size, now };
+    m_recentSends.push_back(now);
+    while (!m_recentSends.empty() && m_recentSends.front() + maxReportAge < now)
+        m_recentSends.pop_front();
     const auto found = m_engines.find(upstream);
     if (found != m_engines.end())
         found->second.calls.insert(call);
@@ -75,51 +78,83 @@
     return m_speed.stepMilliseconds + running * m_speed.perSequenceMilliseconds + context * m_speed.perThousandContextMilliseconds;
 }
 
-EnginePrediction EnginePool::predict(const std::string& upstream, const CallSize& size, TimePoint now) const
+// Time between two slots that fall free on a full engine: reading is done for one call
+// at a time, writing for all slots at once.
+double EnginePool::slotPeriod(double running) const
 {
-    EnginePrediction prediction;
-    const auto found = m_engines.find(upstream);
-    if (found == m_engines.end())
-        return prediction;
-    const auto& engine = found->second;
+    const double reading = m_speed.usualPromptTokens / m_speed.promptTokensPerMillisecond;
+    return reading + m_speed.usualAnswerTokens * stepMilliseconds(running) / m_speed.slots;
+}
+
+double EnginePool::callsPerMillisecond() const
+{
+    double rate = 0;
+    for (const auto& [id, engine] : m_engines)
+        rate += 1 / (slotPeriod(m_speed.slots) * std::max(1.0, engine.report.slowness));
+    return rate;
+}
+
+EnginePool::Load EnginePool::loadOf(const Engine& engine, TimePoint now) const
+{
+    Load load;
     const bool isReported = engine.hasReport && now - engine.reportedAt < maxReportAge;
-    double running = 0;
-    double waiting = 0;
-    double unread = 0;
     if (isReported) {
-        running = std::max(0.0, double(engine.report.runningCalls) - engine.endedSinceReport);
-        waiting = engine.report.waitingCalls;
-        unread = waiting * m_speed.usualPromptTokens;
+        load.running = std::max(0.0, double(engine.report.runningCalls) - engine.endedSinceReport);
+        load.waiting = engine.report.waitingCalls;
+        load.unreadTokens = load.waiting * m_speed.usualPromptTokens;
+        // Other entries send as much as this one, spread over all engines alike.
+        const auto since = std::lower_bound(m_recentSends.begin(), m_recentSends.end(), engine.reportedAt);
+        const double ownSends = double(m_recentSends.end() - since);
+        const double others = ownSends * double(m_fleetSize - 1) / double(std::max<std::size_t>(1, m_engines.size()));
+        load.waiting += others;
+        load.unreadTokens += others * m_speed.usualPromptTokens;
     }
     for (const auto call : engine.calls) {
         const auto& sent = m_calls.at(call);
         if (isReported && sent.sentAt + reportBlindness < engine.reportedAt)
             continue;
         if (sent.hasBegun) {
-            running += 1;
+            load.running += 1;
         } else {
-            waiting += 1;
-            unread += sent.size.promptTokens;
+            load.waiting += 1;
+            load.unreadTokens += sent.size.promptTokens;
         }
     }
-    const double pace = std::max(1.0, engine.report.slowness);
-    const double step = stepMilliseconds(std::min<double>(m_speed.slots, running + waiting + 1));
+    return load;
+}
+
+EnginePrediction EnginePool::predictWith(const Load& load, double slowness, const CallSize& size) const
+{
+    EnginePrediction prediction;
+    const double occupied = load.running + load.waiting;
+    const double running = std::min<double>(m_speed.slots, occupied + 1);
+    const double step = stepMilliseconds(running);
     const double pass = step * m_speed.stepsPerPass;
     const double pairs = size.promptTokens * size.promptTokens / 2 / million;
-    const double reading = (unread + size.promptTokens) / m_speed.promptTokensPerMillisecond + pairs * m_speed.perMillionPairsMilliseconds;
-    // Between two slots that fall free on a full engine.
+    const double reading = (load.unreadTokens + size.promptTokens) / m_speed.promptTokensPerMillisecond + pairs * m_speed.perMillionPairsMilliseconds;
+    const double ahead = occupied + 1 - m_speed.slots;
+    const double slotWait = ahead > 0 ? ahead * slotPeriod(running) : 0;
+    const double passLeft = occupied >= 1 ? halfPass * pass : 0;
+    const double pace = std::max(1.0, slowness);
+    prediction.unreadTokens = load.unreadTokens;
+    prediction.firstEventMilliseconds = pace * (slotWait + passLeft + reading + pass);
+    // While a call is written, the prompts of those that follow are read in between.
     const double usualReading = m_speed.usualPromptTokens / m_speed.promptTokensPerMillisecond;
-    const double slotPeriod = usualReading + m_speed.usualAnswerTokens * step / m_speed.slots;
-    const double ahead = running + waiting + 1 - m_speed.slots;
-    const double slotWait = ahead > 0 ? ahead * slotPeriod : 0;
-    const double isBusy = running + waiting > 0 ? 1 : 0;
-    prediction.unreadTokens = unread;
-    prediction.firstEventMilliseconds = pace * (std::max(slotWait, 0.0) + isBusy * halfPass * pass + reading + pass);
-    const double writing = std::max(0.0, size.answerTokens - m_speed.stepsPerPass) * (step + (running / std::max(1u, m_speed.slots)) * usualReading * m_speed.slots / m_speed.usualAnswerTokens);
-    prediction.endMilliseconds = prediction.firstEventMilliseconds + pace * writing;
+    const double tokenTime = step + usualReading * running / std::max(1.0, m_speed.usualAnswerTokens);
+    prediction.endMilliseconds = prediction.firstEventMilliseconds + pace * std::max(0.0, size.answerTokens - m_speed.stepsPerPass) * tokenTime;
     return prediction;
 }
 
+EnginePrediction EnginePool::predict(const std::string& upstream, const CallSize& size, TimePoint now) const
+{
+    const auto found = m_engines.find(upstream);
+    if (found == m_engines.end())
+        return {};
+    return predictWith(loadOf(found->second, now), found->second.report.slowness, size);
+}
+
+EnginePrediction EnginePool::predictIdle(const CallSize& size) const { return predictWith({}, 1, size); }
+
 std::optional<EngineChoice> EnginePool::choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now)
 {
     // Entries whose reports agree within this would otherwise choose alike: half a pass.
--- a/modules/hyssopwick_requests/placing/EnginePool.h
+++ b/modules/hyssopwick_requests/placing/EnginePool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <hyssopwick_deployment.h>
 #include <map>
 #include <optional>
@@ -58,6 +59,15 @@
     /// Predicts a call on one engine.
     EnginePrediction predict(const std::string& upstream, const CallSize& size, TimePoint now) const;
 
+    /// Predicts a call on an engine that runs nothing.
+    EnginePrediction predictIdle(const CallSize& size) const;
+
+    /// Returns how many usual calls all engines together can take in a millisecond.
+    double callsPerMillisecond() const;
+
+    /// Sets how many entries send to these engines.
+    void setFleetSize(std::size_t entries) { m_fleetSize = entries; }
+
     /// Chooses an engine, or nothing when there is none.
     /// \param excluded  engines that the call was sent to before
     std::optional<EngineChoice> choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now);
@@ -80,12 +90,23 @@
         unsigned endedSinceReport = 0;
     };
 
+    struct Load {
+        double running = 0;
+        double waiting = 0;
+        double unreadTokens = 0;
+    };
+
+    Load loadOf(const Engine& engine, TimePoint now) const;
+    EnginePrediction predictWith(const Load& load, double slowness, const CallSize& size) const;
     double stepMilliseconds(double running) const;
+    double slotPeriod(double running) const;
 
     EngineSpeed m_speed;
     RandomSource m_random;
     std::map<std::string, Engine> m_engines;
     std::map<std::uint64_t, SentCall> m_calls;
+    std::size_t m_fleetSize = 1;
+    std::deque<TimePoint> m_recentSends; // of this entry, to all engines
 };
 
 }
