Loads move streams away; a few random engines are looked at for each call

Cause: an engine that loads first finishes what it runs (1 to 2.5 s) and takes nothing meanwhile; half of the fleet was out of service at a time. And entries with the same reports all chose the engine that had just come back (a queue of 2.3 s there). Change: engines close, then resumable calls go on elsewhere, so that an engine is away 0.8 s; placing samples four engines and prefers its own region; one store follower a region.

--- a/modules/hyssopwick_deployment/view/FollowDecision.cpp
+++ b/modules/hyssopwick_deployment/view/FollowDecision.cpp
@@ -5,12 +5,13 @@
 namespace hyssopwick {
 
 namespace {
-    // Two survive the loss of one in each region.
-    constexpr std::size_t designatedPerRegion = 2;
+    // The others notice a lost one well within the bound of a change, and each call to the
+    // store is paid for.
+    constexpr std::size_t designatedPerRegion = 1;
     // Peers that are tried before the store.
     constexpr std::size_t maxPeerSources = 3;
-    // Half of the shortest bound in which a change has to be in force (2 s).
-    constexpr Milliseconds maxSourceAge { 1000 };
+    // A follower of the store waits up to 1 s for a change, then asks anew.
+    constexpr Milliseconds maxSourceAge { 1200 };
     // A process that fell back to another source looks at its preferred one again.
     constexpr Milliseconds preferredRetryPeriod { 3000 };
     constexpr Milliseconds unknownAge { 3600000 };
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -154,9 +154,10 @@
     news.engineAddress = m_context.description.engineAddress;
     news.report = m_report;
     news.isAnswering = m_isAnswering;
-    news.isLoading = m_activation && m_activation->isLoading();
+    if (m_activation && m_activation->isLoading())
+        news.availability = m_activation->phase() == EngineActivation::Phase::Closing ? EngineAvailability::Closing : EngineAvailability::Clearing;
     news.readyIn = readyIn();
-    const bool isNew = !(news.report == m_lastNews.report) || news.isAnswering != m_lastNews.isAnswering || news.isLoading != m_lastNews.isLoading;
+    const bool isNew = !(news.report == m_lastNews.report) || news.isAnswering != m_lastNews.isAnswering || news.availability != m_lastNews.availability;
     if (!isUrgent && !isNew && now < m_lastNewsAt + newsKeepalive)
         return;
     m_lastNews = news;
@@ -299,8 +300,7 @@
         const bool isNewest = version == m_versions.rbegin()->first;
         if (!isNewest && loaded != 0 && now < bound - olderVersionLead)
             continue;
-        const auto& speed = *m_service->engine;
-        const auto loadTime = Milliseconds(static_cast<std::int64_t>(speed.loadMilliseconds + speed.usualAnswerTokens * speed.stepMilliseconds));
+        const auto loadTime = EngineActivation::usualTime(*m_service->engine);
         m_turnVersion = version;
         m_turn.emplace(m_context.description.ip, WeightsSwarm::pathOf(swarm->second->weights()), loadTime, bound - orderMargin);
         updatePeers();
--- a/modules/hyssopwick_gateway/agent/EngineActivation.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineActivation.cpp
@@ -3,9 +3,11 @@
 namespace hyssopwick {
 
 namespace {
-    // Entries learn by datagram that the engine is about to load; what they sent before
-    // has reached it after this.
-    constexpr Milliseconds announcementLead { 40 };
+    // Between closing and clearing: calls that are nearly done end by themselves.
+    constexpr Milliseconds closingTime { 400 };
+    // What cannot leave the engine is waited for by the engine itself, after the order.
+    constexpr Milliseconds longestClearing { 120 };
+    constexpr Milliseconds clearingCheckPeriod { 15 };
     // Longer than a load and the longest answer that it waits for.
     constexpr Milliseconds longestLoad { 12000 };
 
@@ -16,8 +18,10 @@
             return "staging";
         case EngineActivation::Phase::Waiting:
             return "waiting";
-        case EngineActivation::Phase::Checking:
-            return "checking";
+        case EngineActivation::Phase::Closing:
+            return "closing";
+        case EngineActivation::Phase::Clearing:
+            return "clearing";
         case EngineActivation::Phase::Ordered:
             return "ordered";
         case EngineActivation::Phase::Failed:
@@ -34,6 +38,11 @@
 {
 }
 
+Milliseconds EngineActivation::usualTime(const EngineSpeed& speed)
+{
+    return closingTime + longestClearing / 2 + Milliseconds(static_cast<std::int64_t>(speed.loadMilliseconds));
+}
+
 void EngineActivation::start(std::function<bool()> mayLoad, std::function<void()> onChange)
 {
     m_mayLoad = std::move(mayLoad);
@@ -75,7 +84,8 @@
 {
     if (m_isStopped || m_phase != Phase::Waiting || !m_mayLoad())
         return;
-    enter(Phase::Checking);
+    m_closedAt = monotonicNow();
+    enter(Phase::Closing);
     check(0);
 }
 
@@ -84,7 +94,7 @@
     if (m_isStopped)
         return;
     if (chunk >= m_swarm->manifest()->chunks.size())
-        return giveOrder();
+        return clear();
     m_engine.readStaged(weights().model, chunk, [self = shared_from_this(), chunk](const Outcome<std::string>& bytes) {
         if (bytes && Digest::of(bytes.value()) == self->m_swarm->manifest()->chunks[chunk])
             return self->check(chunk + 1);
@@ -95,23 +105,47 @@
     });
 }
 
+void EngineActivation::clear()
+{
+    const auto timer = std::make_shared<LoopTimer>(m_context.loop, m_closedAt + closingTime);
+    timer->async_wait([self = shared_from_this(), timer](boost::system::error_code) {
+        if (self->m_isStopped)
+            return;
+        self->enter(Phase::Clearing);
+        self->clearedOrLater(monotonicNow() + longestClearing);
+    });
+}
+
+void EngineActivation::clearedOrLater(TimePoint latest)
+{
+    if (m_isStopped)
+        return;
+    if (monotonicNow() >= latest)
+        return giveOrder();
+    m_engine.fetchReport([self = shared_from_this(), latest](const Outcome<EngineReport>& report) {
+        if (report)
+            self->m_report = report.value();
+        if (report && report.value().runningCalls == 0 && report.value().waitingCalls == 0)
+            return self->giveOrder();
+        const auto timer = std::make_shared<LoopTimer>(self->m_context.loop, clearingCheckPeriod);
+        timer->async_wait([self, latest, timer](boost::system::error_code) { self->clearedOrLater(latest); });
+    });
+}
+
 void EngineActivation::giveOrder()
 {
+    if (m_isStopped)
+        return;
     m_orderedAt = monotonicNow();
     m_sequenceBeforeOrder = m_report.orderSequence;
     enter(Phase::Ordered);
-    const auto timer = std::make_shared<LoopTimer>(m_context.loop, announcementLead);
-    timer->async_wait([self = shared_from_this(), timer](boost::system::error_code) {
-        if (self->m_isStopped)
+    m_engine.order({ weights(), m_sequenceBeforeOrder }, [self = shared_from_this()](OrderResult result) {
+        if (self->m_isStopped || result == OrderResult::Begun || result == OrderResult::AlreadyInEffect)
             return;
-        self->m_engine.order({ self->weights(), self->m_sequenceBeforeOrder }, [self](OrderResult result) {
-            if (result == OrderResult::Begun || result == OrderResult::AlreadyInEffect)
-                return;
-            // Without an answer the order may have begun: the next reports tell.
-            self->m_context.log.write("order.failed", { { "version", std::to_string(self->weights().version) }, { "result", result == OrderResult::Conflict ? "conflict" : result == OrderResult::Refused ? "refused" : "unknown" }, { "sequence", std::to_string(self->m_sequenceBeforeOrder) } });
-            if (result != OrderResult::Unknown)
-                self->enter(Phase::Failed);
-        });
+        // Without an answer the order may have begun: the next reports tell.
+        self->m_context.log.write("order.failed", { { "version", std::to_string(self->weights().version) }, { "result", result == OrderResult::Conflict ? "conflict" : result == OrderResult::Refused ? "refused" : "unknown" }, { "sequence", std::to_string(self->m_sequenceBeforeOrder) } });
+        if (result != OrderResult::Unknown)
+            self->enter(Phase::Failed);
     });
 }
 
--- a/modules/hyssopwick_gateway/agent/EngineActivation.h
+++ b/modules/hyssopwick_gateway/agent/EngineActivation.h
@@ -12,13 +12,17 @@
     enum class Phase {
         Staging,
         Waiting, ///< for its turn
-        Checking,
+        Closing, ///< gets no further calls; the staged chunks are checked meanwhile
+        Clearing, ///< calls that can go on elsewhere leave
         Ordered,
         Failed, ///< the version has to be fetched or ordered anew
     };
 
     EngineActivation(GatewayContext& context, EngineLink& engine, std::shared_ptr<WeightsSwarm> swarm);
 
+    /// Returns how long an engine is usually out of service for this.
+    static Milliseconds usualTime(const EngineSpeed& speed);
+
     /// Begins. \param mayLoad  asked before the order; \param onChange  called when the phase changed
     void start(std::function<bool()> mayLoad, std::function<void()> onChange);
 
@@ -32,13 +36,15 @@
 
     Phase phase() const { return m_phase; }
     const WeightsVersion& weights() const { return m_swarm->weights(); }
-    /// Returns whether the engine should get no calls because of this.
-    bool isLoading() const { return m_phase == Phase::Ordered; }
+    /// Returns whether the engine leaves service because of this.
+    bool isLoading() const { return m_phase == Phase::Closing || m_phase == Phase::Clearing || m_phase == Phase::Ordered; }
 
 private:
     void enter(Phase phase);
     void stage(unsigned chunk);
     void check(unsigned chunk);
+    void clear();
+    void clearedOrLater(TimePoint latest);
     void giveOrder();
 
     GatewayContext& m_context;
@@ -49,6 +55,7 @@
     Phase m_phase = Phase::Staging;
     EngineReport m_report;
     std::uint64_t m_sequenceBeforeOrder = 0;
+    TimePoint m_closedAt;
     TimePoint m_orderedAt;
     bool m_isStopped = false;
 };
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -399,6 +399,19 @@
     attemptFailed(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "engine-down");
 }
 
+void CallFlow::moveFrom(const std::string& address)
+{
+    const bool isMovable = m_phase != Phase::Ended && m_upstreamAddress == address && m_attempt && mayRunAgain() && m_sentAttempts + 1 < m_route->maxUpstreams;
+    if (!isMovable || !m_services.budget().tryTake())
+        return;
+    m_attempt->cancel();
+    leaveUpstream();
+    ++m_sentAttempts;
+    m_services.context().metrics.count("calls_moved_total");
+    m_services.context().log.write("call.moved", { { "request", m_call.requestId }, { "from", address }, { "events", std::to_string(m_eventsForwarded) }, { "after_ms", milliseconds(elapsed()) } });
+    place();
+}
+
 void CallFlow::cut()
 {
     if (m_phase == Phase::Ended)
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -75,9 +75,14 @@
     });
     m_services.onEngineDown([this](const std::string& address) {
         const auto calls = m_calls;
-        for (const auto& [raw, call] : calls)
+        for (const auto& [id, call] : calls)
             call->upstreamDown(address);
     });
+    m_services.onEngineClearing([this](const std::string& address) {
+        const auto calls = m_calls;
+        for (const auto& [id, call] : calls)
+            call->moveFrom(address);
+    });
     ViewKeeper::Observer observer;
     observer.onConfiguration = [this](const DeploymentConfiguration& configuration) { m_services.setConfiguration(configuration); };
     observer.onUpstream = [this](const Upstream& upstream) { m_services.setUpstream(upstream); };
@@ -337,7 +342,7 @@
         return;
     }
     const auto calls = m_calls;
-    for (const auto& [raw, call] : calls)
+    for (const auto& [id, call] : calls)
         call->cut();
     m_gossip.depart();
     m_context.log.write("entry.stopped", { { "cut", std::to_string(calls.size()) } });
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -8,12 +8,25 @@
     // a leaving upstream may still get calls to the way through the nodes.
     constexpr int removalGraceShare = 2;
     // Nodes share the budget without asking each other, so each keeps to this part.
-    constexpr double budgetShare = 0.5;
+    constexpr double budgetShare = 0.8;
     // Agents report twice a second at least.
     constexpr Milliseconds maxNewsAge { 1500 };
     constexpr Milliseconds longestMaintenancePause { 500 };
     // What is left of the bound on weights versions when old ones get no more calls.
     constexpr Milliseconds versionMargin { 400 };
+
+    const char* availabilityName(EngineAvailability availability)
+    {
+        switch (availability) {
+        case EngineAvailability::Serving:
+            return "serving";
+        case EngineAvailability::Closing:
+            return "closing";
+        case EngineAvailability::Clearing:
+            return "clearing";
+        }
+        return "serving";
+    }
 }
 
 EntryServices::EntryServices(GatewayContext& context)
@@ -61,13 +74,12 @@
 
 bool EntryServices::isUsableEngine(const Upstream& upstream) const
 {
-    auto held = upstream.heldVersions;
+    const auto held = heldVersions(upstream);
     if (const auto* status = engineAt(upstream.address)) {
         const auto& news = status->news;
         const bool isSameStart = upstream.bornAt == 0 || news.report.bornAt == 0 || upstream.bornAt == news.report.bornAt;
-        if (!news.isAnswering || news.isLoading || !isSameStart)
+        if (!news.isAnswering || news.availability != EngineAvailability::Serving || !isSameStart)
             return false;
-        held = news.report.heldVersions;
     }
     if (held.empty())
         return false;
@@ -82,6 +94,30 @@
     return true;
 }
 
+std::map<std::string, std::uint64_t> EntryServices::heldVersions(const Upstream& upstream) const
+{
+    const auto* status = engineAt(upstream.address);
+    return status ? status->news.report.heldVersions : upstream.heldVersions;
+}
+
+// Whether the engine holds an older version than the one that is wanted.
+bool EntryServices::isBehind(const Upstream& upstream) const
+{
+    for (const auto& [model, version] : heldVersions(upstream)) {
+        const auto wanted = m_wantedVersions.find(model);
+        if (wanted != m_wantedVersions.end() && version < wanted->second.first)
+            return true;
+    }
+    return false;
+}
+
+std::string EntryServices::regionOf(const std::string& failureDomain) const
+{
+    const auto& regions = m_context.description.regionOfFailureDomain;
+    const auto found = regions.find(failureDomain);
+    return found == regions.end() ? failureDomain : found->second;
+}
+
 void EntryServices::refresh()
 {
     if (!m_routes)
@@ -91,11 +127,20 @@
             auto& pool = m_engines.try_emplace(name, m_random.next()).first->second;
             pool.setSpeed(*service.engine);
             std::set<std::string> usable;
+            std::set<std::string> behind;
+            std::set<std::string> remote;
             for (const auto& upstream : m_registry.usable(name)) {
-                if (isUsableEngine(upstream))
-                    usable.insert(upstream.id);
+                if (!isUsableEngine(upstream))
+                    continue;
+                usable.insert(upstream.id);
+                if (regionOf(upstream.failureDomain) != m_context.description.region)
+                    remote.insert(upstream.id);
+                if (isBehind(upstream))
+                    behind.insert(upstream.id);
             }
             pool.setEngines(usable);
+            pool.setLeavingSoon(behind);
+            pool.setRemote(remote);
             queue(name).setEnginesExpectedAt(enginesExpectedAt(name));
             for (const auto& id : usable) {
                 if (const auto* status = engineAt(m_registry.find(id)->address))
@@ -130,16 +175,19 @@
 void EntryServices::recordEngineNews(const EngineNews& news)
 {
     const auto known = m_engineStatus.find(news.engineAddress);
+    const bool wasClearing = known != m_engineStatus.end() && known->second.news.availability == EngineAvailability::Clearing;
     const bool wasAnswering = known == m_engineStatus.end() || known->second.news.isAnswering;
-    const bool isNewState = news.readyIn.has_value() || known == m_engineStatus.end() || wasAnswering != news.isAnswering || known->second.news.isLoading != news.isLoading
+    const bool isNewState = news.readyIn.has_value() || known == m_engineStatus.end() || wasAnswering != news.isAnswering || known->second.news.availability != news.availability
         || known->second.news.report.heldVersions != news.report.heldVersions || known->second.news.report.bornAt != news.report.bornAt;
     m_engineStatus[news.engineAddress] = { news, monotonicNow() };
     if (isNewState) {
         if (!news.readyIn)
-            m_context.log.write("engine.state", { { "engine", news.engineAddress }, { "answering", news.isAnswering ? "true" : "false" }, { "loading", news.isLoading ? "true" : "false" }, { "held", news.report.heldVersions.empty() ? "none" : std::to_string(news.report.heldVersions.begin()->second) } });
+            m_context.log.write("engine.state", { { "engine", news.engineAddress }, { "answering", news.isAnswering ? "true" : "false" }, { "availability", availabilityName(news.availability) }, { "held", news.report.heldVersions.empty() ? "none" : std::to_string(news.report.heldVersions.begin()->second) } });
         refresh();
         if (wasAnswering && !news.isAnswering && m_onEngineDown)
             m_onEngineDown(news.engineAddress);
+        if (!wasClearing && news.availability == EngineAvailability::Clearing && m_onEngineClearing)
+            m_onEngineClearing(news.engineAddress);
         return;
     }
     for (auto& [name, pool] : m_engines) {
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -57,13 +57,18 @@
     RandomSource& random() { return m_random; }
     GatewayContext& context() { return m_context; }
 
-    /// Called when an engine turned out to be down, with its id.
+    /// Called when an engine turned out to be down, with its address.
     void onEngineDown(std::function<void(const std::string&)> handler) { m_onEngineDown = std::move(handler); }
+    /// Called when calls should leave an engine that serves on for now, with its address.
+    void onEngineClearing(std::function<void(const std::string&)> handler) { m_onEngineClearing = std::move(handler); }
     /// Called when a pool changed or an engine reported.
     void onCapacity(std::function<void()> handler) { m_onCapacity = std::move(handler); }
 
 private:
     bool isUsableEngine(const Upstream& upstream) const;
+    std::string regionOf(const std::string& failureDomain) const;
+    bool isBehind(const Upstream& upstream) const;
+    std::map<std::string, std::uint64_t> heldVersions(const Upstream& upstream) const;
     std::optional<TimePoint> enginesExpectedAt(const std::string& service) const;
 
     GatewayContext& m_context;
@@ -79,6 +84,7 @@
     CrashSuspicion m_suspicion;
     RandomSource m_random;
     std::function<void(const std::string&)> m_onEngineDown;
+    std::function<void(const std::string&)> m_onEngineClearing;
     std::function<void()> m_onCapacity;
 };
 
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
@@ -51,7 +51,7 @@
         Json operator()(const EngineNews& message) const
         {
             const auto& report = message.report;
-            return { message.upstream, message.engineAddress, message.isAnswering, message.isLoading, report.orderSequence, report.isOrderRunning,
+            return { message.upstream, message.engineAddress, message.isAnswering, static_cast<int>(message.availability), report.orderSequence, report.isOrderRunning,
                 report.waitingCalls, report.runningCalls, report.usedTokens, report.tokenCapacity, report.slowness, report.bornAt, Json(report.heldVersions),
                 message.readyIn ? message.readyIn->count() : std::int64_t(-1) };
         }
@@ -75,7 +75,10 @@
         json.at(1).get_to(news.upstream);
         json.at(2).get_to(news.engineAddress);
         json.at(3).get_to(news.isAnswering);
-        json.at(4).get_to(news.isLoading);
+        const auto availability = json.at(4).get<int>();
+        if (availability < 0 || availability > static_cast<int>(EngineAvailability::Clearing))
+            throw std::invalid_argument("unknown availability");
+        news.availability = static_cast<EngineAvailability>(availability);
         auto& report = news.report;
         json.at(5).get_to(report.orderSequence);
         json.at(6).get_to(report.isOrderRunning);
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.h
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.h
@@ -28,13 +28,20 @@
     std::string target;
 };
 
+/// Whether an engine takes calls, as its agent plans it.
+enum class EngineAvailability {
+    Serving,
+    Closing, ///< about to load weights: it should get no further calls
+    Clearing, ///< about to load: calls that can go on elsewhere should leave it now
+};
+
 /// An agent tells what its engine reports.
 struct EngineNews {
     std::string upstream; ///< id under which the engine is registered; "" when not known
     std::string engineAddress;
     EngineReport report;
     bool isAnswering = true; ///< whether the engine answers its agent
-    bool isLoading = false; ///< about to load weights: it should get no further calls
+    EngineAvailability availability = EngineAvailability::Serving;
     std::optional<Milliseconds> readyIn; ///< until an engine without weights serves
 };
 
--- a/modules/hyssopwick_gateway/view/ViewKeeper.cpp
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.cpp
@@ -8,9 +8,10 @@
     // A waiting call is answered after this time at the latest, so that a silent
     // source shows well within the time in which a change must be in force (2 s).
     constexpr Milliseconds storeWait { 1000 };
-    constexpr Milliseconds peerWait { 800 };
+    constexpr Milliseconds peerWait { 500 };
     // On top of the wait: the longest ordinary way there and back.
     constexpr Milliseconds answerSlack { 600 };
+    constexpr Milliseconds peerAnswerSlack { 300 };
     constexpr Milliseconds connectTimeout { 400 };
     constexpr Milliseconds readTimeout { 1500 };
     constexpr Milliseconds firstRetryPause { 50 };
@@ -146,7 +147,7 @@
     const auto now = monotonicNow();
     HttpCall call;
     call.target = std::string(viewPath) + std::to_string(m_view.revision());
-    fetchWhole(m_context.loop, peer.address, std::move(call), now + connectTimeout, now + peerWait + answerSlack, [this, peer](WholeResponse response) {
+    fetchWhole(m_context.loop, peer.address, std::move(call), now + connectTimeout, now + peerWait + peerAnswerSlack, [this, peer](WholeResponse response) {
         if (!response.isComplete() || response.status != statusOk)
             return failed(peer, std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status));
         auto update = decodeUpdate(response.body);
--- a/modules/hyssopwick_requests/placing/EnginePool.cpp
+++ b/modules/hyssopwick_requests/placing/EnginePool.cpp
@@ -12,6 +12,17 @@
     // A report that is older says nothing of what waits now.
     constexpr Milliseconds maxReportAge { 1500 };
     constexpr double halfPass = 0.5;
+    // What a move to another engine costs a call: its prompt is read again. One that was
+    // moved before would have to be waited for instead.
+    constexpr double leavingPenaltyMilliseconds = 30;
+    constexpr double secondLeavingPenaltyMilliseconds = 60;
+    // Bytes between regions are scarce; an engine of the own region is taken unless one
+    // elsewhere is sooner by more than the way there and back takes.
+    constexpr double remotePenaltyMilliseconds = 10;
+    // Engines looked at for one call. All entries that look at all engines choose the
+    // same one between two reports; a few random ones avoid that at little loss
+    // (Mitzenmacher, How Useful Is Old Information?, 2000).
+    constexpr std::size_t sampleSize = 4;
     constexpr double thousand = 1000;
     constexpr double million = 1e6;
 }
@@ -155,17 +166,29 @@
 
 EnginePrediction EnginePool::predictIdle(const CallSize& size) const { return predictWith({}, 1, size); }
 
+std::vector<std::string> EnginePool::sample(const std::set<std::string>& excluded)
+{
+    std::vector<std::string> candidates;
+    for (const auto& [id, engine] : m_engines) {
+        if (excluded.count(id) == 0)
+            candidates.push_back(id);
+    }
+    const auto count = std::min(sampleSize, candidates.size());
+    for (std::size_t i = 0; i < count; ++i)
+        std::swap(candidates[i], candidates[i + m_random.below(candidates.size() - i)]);
+    candidates.resize(count);
+    return candidates;
+}
+
 std::optional<EngineChoice> EnginePool::choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now)
 {
-    // Entries whose reports agree within this would otherwise choose alike: half a pass.
-    const double tieMilliseconds = halfPass * m_speed.stepsPerPass * m_speed.stepMilliseconds;
     std::optional<EngineChoice> best;
     double bestScore = 0;
-    for (const auto& [id, engine] : m_engines) {
-        if (excluded.count(id) != 0)
-            continue;
+    for (const auto& id : sample(excluded)) {
         const auto prediction = predict(id, size, now);
-        const double score = prediction.firstEventMilliseconds + m_random.unit() * tieMilliseconds;
+        const double leaving = m_leavingSoon.count(id) == 0 ? 0 : excluded.empty() ? leavingPenaltyMilliseconds : secondLeavingPenaltyMilliseconds;
+        const double crossing = m_remote.count(id) == 0 ? 0 : remotePenaltyMilliseconds;
+        const double score = prediction.firstEventMilliseconds + leaving + crossing;
         if (best && score >= bestScore)
             continue;
         best = EngineChoice { id, prediction };
--- a/modules/hyssopwick_requests/placing/EnginePool.h
+++ b/modules/hyssopwick_requests/placing/EnginePool.h
@@ -46,6 +46,12 @@
     /// Replaces the engines that may be sent calls.
     void setEngines(const std::set<std::string>& upstreams);
 
+    /// Sets the engines that will leave service for a while soon, to load newer weights.
+    void setLeavingSoon(const std::set<std::string>& upstreams) { m_leavingSoon = upstreams; }
+
+    /// Sets the engines that stand in another region than this entry.
+    void setRemote(const std::set<std::string>& upstreams) { m_remote = upstreams; }
+
     /// Records what an engine reported at \p reportedAt.
     void recordReport(const std::string& upstream, const EngineReport& report, TimePoint reportedAt);
 
@@ -69,7 +75,8 @@
     void setFleetSize(std::size_t entries) { m_fleetSize = entries; }
 
     /// Chooses an engine, or nothing when there is none.
-    /// \param excluded  engines that the call was sent to before
+    /// \param excluded  engines that the call was sent to before; such a call may not
+    ///                  be moved again, and avoids engines that leave service soon
     std::optional<EngineChoice> choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now);
 
     bool isEmpty() const { return m_engines.empty(); }
@@ -96,6 +103,7 @@
         double unreadTokens = 0;
     };
 
+    std::vector<std::string> sample(const std::set<std::string>& excluded);
     Load loadOf(const Engine& engine, TimePoint now) const;
     EnginePrediction predictWith(const Load& load, double slowness, const CallSize& size) const;
     double stepMilliseconds(double running) const;
@@ -104,6 +112,8 @@
     EngineSpeed m_speed;
     RandomSource m_random;
     std::map<std::string, Engine> m_engines;
+    std::set<std::string> m_leavingSoon;
+    std::set<std::string> m_remote;
     std::map<std::uint64_t, SentCall> m_calls;
     std::size_t m_fleetSize = 1;
     std::deque<TimePoint> m_recentSends; // of this entry, to all engines
