Late calls get a share of the engines; after a power loss only the newest weights are fetched

Cause: calls at their last moment went before calls in time, so that a backlog made all calls late for 12 s after a power loss; and agents fetched version 1 beside the newest.

--- a/modules/hyssopwick_distribution/swarm/PullDecision.cpp
+++ b/modules/hyssopwick_distribution/swarm/PullDecision.cpp
@@ -41,6 +41,7 @@
     , m_chunkBytes(chunkBytes)
     , m_random(seed)
     , m_startedAt(now)
+    , m_originFailedAt(now - std::chrono::hours(1))
     , m_held(chunkCount)
     , m_announced(chunkCount)
     , m_chunks(chunkCount)
@@ -171,7 +172,8 @@
         state.isPending = false;
         --m_pending;
     }
-    state.originRetryAt = now + backoff(state.originFailures++);
+    state.originRetryAt = now + failurePause;
+    m_originFailedAt = now;
 }
 
 bool PullDecision::isHeldInRegion(std::uint32_t chunk) const
@@ -193,7 +195,8 @@
     if (state.originRank == 0)
         return turn;
     const auto step = takeoverStep * static_cast<int>(std::min<std::size_t>(state.originRank - 1, 20));
-    return m_startedAt + originTime() + originTakeover + step;
+    // While the origin fails for all, nobody takes over from others.
+    return std::max(m_startedAt + originTime(), m_originFailedAt) + originTakeover + step;
 }
 
 TimePoint PullDecision::crossingDueAt(std::uint32_t chunk) const
@@ -233,11 +236,17 @@
 
 void PullDecision::planOrigin(TimePoint now, std::vector<PullAction>& actions)
 {
-    for (std::uint32_t chunk = 0; chunk < m_chunks.size() && m_pending < maxPending; ++chunk) {
+    // One request at a time finds out whether an origin that failed is back.
+    std::size_t allowed = now < m_originFailedAt + failurePause * 2 ? 1 : maxPending;
+    for (const auto& state : m_chunks)
+        allowed -= std::min<std::size_t>(allowed, state.isPending && state.isFromOrigin);
+    for (std::uint32_t chunk = 0; chunk < m_chunks.size() && m_pending < maxPending && allowed > 0; ++chunk) {
         auto& state = m_chunks[chunk];
         if (m_held.contains(chunk) || state.isPending || now < state.originRetryAt || now < originDueAt(chunk) || isHeldAnywhere(chunk))
             continue;
         state.isPending = true;
+        state.isFromOrigin = true;
+        --allowed;
         ++m_pending;
         actions.push_back(FetchFromOrigin { chunk, now + originChunkTime() * originChunkTimesPerDeadline + originDeadlineSlack });
     }
@@ -290,6 +299,7 @@
     if (!best)
         return false;
     m_chunks[best->chunk].isPending = true;
+    m_chunks[best->chunk].isFromOrigin = false;
     ++m_pending;
     // A member that is asked serves this VM first; the next fetch goes elsewhere.
     m_members.at(best->member).askAgainAt = now + busyPause;
--- a/modules/hyssopwick_distribution/swarm/PullDecision.h
+++ b/modules/hyssopwick_distribution/swarm/PullDecision.h
@@ -82,8 +82,8 @@
         std::size_t originRank = 0; // of this VM among all members
         std::size_t regionRank = 0; // of this VM among those of its region
         TimePoint originRetryAt;
-        unsigned originFailures = 0;
         bool isPending = false; // a fetch is under way
+        bool isFromOrigin = false; // the fetch, or the last one
     };
 
     void rank();
@@ -105,6 +105,7 @@
     std::uint64_t m_chunkBytes;
     RandomSource m_random;
     TimePoint m_startedAt;
+    TimePoint m_originFailedAt;
     ChunkSet m_held;
     ChunkSet m_announced;
     std::vector<ChunkState> m_chunks;
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -19,9 +19,6 @@
     constexpr Milliseconds announcementPeriod { 400 };
     // The version that engines hold which were there before any was named.
     constexpr std::uint64_t firstVersion = 1;
-    // Versions that are fetched at the same time: the newest, and the one before it in
-    // case the origin does not give the newest in time.
-    constexpr std::size_t maxFetchedVersions = 2;
     // Before its bound, an older version is loaded this early if the newest is not whole.
     constexpr Milliseconds olderVersionLead { 3500 };
     // Between the latest order and the bound on the version.
@@ -219,15 +216,16 @@
 void AgentGateway::planSwarms()
 {
     const auto loaded = loadedVersion();
-    // Fetched are the newest versions; of older ones only the loaded one is passed on.
-    std::set<std::uint64_t> wanted;
-    for (auto version = m_versions.rbegin(); version != m_versions.rend() && wanted.size() < maxFetchedVersions; ++version) {
-        if (version->first >= loaded)
-            wanted.insert(version->first);
-        const bool isBehindWholeOne = m_swarms.count(version->first) != 0 && m_swarms.at(version->first)->isComplete();
-        if (isBehindWholeOne)
-            break;
-    }
+    // The newest version is fetched. The one before it goes on if it had begun earlier, and
+    // begins if the newest makes no progress, since the origin may be away.
+    const auto newest = m_versions.rbegin()->first;
+    std::set<std::uint64_t> wanted { newest };
+    const auto swarmOfNewest = m_swarms.find(newest);
+    const bool isNewestWhole = swarmOfNewest != m_swarms.end() && swarmOfNewest->second->isComplete();
+    const bool isNewestStuck = swarmOfNewest != m_swarms.end() && swarmOfNewest->second->isStuck();
+    const auto before = m_versions.size() > 1 ? std::next(m_versions.rbegin())->first : newest;
+    if (before != newest && before > loaded && !isNewestWhole && (m_swarms.count(before) != 0 || isNewestStuck))
+        wanted.insert(before);
     for (auto swarm = m_swarms.begin(); swarm != m_swarms.end();) {
         if (wanted.count(swarm->first) != 0) {
             ++swarm;
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
@@ -12,6 +12,10 @@
     constexpr std::size_t manifestLeaders = 2;
     // Time for a copy against that of its bytes on the VM's link (docs/RESULTS.md).
     constexpr double transferOverhead = 1.6;
+    // Without a new chunk for so long, the source of the version is taken to be away.
+    constexpr Milliseconds longestPause { 1500 };
+    // A busy origin takes connections late, since its link is full.
+    constexpr Milliseconds originConnectTimeout { 1500 };
     // Further peers are told to ask elsewhere.
     constexpr std::size_t maxQueuedUploads = 1;
     // What weights may take of a VM's link; the rest is left to calls and streams.
@@ -34,6 +38,7 @@
     , m_self(std::move(self))
     , m_timer(context.loop)
     , m_startedAt(monotonicNow())
+    , m_progressAt(m_startedAt)
 {
 }
 
@@ -187,7 +192,7 @@
 void WeightsSwarm::perform(const FetchFromOrigin& action)
 {
     const auto now = monotonicNow();
-    fetchWhole(m_context.loop, m_service.originAddress, m_context.ports.engines->encodeChunkCall(m_weights, action.chunk), now + connectTimeout, action.deadline, [self = shared_from_this(), chunk = action.chunk](WholeResponse response) {
+    fetchWhole(m_context.loop, m_service.originAddress, m_context.ports.engines->encodeChunkCall(m_weights, action.chunk), now + originConnectTimeout, action.deadline, [self = shared_from_this(), chunk = action.chunk](WholeResponse response) {
         if (self->m_isStopped)
             return;
         if (response.isComplete() && response.status == statusOk) {
@@ -267,6 +272,7 @@
         return false;
     }
     m_context.metrics.count("chunks_kept_total", from.empty() ? "origin" : "peer");
+    m_progressAt = now;
     m_bytes[chunk] = std::move(bytes);
     m_swarm->recordChunkKept(chunk, now);
     return true;
@@ -279,6 +285,8 @@
     return Milliseconds(static_cast<std::int64_t>(1000 * bytes / m_context.description.linkBytesPerSecond * transferOverhead));
 }
 
+bool WeightsSwarm::isStuck() const { return !isComplete() && monotonicNow() > m_progressAt + longestPause; }
+
 void WeightsSwarm::recordStaged() { m_bytes.clear(); }
 
 void WeightsSwarm::recordSpoilt()
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.h
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.h
@@ -40,6 +40,9 @@
     /// Estimates how long it takes until all chunks are here.
     Milliseconds timeToComplete() const;
 
+    /// Returns whether no chunk has come for a while though some are missing.
+    bool isStuck() const;
+
     bool isComplete() const { return m_swarm && m_swarm->isComplete(); }
     const WeightsVersion& weights() const { return m_weights; }
     const std::optional<WeightsManifest>& manifest() const { return m_manifest; }
@@ -94,6 +97,7 @@
     std::vector<unsigned> m_stagedAtStart;
     std::function<void()> m_onComplete;
     TimePoint m_startedAt;
+    TimePoint m_progressAt;
     unsigned m_manifestAttempts = 0;
     unsigned m_uploads = 0;
     std::list<std::pair<ServerExchangePointer, unsigned>> m_uploadQueue;
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -12,8 +12,9 @@
     // Agents report twice a second at least.
     constexpr Milliseconds maxNewsAge { 1500 };
     constexpr Milliseconds longestMaintenancePause { 500 };
-    // What is left of the bound on weights versions when old ones get no more calls.
-    constexpr Milliseconds versionMargin { 400 };
+    // What is left of the bound on weights versions when old ones get no more calls: a
+    // call that was sent before has begun by then.
+    constexpr Milliseconds versionMargin { 800 };
 
     const char* availabilityName(EngineAvailability availability)
     {
@@ -141,7 +142,7 @@
             pool.setEngines(usable);
             pool.setLeavingSoon(behind);
             pool.setRemote(remote);
-            queue(name).setEnginesExpectedAt(enginesExpectedAt(name));
+            queue(name).setEnginesExpected(enginesExpectedAt(name), m_registry.usable(name).size());
             for (const auto& id : usable) {
                 if (const auto* status = engineAt(m_registry.find(id)->address))
                     pool.recordReport(id, status->news.report, status->receivedAt);
@@ -209,6 +210,11 @@
     auto next = now + longestMaintenancePause;
     if (const auto expiry = m_registry.nextExpiry())
         next = std::min(next, *expiry);
+    for (const auto& [model, wanted] : m_wantedVersions) {
+        const auto oldVersionsEnd = wanted.second + m_context.description.versionBound - versionMargin;
+        if (oldVersionsEnd > now)
+            next = std::min(next, oldVersionsEnd);
+    }
     return next;
 }
 
--- a/modules/hyssopwick_requests/admission/CallQueue.cpp
+++ b/modules/hyssopwick_requests/admission/CallQueue.cpp
@@ -1,6 +1,7 @@
 #include "CallQueue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hyssopwick {
 
@@ -10,10 +11,15 @@
     // A late call goes to an engine that is expected to begin it this soon, in parts of
     // the time that an idle engine takes: more would delay calls that are in time.
     constexpr double spareFactor = 1.6;
-    // Part of the predicted time to the end by which predictions may be short.
+    // Predictions of the end may be short by this factor.
     constexpr double endSafety = 1.3;
-    // Waiting longer than this for engines that are not there helps few callers.
+    // Part of the time left that a late call may be expected to take.
     constexpr double worthWaiting = 0.9;
+    // Part of the engines' rate that late calls get even when calls in time could take all.
+    constexpr double leastLateShare = 0.15;
+    constexpr double mostLateTurns = 3;
+    // Over which arrivals are counted.
+    constexpr Milliseconds arrivalWindow { 2000 };
     constexpr Milliseconds smallestRetryAfter { 100 };
     constexpr Milliseconds unknownReturn { 1000 };
 }
@@ -29,51 +35,100 @@
     m_engines.setFleetSize(m_fleetSize);
 }
 
-void CallQueue::add(const QueuedCall& call) { m_calls[call.id] = { call, true }; }
+void CallQueue::setEnginesExpected(std::optional<TimePoint> at, std::size_t count)
+{
+    m_enginesExpectedAt = at;
+    m_enginesExpected = count;
+}
+
+void CallQueue::add(const QueuedCall& call, TimePoint now)
+{
+    m_arrivals = arrivalRate(now) * double(arrivalWindow.count()) + 1;
+    m_arrivalsAt = now;
+    m_calls[call.id].call = call;
+}
 
 void CallQueue::remove(std::uint64_t call) { m_calls.erase(call); }
 
-Milliseconds CallQueue::expectedWait(std::size_t ahead, TimePoint now) const
+double CallQueue::arrivalRate(TimePoint now) const
+{
+    const double age = double(millisecondsBetween(m_arrivalsAt, now)) / double(arrivalWindow.count());
+    return m_arrivals * std::exp(-age) / double(arrivalWindow.count());
+}
+
+double CallQueue::ownRate() const
+{
+    const double rate = m_engines.isEmpty() ? double(m_enginesExpected) * m_engines.callsPerMillisecondOfOne() : m_engines.callsPerMillisecond();
+    return rate / double(m_fleetSize);
+}
+
+double CallQueue::lateRate(TimePoint now) const
+{
+    const double rate = ownRate();
+    return std::max(rate * leastLateShare, rate - arrivalRate(now));
+}
+
+double CallQueue::untilEngines(TimePoint now) const
 {
-    double wait = 0;
-    if (m_engines.isEmpty())
-        wait = m_enginesExpectedAt ? double(std::max<std::int64_t>(0, millisecondsBetween(now, *m_enginesExpectedAt))) : double(unknownReturn.count());
-    const double ownRate = m_engines.callsPerMillisecond() / double(m_fleetSize);
-    if (ahead > 0 && ownRate > 0)
-        wait += double(ahead) / ownRate;
-    return Milliseconds(static_cast<std::int64_t>(wait));
+    if (!m_engines.isEmpty())
+        return 0;
+    return m_enginesExpectedAt ? double(std::max<std::int64_t>(0, millisecondsBetween(now, *m_enginesExpectedAt))) : double(unknownReturn.count());
 }
 
-bool CallQueue::isServable(const Waiting& waiting, std::size_t ahead, TimePoint now) const
+bool CallQueue::canBeInTime(const QueuedCall& call, TimePoint now) const
+{
+    const double rate = ownRate();
+    const double wait = untilEngines(now) + (rate > 0 ? double(m_inTimeAhead) / rate : 0);
+    return wait + m_engines.predictIdle(call.size).firstEventMilliseconds <= double(millisecondsBetween(now, call.onTimeBy));
+}
+
+bool CallQueue::isServableLate(const QueuedCall& call, TimePoint now) const
 {
     const bool isHopeless = m_engines.isEmpty() && !m_enginesExpectedAt;
-    if (isHopeless)
+    const double rate = lateRate(now);
+    if (isHopeless || rate <= 0)
         return false;
-    const auto idle = m_engines.predictIdle(waiting.call.size);
-    const double left = double(millisecondsBetween(now, waiting.call.deadline));
-    return double(expectedWait(ahead, now).count()) + idle.endMilliseconds * endSafety < left * worthWaiting;
+    const double wait = untilEngines(now) + double(m_lateAhead) / rate;
+    return wait + m_engines.predictIdle(call.size).endMilliseconds * endSafety < double(millisecondsBetween(now, call.deadline)) * worthWaiting;
 }
 
 TimePoint CallQueue::lastMoment(const QueuedCall& call) const
 {
-    const auto idle = m_engines.predictIdle(call.size);
-    return call.deadline - Milliseconds(static_cast<std::int64_t>(idle.endMilliseconds * endSafety * endSafety));
+    const double needed = m_engines.predictIdle(call.size).endMilliseconds * endSafety * endSafety;
+    return call.deadline - Milliseconds(static_cast<std::int64_t>(needed));
+}
+
+bool CallQueue::takeLateTurn(TimePoint now)
+{
+    m_lateTurns = std::min(mostLateTurns, m_lateTurns + lateRate(now) * double(millisecondsBetween(m_lateTurnsAt, now)));
+    m_lateTurnsAt = now;
+    if (m_lateTurns < 1)
+        return false;
+    m_lateTurns -= 1;
+    return true;
 }
 
-std::optional<EngineChoice> CallQueue::choose(const Waiting& waiting, TimePoint now)
+CallQueue::Verdict CallQueue::decide(Waiting& waiting, std::optional<EngineChoice>& choice, TimePoint now)
 {
     const auto& call = waiting.call;
-    auto choice = m_engines.choose(call.size, call.excluded, now);
-    if (!choice)
-        return std::nullopt;
-    const auto firstEvent = now + Milliseconds(static_cast<std::int64_t>(choice->prediction.firstEventMilliseconds));
-    if (firstEvent <= call.onTimeBy || now >= lastMoment(call))
-        return choice;
-    const bool isLate = now + Milliseconds(static_cast<std::int64_t>(m_engines.predictIdle(call.size).firstEventMilliseconds)) > call.onTimeBy;
+    choice = m_engines.choose(call.size, call.excluded, now);
+    if (choice && now + Milliseconds(static_cast<std::int64_t>(choice->prediction.firstEventMilliseconds)) <= call.onTimeBy)
+        return Verdict::Send;
+    if (canBeInTime(call, now)) {
+        waiting.isJudgedInTime = true;
+        ++m_inTimeAhead;
+        return Verdict::Wait;
+    }
+    if (!waiting.isJudgedLate && !isServableLate(call, now))
+        return Verdict::Refuse;
+    waiting.isJudgedLate = true;
     const double spare = m_engines.predictIdle(call.size).firstEventMilliseconds * spareFactor;
-    if (isLate && choice->prediction.firstEventMilliseconds <= spare)
-        return choice;
-    return std::nullopt;
+    if (choice && choice->prediction.firstEventMilliseconds <= spare)
+        return Verdict::Send;
+    if (choice && now >= lastMoment(call) && takeLateTurn(now))
+        return Verdict::Send;
+    ++m_lateAhead;
+    return Verdict::Wait;
 }
 
 QueueDecisions CallQueue::advance(TimePoint now)
@@ -82,31 +137,36 @@
     std::vector<std::uint64_t> order;
     for (const auto& [id, waiting] : m_calls)
         order.push_back(id);
-    // Calls in time by when they are due, then late ones by when they are given up.
-    const auto rank = [this, now](std::uint64_t id) {
-        const auto& call = m_calls.at(id).call;
-        const bool isLate = now > call.onTimeBy;
-        return std::make_tuple(isLate && now < lastMoment(call), isLate ? call.deadline : call.onTimeBy, id);
+    // Calls that may be in time by when they are due, then late ones by when they are given up.
+    const auto rank = [this](std::uint64_t id) {
+        const auto& waiting = m_calls.at(id);
+        return std::make_tuple(waiting.isJudgedLate, waiting.isJudgedLate ? waiting.call.deadline : waiting.call.onTimeBy, id);
     };
     std::sort(order.begin(), order.end(), [&rank](std::uint64_t left, std::uint64_t right) { return rank(left) < rank(right); });
-    std::size_t ahead = 0;
+    m_inTimeAhead = 0;
+    m_lateAhead = static_cast<std::size_t>(std::count_if(m_calls.begin(), m_calls.end(), [](const auto& entry) { return entry.second.isJudgedLate; }));
+    bool isLateCounted = false;
     for (const auto id : order) {
         auto& waiting = m_calls.at(id);
-        if (auto choice = choose(waiting, now)) {
+        if (waiting.isJudgedLate && !isLateCounted) {
+            isLateCounted = true;
+            m_lateAhead = 0;
+        }
+        std::optional<EngineChoice> choice;
+        const auto verdict = decide(waiting, choice, now);
+        if (verdict == Verdict::Wait)
+            continue;
+        if (verdict == Verdict::Send) {
             m_engines.recordSend(choice->upstream, id, waiting.call.size, now);
             decisions.sent.push_back({ id, choice->upstream, choice->prediction });
-            m_calls.erase(id);
-            continue;
-        }
-        if (waiting.isNew && !isServable(waiting, ahead, now)) {
+        } else {
             decisions.refused.push_back(id);
-            m_calls.erase(id);
-            continue;
         }
-        waiting.isNew = false;
-        ++ahead;
+        m_calls.erase(id);
     }
-    decisions.retryAfter = std::max(smallestRetryAfter, expectedWait(ahead, now));
+    const double rate = ownRate();
+    const double untilFree = untilEngines(now) + (rate > 0 ? double(m_calls.size()) / rate : 0);
+    decisions.retryAfter = std::max(smallestRetryAfter, Milliseconds(static_cast<std::int64_t>(untilFree)));
     m_nextWake = m_calls.empty() ? std::nullopt : std::optional<TimePoint>(now + reviewPeriod);
     return decisions;
 }
--- a/modules/hyssopwick_requests/admission/CallQueue.h
+++ b/modules/hyssopwick_requests/admission/CallQueue.h
@@ -35,10 +35,11 @@
 ///
 /// A call that can still have its first event in time goes first, the earliest due first;
 /// it is sent when some engine is expected to make it in time. One that cannot is worth
-/// less, but far more than a refusal: it waits for engines with room to spare, and goes to
-/// the best engine when its last moment has come. What cannot be served before its
-/// deadline, by the backlog and the rate at which engines take calls, is refused when it
-/// comes, with the time at which a place should be free. Pure.
+/// less, though far more than a refusal: it is served by what the others leave, on engines
+/// with room to spare or, at its last moment, within a share of the rate at which engines
+/// take calls. Giving late calls more than that would make the calls behind them late too.
+/// What cannot be served so before its deadline is refused as soon as that is known, with
+/// the time at which a place should be free. Pure.
 class CallQueue {
 public:
     explicit CallQueue(EnginePool& engines);
@@ -46,10 +47,10 @@
     /// Sets how many entries share the engines.
     void setFleetSize(std::size_t entries);
 
-    /// Sets when engines are expected to serve again, while none does.
-    void setEnginesExpectedAt(std::optional<TimePoint> at) { m_enginesExpectedAt = at; }
+    /// Sets when engines are expected to serve, while none does, and how many.
+    void setEnginesExpected(std::optional<TimePoint> at, std::size_t count);
 
-    void add(const QueuedCall& call);
+    void add(const QueuedCall& call, TimePoint now);
     void remove(std::uint64_t call);
 
     /// Decides on all calls. Call after each change and at nextWake().
@@ -63,18 +64,37 @@
 private:
     struct Waiting {
         QueuedCall call;
-        bool isNew = true; ///< not yet judged whether it can be served
+        bool isJudgedInTime = false; ///< was found servable as a call in time
+        bool isJudgedLate = false; ///< was found servable as a late call
     };
 
-    bool isServable(const Waiting& waiting, std::size_t ahead, TimePoint now) const;
-    Milliseconds expectedWait(std::size_t ahead, TimePoint now) const;
-    std::optional<EngineChoice> choose(const Waiting& waiting, TimePoint now);
+    enum class Verdict {
+        Wait,
+        Send,
+        Refuse,
+    };
+
+    Verdict decide(Waiting& waiting, std::optional<EngineChoice>& choice, TimePoint now);
+    bool canBeInTime(const QueuedCall& call, TimePoint now) const;
+    bool isServableLate(const QueuedCall& call, TimePoint now) const;
+    double untilEngines(TimePoint now) const;
+    double ownRate() const;
+    double lateRate(TimePoint now) const;
+    double arrivalRate(TimePoint now) const;
+    bool takeLateTurn(TimePoint now);
     TimePoint lastMoment(const QueuedCall& call) const;
 
     EnginePool& m_engines;
     std::size_t m_fleetSize = 1;
     std::optional<TimePoint> m_enginesExpectedAt;
+    std::size_t m_enginesExpected = 0;
     std::map<std::uint64_t, Waiting> m_calls; // by id, in order of arrival
+    std::size_t m_inTimeAhead = 0; // counted while advance() goes through the calls
+    std::size_t m_lateAhead = 0;
+    double m_arrivals = 0; // decaying count
+    TimePoint m_arrivalsAt;
+    double m_lateTurns = 1; // late calls that may be sent at their last moment
+    TimePoint m_lateTurnsAt;
     std::optional<TimePoint> m_nextWake;
 };
 
--- a/modules/hyssopwick_requests/placing/EnginePool.h
+++ b/modules/hyssopwick_requests/placing/EnginePool.h
@@ -71,6 +71,9 @@
     /// Returns how many usual calls all engines together can take in a millisecond.
     double callsPerMillisecond() const;
 
+    /// Returns how many usual calls one healthy engine can take in a millisecond.
+    double callsPerMillisecondOfOne() const { return 1 / slotPeriod(m_speed.slots); }
+
     /// Sets how many entries send to these engines.
     void setFleetSize(std::size_t entries) { m_fleetSize = entries; }
 
