--- a/modules/hyssopwick_deployment/model/DeploymentConfiguration.h
+++ b/modules/hyssopwick_deployment/model/DeploymentConfiguration.h
@@ -58,6 +58,7 @@
     double promptTokensPerMillisecond = 20;
     double perMillionPairsMilliseconds = 0; ///< added to reading for each million token pairs
     unsigned stepsPerPass = 1; ///< steps between admissions
+    double promptTokensPerPass = 2048; ///< most prompt tokens that are read between two passes
     double usualPromptTokens = 1000;
     double usualAnswerTokens = 100;
     double loadMilliseconds = 0; ///< to load a whole model that is staged
@@ -65,7 +66,7 @@
     auto tied() const
     {
         return std::tie(slots, tokenCapacity, stepMilliseconds, perSequenceMilliseconds, perThousandContextMilliseconds,
-            promptTokensPerMillisecond, perMillionPairsMilliseconds, stepsPerPass, usualPromptTokens, usualAnswerTokens, loadMilliseconds);
+            promptTokensPerMillisecond, perMillionPairsMilliseconds, stepsPerPass, promptTokensPerPass, usualPromptTokens, usualAnswerTokens, loadMilliseconds);
     }
     bool operator==(const EngineSpeed& other) const { return tied() == other.tied(); }
     bool operator!=(const EngineSpeed& other) const { return !(*this == other); }
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -7,9 +7,12 @@
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusNotFound = 404;
     constexpr const char* agentKind = "agent";
-    // Entries place calls by these reports; a stream occupies an engine for about a
-    // second, so that a few of them fall between two reports.
-    constexpr Milliseconds reportPeriod { 200 };
+    // The engine is on the same VM, so that asking it costs little.
+    constexpr Milliseconds reportPeriod { 80 };
+    // Entries place calls by the news of these reports. A stream occupies an engine for
+    // about a second; small changes wait, larger ones are told at once.
+    constexpr Milliseconds newsPeriod { 200 };
+    constexpr int callsWorthNews = 3;
     constexpr Milliseconds loadingReportPeriod { 50 };
     constexpr Milliseconds failedReportPause { 50 };
     constexpr unsigned failuresToDeclareDown = 2;
@@ -155,7 +158,10 @@
         news.availability = m_activation->phase() == EngineActivation::Phase::Closing ? EngineAvailability::Closing : EngineAvailability::Clearing;
     news.readyIn = readyIn();
     const bool isNew = !(news.report == m_lastNews.report) || news.isAnswering != m_lastNews.isAnswering || news.availability != m_lastNews.availability;
-    if (!isUrgent && !isNew && now < m_lastNewsAt + newsKeepalive)
+    const auto calls = [](const EngineReport& report) { return int(report.runningCalls) + int(report.waitingCalls); };
+    const bool isLarge = std::abs(calls(news.report) - calls(m_lastNews.report)) >= callsWorthNews || news.report.heldVersions != m_lastNews.report.heldVersions || news.isAnswering != m_lastNews.isAnswering || news.availability != m_lastNews.availability;
+    const auto due = m_lastNewsAt + (isNew ? newsPeriod : newsKeepalive);
+    if (!isUrgent && !isLarge && now < due)
         return;
     m_lastNews = news;
     m_lastNewsAt = now;
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -133,10 +133,6 @@
         });
         return;
     }
-    if (m_eventsForwarded > 0) {
-        m_exchange->abort();
-        return end("broken", statusOk);
-    }
     if (m_sentAttempts > 0 && !mayRunAgain())
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
     refuse(RefusalReason::NoUpstream, statusUnavailable, overloadRetryAfter);
@@ -170,10 +166,6 @@
 void CallFlow::refuseUnservable(Milliseconds retryAfter)
 {
     m_isQueued = false;
-    if (m_eventsForwarded > 0) {
-        m_exchange->abort();
-        return end("broken", statusOk);
-    }
     if (m_sentAttempts > 0 && !m_answer.isNotRun)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
     refuse(RefusalReason::DeadlineUnreachable, statusUnavailable, retryAfter);
@@ -305,6 +297,8 @@
         m_exchange->finish();
         return this->end("served", m_head.status);
     }
+    if (m_eventsForwarded > 0)
+        return attemptFailed(AttemptFailure::StreamBroken, "resume-refused");
     const bool isSuccess = m_head.status >= statusOk && m_head.status < statusMultipleChoices;
     if (isSuccess && !m_answer.hasReceipt)
         return attemptFailed(AttemptFailure::Lost, "no-receipt");
@@ -331,10 +325,8 @@
         m_phase = m_eventsForwarded > 0 ? Phase::Answering : Phase::Waiting;
         return place();
     }
-    if (m_eventsForwarded > 0) {
-        m_exchange->abort();
-        return end("broken", statusOk);
-    }
+    if (m_eventsForwarded > 0)
+        return breakOff("broken");
     if (failure == AttemptFailure::Refused)
         return refuse(RefusalReason::UpstreamBusy, statusUnavailable, m_answer.retryAfter.value_or(overloadRetryAfter));
     refuse(isSafe && isAllowed ? RefusalReason::RetryBudgetSpent : RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
@@ -352,8 +344,17 @@
     end("served", status);
 }
 
+void CallFlow::breakOff(const char* outcome)
+{
+    m_exchange->abort();
+    end(outcome, statusOk);
+}
+
 void CallFlow::refuse(RefusalReason reason, unsigned status, Milliseconds retryAfter)
 {
+    // After the head of a stream nothing else can be said in its place.
+    if (m_eventsForwarded > 0)
+        return breakOff(refusalReasonName(reason));
     auto& context = m_services.context();
     context.metrics.count("refusals_total", refusalReasonName(reason));
     HeaderFields fields;
@@ -369,10 +370,8 @@
         return;
     if (m_attempt)
         m_attempt->cancel();
-    if (m_eventsForwarded > 0) {
-        m_exchange->abort();
-        return end("deadline-in-stream", statusOk);
-    }
+    if (m_eventsForwarded > 0)
+        return breakOff("deadline-in-stream");
     const bool isNotRun = m_sentAttempts == 0 && !(m_attempt && m_attempt->isSent());
     if (isNotRun)
         return refuse(RefusalReason::DeadlinePassed, statusUnavailable, Milliseconds(0));
@@ -419,10 +418,8 @@
     if (m_attempt)
         m_attempt->cancel();
     const bool isNotRun = m_sentAttempts == 0 && !(m_attempt && m_attempt->isSent());
-    if (m_eventsForwarded > 0) {
-        m_exchange->abort();
-        return end("process-stops", statusOk);
-    }
+    if (m_eventsForwarded > 0)
+        return breakOff("process-stops");
     refuse(RefusalReason::EntryLeaving, isNotRun ? statusUnavailable : statusBadGateway, Milliseconds(0));
 }
 
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -62,6 +62,7 @@
     void answerNotRun(bool isOtherUpstream);
     void deliverWhole();
     void refuse(RefusalReason reason, unsigned status, Milliseconds retryAfter);
+    void breakOff(const char* outcome);
     void deadlinePassed();
     void callerLeft();
     void end(const char* outcome, unsigned status);
--- a/modules/hyssopwick_requests/placing/EnginePool.cpp
+++ b/modules/hyssopwick_requests/placing/EnginePool.cpp
@@ -148,7 +148,10 @@
     const double passLeft = occupied >= 1 ? halfPass * pass : 0;
     const double pace = std::max(1.0, slowness);
     prediction.unreadTokens = load.unreadTokens;
-    prediction.firstEventMilliseconds = pace * (slotWait + passLeft + reading + pass);
+    // A prompt is read in the passes of those that write; its first token ends the last of
+    // them, and the tokens of the first event take another pass.
+    const double readingPasses = occupied >= 1 ? std::ceil((load.unreadTokens + size.promptTokens) / m_speed.promptTokensPerPass) : 0;
+    prediction.firstEventMilliseconds = pace * (slotWait + passLeft + reading + (readingPasses + 1) * pass);
     // While a call is written, the prompts of those that follow are read in between.
     const double usualReading = m_speed.usualPromptTokens / m_speed.promptTokensPerMillisecond;
     const double tokenTime = step + usualReading * running / std::max(1.0, m_speed.usualAnswerTokens);
