Share of an engine's room by lot; load tool and tests; store view keeps deletions

Two faults found by tests that failed first: a follower that changes its source missed deletions (StoreView), and an origin that came back was asked for each chunk many times.

--- /dev/null
+++ b/fakes/hyssopwick_fakes/EngineModel.cpp
@@ -0,0 +1,104 @@
+#include "EngineModel.h"
+
+#include <algorithm>
+
+namespace hyssopwick {
+
+namespace {
+    // Tokens of one event, as the platform's pages give them.
+    constexpr double tokensPerEvent = 5;
+
+    std::chrono::steady_clock::duration duration(double milliseconds) { return std::chrono::microseconds(static_cast<std::int64_t>(milliseconds * 1000)); }
+}
+
+EngineModel::EngineModel(const EngineSpeed& speed, TimePoint now)
+    : m_speed(speed)
+    , m_passEnd(now)
+{
+}
+
+void EngineModel::send(std::uint64_t call, const CallSize& size, TimePoint now)
+{
+    m_waiting.push_back({ call, size.promptTokens, std::max(1.0, size.answerTokens) });
+    if (!m_isInPass)
+        beginPass(std::max(now, m_passEnd));
+}
+
+void EngineModel::cancel(std::uint64_t call)
+{
+    const auto isCall = [call](const Call& other) { return other.id == call; };
+    m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(), isCall), m_waiting.end());
+    m_running.erase(std::remove_if(m_running.begin(), m_running.end(), isCall), m_running.end());
+}
+
+void EngineModel::beginPass(TimePoint now)
+{
+    while (!m_waiting.empty() && m_running.size() < m_speed.slots) {
+        m_running.push_back(m_waiting.front());
+        m_waiting.pop_front();
+    }
+    m_isInPass = !m_running.empty();
+    if (!m_isInPass)
+        return;
+    double budget = m_speed.promptTokensPerPass;
+    double writers = 0;
+    double context = 0;
+    m_readInPass.clear();
+    for (auto& call : m_running) {
+        if (call.unread <= 0) {
+            ++writers;
+            context += m_speed.usualPromptTokens + call.written;
+            continue;
+        }
+        const double read = std::min(budget, call.unread);
+        call.unread -= read;
+        budget -= read;
+        if (call.unread <= 0)
+            m_readInPass.insert(call.id);
+    }
+    const double reading = (m_speed.promptTokensPerPass - budget) / m_speed.promptTokensPerMillisecond;
+    const double step = m_speed.stepMilliseconds + writers * m_speed.perSequenceMilliseconds + context / 1000 * m_speed.perThousandContextMilliseconds;
+    const double pass = reading + (writers > 0 ? step * m_speed.stepsPerPass : 0);
+    m_passEnd = now + duration(std::max(pass, m_speed.stepMilliseconds));
+}
+
+void EngineModel::endPass(std::vector<Event>& events)
+{
+    m_isInPass = false;
+    for (auto& call : m_running) {
+        const bool isRead = m_readInPass.count(call.id) != 0;
+        if (call.unread > 0)
+            continue;
+        const double tokens = std::min(isRead ? 1.0 : double(m_speed.stepsPerPass), call.unwritten);
+        call.written += tokens;
+        call.unwritten -= tokens;
+        if (!call.hasFirstEvent && (call.written >= tokensPerEvent || call.unwritten <= 0)) {
+            call.hasFirstEvent = true;
+            events.push_back({ call.id, false, m_passEnd });
+        }
+        if (call.unwritten <= 0)
+            events.push_back({ call.id, true, m_passEnd });
+    }
+    m_running.erase(std::remove_if(m_running.begin(), m_running.end(), [](const Call& call) { return call.unread <= 0 && call.unwritten <= 0; }), m_running.end());
+}
+
+std::vector<EngineModel::Event> EngineModel::advance(TimePoint now)
+{
+    std::vector<Event> events;
+    while (m_isInPass && m_passEnd <= now) {
+        endPass(events);
+        beginPass(m_passEnd);
+    }
+    return events;
+}
+
+EngineReport EngineModel::report() const
+{
+    EngineReport report;
+    for (const auto& call : m_running)
+        ++(call.written > 0 ? report.runningCalls : report.waitingCalls);
+    report.waitingCalls += static_cast<unsigned>(m_waiting.size());
+    return report;
+}
+
+}
--- /dev/null
+++ b/fakes/hyssopwick_fakes/LoadPlay.cpp
@@ -0,0 +1,196 @@
+#include "LoadPlay.h"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+
+namespace hyssopwick {
+
+namespace {
+
+    struct PlayedCall {
+        std::size_t entry = 0;
+        CallSize size;
+        TimePoint arrivedAt;
+        TimePoint sentAt;
+        double predicted = 0;
+        int engine = -1;
+        bool hasFirstEvent = false;
+        bool isInTime = false;
+        bool isEnded = false;
+    };
+
+    struct Entry {
+        explicit Entry(std::uint64_t seed)
+            : pool(seed)
+            , queue(pool)
+        {
+        }
+
+        EnginePool pool;
+        CallQueue queue;
+    };
+
+    class Play {
+    public:
+        Play(const LoadPlaySettings& settings, std::uint64_t seed)
+            : m_settings(settings)
+            , m_random(seed)
+            , m_start(TimePoint() + std::chrono::hours(1))
+        {
+            for (unsigned i = 0; i < settings.entries; ++i) {
+                m_entries.push_back(std::make_unique<Entry>(m_random.next()));
+                m_entries.back()->pool.setSpeed(settings.speed);
+                m_entries.back()->queue.setFleetSize(settings.entries);
+                m_entries.back()->queue.setEnginesExpected(m_start + settings.enginesFrom, settings.engines);
+            }
+            for (unsigned i = 0; i < settings.engines; ++i) {
+                m_names.push_back("engine" + std::to_string(i));
+                m_engines.emplace_back(settings.speed, m_start);
+                m_reportAt.push_back(m_start + Milliseconds(m_random.below(static_cast<std::uint64_t>(settings.reportPeriod.count()))));
+            }
+        }
+
+        LoadPlayResult run()
+        {
+            const auto end = m_start + m_settings.length + m_settings.deadline;
+            for (auto now = m_start; now < end; now += Milliseconds(1))
+                step(now);
+            std::sort(m_errors.begin(), m_errors.end());
+            if (!m_errors.empty())
+                m_result.medianPredictionError = m_errors[m_errors.size() / 2];
+            return m_result;
+        }
+
+    private:
+        void step(TimePoint now)
+        {
+            if (now == m_start + m_settings.enginesFrom) {
+                for (auto& entry : m_entries)
+                    entry->pool.setEngines({ m_names.begin(), m_names.end() });
+            }
+            arrive(now);
+            for (std::size_t i = 0; i < m_engines.size(); ++i) {
+                for (const auto& event : m_engines[i].advance(now))
+                    take(event);
+                if (m_reportAt[i] > now)
+                    continue;
+                m_reportAt[i] = now + m_settings.reportPeriod;
+                for (auto& entry : m_entries)
+                    entry->pool.recordReport(m_names[i], m_engines[i].report(), now);
+            }
+            for (std::size_t i = 0; i < m_entries.size(); ++i) {
+                if (m_settings.usesQueue && m_entries[i]->queue.size() > 0)
+                    decide(i, now);
+            }
+            giveUp(now);
+        }
+
+        void arrive(TimePoint now)
+        {
+            const auto age = now - m_start;
+            if (age >= m_settings.length)
+                return;
+            const bool isBurst = age >= m_settings.burstFrom && age < m_settings.burstUntil;
+            m_due += m_settings.callsPerSecond / 1000 * (isBurst ? m_settings.burstFactor : 1) * -std::log(1 - m_random.unit());
+            for (; m_due >= 1; m_due -= 1) {
+                const auto id = ++m_lastId;
+                auto& call = m_calls[id];
+                call.entry = m_random.below(m_entries.size());
+                call.arrivedAt = now;
+                // Long tails: sizes spread by a factor around the usual ones.
+                call.size.promptTokens = m_settings.speed.usualPromptTokens * (0.4 + 1.2 * m_random.unit());
+                call.size.answerTokens = m_settings.speed.usualAnswerTokens * std::min(4.0, -std::log(1 - m_random.unit()));
+                ++m_result.calls;
+                auto& entry = *m_entries[call.entry];
+                const auto onTimeBy = now + m_settings.objective;
+                if (m_settings.usesQueue) {
+                    entry.queue.add({ id, { call.size.promptTokens, m_settings.speed.usualAnswerTokens }, 0, onTimeBy, now + m_settings.deadline, {} }, now);
+                } else if (const auto choice = entry.pool.choose(call.size, {}, now)) {
+                    entry.pool.recordSend(choice->upstream, id, call.size, now);
+                    send(id, choice->upstream, choice->prediction, now);
+                } else {
+                    refuse(id, now);
+                }
+            }
+        }
+
+        void decide(std::size_t index, TimePoint now)
+        {
+            auto& entry = *m_entries[index];
+            const auto decisions = entry.queue.advance(now);
+            for (const auto& sent : decisions.sent)
+                send(sent.call, sent.upstream, sent.prediction, now);
+            for (const auto id : decisions.refused)
+                refuse(id, now);
+        }
+
+        void send(std::uint64_t id, const std::string& upstream, const EnginePrediction& prediction, TimePoint now)
+        {
+            auto& call = m_calls.at(id);
+            call.engine = std::stoi(upstream.substr(6));
+            call.sentAt = now;
+            call.predicted = prediction.firstEventMilliseconds;
+            m_engines[static_cast<std::size_t>(call.engine)].send(id, call.size, now);
+        }
+
+        void refuse(std::uint64_t id, TimePoint now)
+        {
+            ++m_result.refused;
+            m_result.refusedAfterWaiting += now - m_calls.at(id).arrivedAt > m_settings.objective / 8;
+            m_calls.erase(id);
+        }
+
+        void take(const EngineModel::Event& event)
+        {
+            const auto found = m_calls.find(event.call);
+            if (found == m_calls.end())
+                return;
+            auto& call = found->second;
+            auto& pool = m_entries[call.entry]->pool;
+            if (!event.isEnd) {
+                call.isInTime = event.at <= call.arrivedAt + m_settings.objective;
+                const double seen = std::max(1.0, double(millisecondsBetween(call.sentAt, event.at)));
+                m_errors.push_back(std::abs(call.predicted - seen) / seen);
+                pool.recordFirstEvent(event.call);
+                return;
+            }
+            ++(call.isInTime ? m_result.inTime : m_result.late);
+            pool.recordEnd(event.call, event.at);
+            m_calls.erase(found);
+        }
+
+        void giveUp(TimePoint now)
+        {
+            for (auto call = m_calls.begin(); call != m_calls.end();) {
+                if (call->second.arrivedAt + m_settings.deadline > now)
+                    break; // in order of arrival
+                auto& entry = *m_entries[call->second.entry];
+                entry.queue.remove(call->first);
+                entry.pool.recordEnd(call->first, now);
+                if (call->second.engine >= 0)
+                    m_engines[static_cast<std::size_t>(call->second.engine)].cancel(call->first);
+                ++m_result.givenUp;
+                call = m_calls.erase(call);
+            }
+        }
+
+        LoadPlaySettings m_settings;
+        RandomSource m_random;
+        TimePoint m_start;
+        std::vector<std::unique_ptr<Entry>> m_entries;
+        std::vector<std::string> m_names;
+        std::vector<EngineModel> m_engines;
+        std::vector<TimePoint> m_reportAt;
+        std::map<std::uint64_t, PlayedCall> m_calls;
+        std::vector<double> m_errors;
+        std::uint64_t m_lastId = 0;
+        double m_due = 0;
+        LoadPlayResult m_result;
+    };
+
+}
+
+LoadPlayResult playLoad(const LoadPlaySettings& settings, std::uint64_t seed) { return Play(settings, seed).run(); }
+
+}
--- a/fakes/hyssopwick_fakes/hyssopwick_fakes.h
+++ b/fakes/hyssopwick_fakes/hyssopwick_fakes.h
@@ -5,9 +5,12 @@
 // the demo only.
 #pragma once
 
+#include "EngineModel.h"
 #include "FakeCaller.h"
 #include "FakeEngine.h"
 #include "FakeKeyValue.h"
 #include "FakeOrigin.h"
 #include "FakeService.h"
+#include "FakeSwarmNetwork.h"
 #include "FakeVmList.h"
+#include "LoadPlay.h"
--- a/modules/hyssopwick_deployment/view/StoreView.cpp
+++ b/modules/hyssopwick_deployment/view/StoreView.cpp
@@ -24,15 +24,17 @@
     std::vector<StoreRecord> changed;
     if (update.revision < m_revision)
         return changed;
-    const bool isFirst = m_revision == 0;
     m_revision = update.revision;
     for (const auto& record : update.records) {
         const auto known = m_records.find(record.key);
         if (known != m_records.end() && known->second.revision >= record.revision)
             continue;
         if (record.isDeleted) {
-            if (known == m_records.end())
+            // A follower may know the record from elsewhere, also if it was never seen here.
+            if (known == m_records.end()) {
+                note(record, update.revision);
                 continue;
+            }
             m_records.erase(known);
         } else {
             m_records[record.key] = record;
@@ -54,7 +56,9 @@
     }
     for (const auto& record : changed)
         note(record, update.revision);
-    if (isFirst)
+    // Records that came and went since the last read are not in a whole read, but a
+    // follower may know them: it needs all records too.
+    if (update.isWhole)
         m_changesFrom = update.revision;
     return changed;
 }
--- a/modules/hyssopwick_distribution/swarm/PullDecision.cpp
+++ b/modules/hyssopwick_distribution/swarm/PullDecision.cpp
@@ -196,7 +196,7 @@
         return turn;
     const auto step = takeoverStep * static_cast<int>(std::min<std::size_t>(state.originRank - 1, 20));
     // While the origin fails for all, nobody takes over from others.
-    return std::max(m_startedAt + originTime(), m_originFailedAt) + originTakeover + step;
+    return std::max(m_startedAt, m_originFailedAt) + originTime() + originTakeover + step;
 }
 
 TimePoint PullDecision::crossingDueAt(std::uint32_t chunk) const
--- a/modules/hyssopwick_requests/admission/CallQueue.cpp
+++ b/modules/hyssopwick_requests/admission/CallQueue.cpp
@@ -10,13 +10,16 @@
     constexpr Milliseconds reviewPeriod { 50 };
     // A late call goes to an engine that is expected to begin it this soon, in parts of
     // the time that an idle engine takes: more would delay calls that are in time.
-    constexpr double spareFactor = 1.6;
+    constexpr double spareFactor = 1.4;
+    // Part of the time until a call is due that a prediction may fill: predictions are short
+    // by a third at times, and calls that are sent at the edge end up late by half.
+    constexpr double trustedSlack = 0.75;
     // Predictions of the end may be short by this factor.
     constexpr double endSafety = 1.3;
     // Part of the time left that a late call may be expected to take.
     constexpr double worthWaiting = 0.9;
     // Part of the engines' rate that late calls get even when calls in time could take all.
-    constexpr double leastLateShare = 0.15;
+    constexpr double leastLateShare = 0.08;
     constexpr double mostLateTurns = 3;
     // Over which arrivals are counted.
     constexpr Milliseconds arrivalWindow { 2000 };
@@ -111,8 +114,9 @@
 CallQueue::Verdict CallQueue::decide(Waiting& waiting, std::optional<EngineChoice>& choice, TimePoint now)
 {
     const auto& call = waiting.call;
-    choice = m_engines.choose(call.size, call.excluded, now);
-    if (choice && now + Milliseconds(static_cast<std::int64_t>(choice->prediction.firstEventMilliseconds)) <= call.onTimeBy)
+    choice = m_engines.choose(call.size, call.excluded, now, m_isContended);
+    const double slack = double(millisecondsBetween(now, call.onTimeBy));
+    if (choice && choice->prediction.firstEventMilliseconds <= slack * trustedSlack)
         return Verdict::Send;
     if (canBeInTime(call, now)) {
         waiting.isJudgedInTime = true;
@@ -137,14 +141,16 @@
     std::vector<std::uint64_t> order;
     for (const auto& [id, waiting] : m_calls)
         order.push_back(id);
-    // Calls that may be in time by when they are due, then late ones by when they are given up.
+    // Calls that may be in time, the newest first: when there are too many, those have the
+    // most time left and are the surest to make it. Then late ones by their deadlines.
     const auto rank = [this](std::uint64_t id) {
         const auto& waiting = m_calls.at(id);
-        return std::make_tuple(waiting.isJudgedLate, waiting.isJudgedLate ? waiting.call.deadline : waiting.call.onTimeBy, id);
+        return std::make_tuple(waiting.isJudgedLate, waiting.isJudgedLate ? waiting.call.deadline.time_since_epoch() : -waiting.call.onTimeBy.time_since_epoch(), id);
     };
     std::sort(order.begin(), order.end(), [&rank](std::uint64_t left, std::uint64_t right) { return rank(left) < rank(right); });
     m_inTimeAhead = 0;
     m_lateAhead = static_cast<std::size_t>(std::count_if(m_calls.begin(), m_calls.end(), [](const auto& entry) { return entry.second.isJudgedLate; }));
+    m_isContended = std::any_of(m_calls.begin(), m_calls.end(), [](const auto& entry) { return entry.second.isJudgedInTime || entry.second.isJudgedLate; });
     bool isLateCounted = false;
     for (const auto id : order) {
         auto& waiting = m_calls.at(id);
--- a/modules/hyssopwick_requests/admission/CallQueue.h
+++ b/modules/hyssopwick_requests/admission/CallQueue.h
@@ -33,8 +33,8 @@
 /// refused. Answers the load of a pool that gets more than it can serve for some seconds,
 /// or is gone for some seconds, shared by many entries that do not speak with each other.
 ///
-/// A call that can still have its first event in time goes first, the earliest due first;
-/// it is sent when some engine is expected to make it in time. One that cannot is worth
+/// A call that can still have its first event in time goes first, the newest first;
+/// it is sent when some engine is expected to make it in time with certainty. One that cannot is worth
 /// less, though far more than a refusal: it is served by what the others leave, on engines
 /// with room to spare or, at its last moment, within a share of the rate at which engines
 /// take calls. Giving late calls more than that would make the calls behind them late too.
@@ -91,6 +91,7 @@
     std::map<std::uint64_t, Waiting> m_calls; // by id, in order of arrival
     std::size_t m_inTimeAhead = 0; // counted while advance() goes through the calls
     std::size_t m_lateAhead = 0;
+    bool m_isContended = false; // calls have waited
     double m_arrivals = 0; // decaying count
     TimePoint m_arrivalsAt;
     double m_lateTurns = 1; // late calls that may be sent at their last moment
--- a/modules/hyssopwick_requests/placing/EnginePool.cpp
+++ b/modules/hyssopwick_requests/placing/EnginePool.cpp
@@ -23,6 +23,8 @@
     // same one between two reports; a few random ones avoid that at little loss
     // (Mitzenmacher, How Useful Is Old Information?, 2000).
     constexpr std::size_t sampleSize = 4;
+    // Wait for the first event that an engine is filled up to when calls wait.
+    constexpr double roomMilliseconds = 200;
     constexpr double thousand = 1000;
     constexpr double million = 1e6;
 }
@@ -49,6 +51,17 @@
     found->second.reportedAt = reportedAt;
     found->second.hasReport = true;
     found->second.endedSinceReport = 0;
+    found->second.turns = std::floor(room(found->second, reportedAt) / double(m_fleetSize) + m_random.unit());
+}
+
+// How many usual calls the engine can take before a call's first event waits for too long.
+double EnginePool::room(const Engine& engine, TimePoint now) const
+{
+    const auto load = loadOf(engine, now);
+    const double reading = m_speed.usualPromptTokens / m_speed.promptTokensPerMillisecond;
+    const double readingRoom = (roomMilliseconds - load.unreadTokens / m_speed.promptTokensPerMillisecond) / reading;
+    const double slotRoom = double(m_speed.slots) - load.running - load.waiting + roomMilliseconds / slotPeriod(m_speed.slots);
+    return std::max(0.0, std::min(readingRoom, slotRoom));
 }
 
 void EnginePool::recordSend(const std::string& upstream, std::uint64_t call, const CallSize& size, TimePoint now)
@@ -58,8 +71,10 @@
     while (!m_recentSends.empty() && m_recentSends.front() + maxReportAge < now)
         m_recentSends.pop_front();
     const auto found = m_engines.find(upstream);
-    if (found != m_engines.end())
+    if (found != m_engines.end()) {
         found->second.calls.insert(call);
+        found->second.turns -= 1;
+    }
 }
 
 void EnginePool::recordFirstEvent(std::uint64_t call)
@@ -169,11 +184,11 @@
 
 EnginePrediction EnginePool::predictIdle(const CallSize& size) const { return predictWith({}, 1, size); }
 
-std::vector<std::string> EnginePool::sample(const std::set<std::string>& excluded)
+std::vector<std::string> EnginePool::sample(const std::set<std::string>& excluded, bool isContended)
 {
     std::vector<std::string> candidates;
     for (const auto& [id, engine] : m_engines) {
-        if (excluded.count(id) == 0)
+        if (excluded.count(id) == 0 && (!isContended || engine.turns >= 1))
             candidates.push_back(id);
     }
     const auto count = std::min(sampleSize, candidates.size());
@@ -183,11 +198,11 @@
     return candidates;
 }
 
-std::optional<EngineChoice> EnginePool::choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now)
+std::optional<EngineChoice> EnginePool::choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now, bool isContended)
 {
     std::optional<EngineChoice> best;
     double bestScore = 0;
-    for (const auto& id : sample(excluded)) {
+    for (const auto& id : sample(excluded, isContended)) {
         const auto prediction = predict(id, size, now);
         const double leaving = m_leavingSoon.count(id) == 0 ? 0 : excluded.empty() ? leavingPenaltyMilliseconds : secondLeavingPenaltyMilliseconds;
         const double crossing = m_remote.count(id) == 0 ? 0 : remotePenaltyMilliseconds;
--- a/modules/hyssopwick_requests/placing/EnginePool.h
+++ b/modules/hyssopwick_requests/placing/EnginePool.h
@@ -80,7 +80,10 @@
     /// Chooses an engine, or nothing when there is none.
     /// \param excluded  engines that the call was sent to before; such a call may not
     ///                  be moved again, and avoids engines that leave service soon
-    std::optional<EngineChoice> choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now);
+    /// \param isContended  calls wait for engines: every entry would send to an engine
+    ///                     as soon as its report shows room, so each takes only its share
+    ///                     of that room, by lot
+    std::optional<EngineChoice> choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now, bool isContended = false);
 
     bool isEmpty() const { return m_engines.empty(); }
 
@@ -98,6 +101,7 @@
         bool hasReport = false;
         std::set<std::uint64_t> calls; // own calls that have not ended
         unsigned endedSinceReport = 0;
+        double turns = 0; // calls that this entry may send before the next report, when calls wait
     };
 
     struct Load {
@@ -106,7 +110,8 @@
         double unreadTokens = 0;
     };
 
-    std::vector<std::string> sample(const std::set<std::string>& excluded);
+    double room(const Engine& engine, TimePoint now) const;
+    std::vector<std::string> sample(const std::set<std::string>& excluded, bool isContended);
     Load loadOf(const Engine& engine, TimePoint now) const;
     EnginePrediction predictWith(const Load& load, double slowness, const CallSize& size) const;
     double stepMilliseconds(double running) const;
--- /dev/null
+++ b/tests/DeploymentTests.cpp
@@ -0,0 +1,244 @@
+#include "TestSupport.h"
+
+#include <algorithm>
+#include <hyssopwick_deployment.h>
+
+using namespace hyssopwick;
+
+namespace {
+
+    CallRoute route(const std::string& host, const std::string& prefix)
+    {
+        CallRoute result;
+        result.name = host + prefix;
+        result.host = host;
+        result.pathPrefix = prefix;
+        result.targets = { { "service", 1 } };
+        return result;
+    }
+
+    Upstream upstream(const std::string& id, const std::string& address)
+    {
+        Upstream result;
+        result.id = id;
+        result.service = "models";
+        result.address = address;
+        return result;
+    }
+
+}
+
+TEST_GROUP(RouteTable) {};
+
+TEST(RouteTable, TheLongestPrefixOfTheHostWins)
+{
+    DeploymentConfiguration configuration;
+    configuration.routes = { route("a.example", "/x/"), route("a.example", "/x/y/"), route("b.example", "/x/") };
+    const RouteTable table(configuration);
+    STRCMP_EQUAL("a.example/x/y/", table.find("a.example", "/x/y/z?q=1")->name.c_str());
+    STRCMP_EQUAL("a.example/x/", table.find("a.example", "/x/yz")->name.c_str());
+    CHECK(!table.find("a.example", "/x")); // the prefix ends with a slash
+    CHECK(!table.find("a.example", "/?p=/x/"));
+    CHECK(!table.find("c.example", "/x/"));
+}
+
+TEST(RouteTable, TargetsAreChosenByWeight)
+{
+    auto split = route("a", "/");
+    split.targets = { { "one", 90 }, { "two", 10 } };
+    STRCMP_EQUAL("one", RouteTable::chooseTarget(split, 0.0).c_str());
+    STRCMP_EQUAL("one", RouteTable::chooseTarget(split, 0.899).c_str());
+    STRCMP_EQUAL("two", RouteTable::chooseTarget(split, 0.901).c_str());
+    STRCMP_EQUAL("two", RouteTable::chooseTarget(split, 0.9999999).c_str());
+}
+
+TEST_GROUP(UpstreamRegistry) {};
+
+TEST(UpstreamRegistry, ADrainingUpstreamIsUsedNoMoreAtOnce)
+{
+    UpstreamRegistry registry(Milliseconds(1000));
+    auto leaving = upstream("i-1", "10.0.0.1:80");
+    registry.set(leaving);
+    LONGS_EQUAL(1, registry.usable("models").size());
+    leaving.state = UpstreamState::Draining;
+    registry.set(leaving);
+    LONGS_EQUAL(0, registry.usable("models").size());
+    LONGS_EQUAL(1, registry.registered("models").size());
+}
+
+TEST(UpstreamRegistry, ARegistrationThatLapsedIsUsedForTheGraceOnly)
+{
+    UpstreamRegistry registry(Milliseconds(1000));
+    registry.set(upstream("i-1", "10.0.0.1:80"));
+    registry.remove("i-1", true, at(0));
+    LONGS_EQUAL(1, registry.usable("models").size());
+    CHECK(*registry.nextExpiry() == at(1000));
+    CHECK_FALSE(registry.expire(at(999)));
+    CHECK(registry.expire(at(1000)));
+    LONGS_EQUAL(0, registry.usable("models").size());
+}
+
+TEST(UpstreamRegistry, AnUnreadableOrDrainingRegistrationGetsNoGrace)
+{
+    UpstreamRegistry registry(Milliseconds(1000));
+    registry.set(upstream("i-1", "10.0.0.1:80"));
+    registry.remove("i-1", false, at(0));
+    LONGS_EQUAL(0, registry.usable("models").size());
+    auto leaving = upstream("i-2", "10.0.0.2:80");
+    leaving.state = UpstreamState::Draining;
+    registry.set(leaving);
+    registry.remove("i-2", true, at(0));
+    CHECK(!registry.find("i-2"));
+}
+
+TEST(UpstreamRegistry, AnotherStartAtTheAddressReplacesALapsedOne)
+{
+    UpstreamRegistry registry(Milliseconds(1000));
+    registry.set(upstream("i-1", "10.0.0.1:80"));
+    registry.remove("i-1", true, at(0));
+    registry.set(upstream("i-2", "10.0.0.1:80"));
+    LONGS_EQUAL(1, registry.usable("models").size());
+    STRCMP_EQUAL("i-2", registry.usable("models").front().id.c_str());
+}
+
+TEST_GROUP(StoreView) {};
+
+TEST(StoreView, NeverGoesBack)
+{
+    StoreView view;
+    view.apply({ 10, true, { { "a", "new", 9, false } } });
+    LONGS_EQUAL(0, view.apply({ 8, true, { { "a", "old", 3, false } } }).size());
+    LONGS_EQUAL(0, view.apply({ 11, false, { { "a", "old", 8, false } } }).size());
+    STRCMP_EQUAL("new", view.records().at("a").value.c_str());
+    LONGS_EQUAL(11, view.revision());
+}
+
+TEST(StoreView, AWholeReadRemovesWhatIsGone)
+{
+    StoreView view;
+    view.apply({ 10, true, { { "a", "1", 5, false }, { "b", "1", 6, false } } });
+    const auto changed = view.apply({ 20, true, { { "a", "1", 5, false } } });
+    LONGS_EQUAL(1, changed.size());
+    CHECK(changed[0].isDeleted);
+    STRCMP_EQUAL("b", changed[0].key.c_str());
+}
+
+TEST(StoreView, AFollowerThatAsksFromAnyRevisionEndsWithTheSameRecords)
+{
+    // Sources learn of changes one by one or by whole reads; a follower that changes
+    // between them has to end with what the store holds.
+    RandomSource random(7);
+    for (int round = 0; round < 200; ++round) {
+        StoreView sources[2];
+        StoreView follower;
+        std::map<std::string, StoreRecord> store;
+        std::uint64_t revision = 1;
+        std::vector<StoreRecord> log;
+        std::uint64_t seen[2] = { 0, 0 };
+        for (int step = 0; step < 60; ++step) {
+            const std::string key(1, static_cast<char>('a' + random.below(4)));
+            ++revision;
+            const bool isDelete = store.count(key) != 0 && random.below(3) == 0;
+            const StoreRecord record { key, isDelete ? "" : std::to_string(revision), revision, isDelete };
+            if (isDelete)
+                store.erase(key);
+            else
+                store[key] = record;
+            log.push_back(record);
+            const auto index = random.below(2);
+            if (random.below(2) == 0)
+                continue;
+            ViewUpdate update { revision, random.below(4) == 0 || seen[index] == 0, {} };
+            if (update.isWhole) {
+                for (const auto& [name, item] : store)
+                    update.records.push_back(item);
+            } else {
+                for (const auto& item : log) {
+                    if (item.revision > seen[index])
+                        update.records.push_back(item);
+                }
+            }
+            sources[index].apply(update);
+            seen[index] = revision;
+            const auto& asked = sources[random.below(2)];
+            if (asked.revision() > 0)
+                follower.apply(asked.since(follower.revision()));
+        }
+        ViewUpdate last { ++revision, true, {} };
+        for (const auto& [name, item] : store)
+            last.records.push_back(item);
+        sources[0].apply(last);
+        follower.apply(sources[0].since(follower.revision()));
+        LONGS_EQUAL(store.size(), follower.records().size());
+        for (const auto& [name, item] : store)
+            STRCMP_EQUAL(item.value.c_str(), follower.records().at(name).value.c_str());
+    }
+}
+
+TEST_GROUP(FollowDecision)
+{
+    VmIdentity entry(const std::string& id, const std::string& region) const { return { id, id + ":1", region, region + "-a", "entry" }; }
+
+    std::vector<VmIdentity> fleet() const
+    {
+        std::vector<VmIdentity> all;
+        for (const auto* region : { "north", "south" }) {
+            for (int i = 0; i < 5; ++i)
+                all.push_back(entry(region + std::to_string(i), region));
+        }
+        return all;
+    }
+
+    std::vector<VmIdentity> others(const std::string& self) const
+    {
+        auto all = fleet();
+        all.erase(std::remove_if(all.begin(), all.end(), [&](const VmIdentity& vm) { return vm.id == self; }), all.end());
+        return all;
+    }
+};
+
+TEST(FollowDecision, OneEntryOfEachRegionFollowsTheStore)
+{
+    std::map<std::string, int> followers;
+    for (const auto& vm : fleet()) {
+        FollowDecision decision(vm, true);
+        decision.setEntries(others(vm.id));
+        followers[vm.region] += decision.isDesignated();
+        CHECK_EQUAL(decision.isDesignated(), std::holds_alternative<FollowStore>(decision.source()));
+    }
+    LONGS_EQUAL(1, followers["north"]);
+    LONGS_EQUAL(1, followers["south"]);
+}
+
+TEST(FollowDecision, AnAgentThatKnowsNobodyReadsTheStore)
+{
+    const FollowDecision decision(entry("agent", "north"), false);
+    CHECK(std::holds_alternative<FollowStore>(decision.source()));
+}
+
+TEST(FollowDecision, ASourceThatFailsOrLagsIsLeft)
+{
+    FollowDecision decision(entry("agent", "north"), false);
+    decision.setEntries(fleet());
+    const auto first = decision.source();
+    decision.recordAnswer(first, Milliseconds(10), at(0));
+    CHECK(decision.source() == first);
+    decision.recordAnswer(first, Milliseconds(5000), at(100));
+    const auto second = decision.source();
+    CHECK_FALSE(second == first);
+    decision.recordFailure(second, at(200));
+    CHECK_FALSE(decision.source() == second);
+    CHECK(decision.age(at(1000)) == Milliseconds(1010));
+}
+
+TEST(FollowDecision, TheStoreIsAskedWhenNoPeerAnswers)
+{
+    FollowDecision decision(entry("agent", "north"), false);
+    decision.setEntries(fleet());
+    bool asksStore = false;
+    for (int i = 0; i < 4; ++i) {
+        asksStore = asksStore || std::holds_alternative<FollowStore>(decision.source());
+        decision.recordFailure(decision.source(), at(i * 100));
+    }
+    CHECK(asksStore);
+}
--- /dev/null
+++ b/tests/LoadTests.cpp
@@ -0,0 +1,209 @@
+#include "TestSupport.h"
+
+#include <hyssopwick_fakes.h>
+
+using namespace hyssopwick;
+
+namespace {
+
+    // The engines of the platform's pages.
+    EngineSpeed platformSpeed()
+    {
+        EngineSpeed speed;
+        speed.slots = 16;
+        speed.stepMilliseconds = 8.87;
+        speed.perSequenceMilliseconds = 0.0388;
+        speed.perThousandContextMilliseconds = 0.0227;
+        speed.promptTokensPerMillisecond = 19.1;
+        speed.perMillionPairsMilliseconds = 1.47;
+        speed.stepsPerPass = 5;
+        speed.promptTokensPerPass = 2048;
+        speed.usualPromptTokens = 977;
+        speed.usualAnswerTokens = 94;
+        return speed;
+    }
+
+    LoadPlaySettings ordinaryLoad()
+    {
+        LoadPlaySettings settings;
+        settings.speed = platformSpeed();
+        return settings;
+    }
+
+}
+
+TEST_GROUP(CallQueue) {};
+
+// Load answered: 18 entries that share 24 engines at two thirds of what they can do.
+TEST(CallQueue, AnOrdinaryLoadIsServedInTime)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        const auto result = playLoad(ordinaryLoad(), seed);
+        CHECK(result.shareInTime() >= 0.95);
+        LONGS_EQUAL(0, result.refused);
+        LONGS_EQUAL(0, result.givenUp);
+    }
+}
+
+// Load answered: for three seconds nearly twice of what the engines can do. Without a
+// queue all calls behind the burst are late.
+TEST(CallQueue, ABurstCostsLittleMoreThanItsOwnCalls)
+{
+    auto settings = ordinaryLoad();
+    settings.callsPerSecond = 190;
+    settings.burstFrom = Milliseconds(4000);
+    settings.burstUntil = Milliseconds(7000);
+    settings.burstFactor = 2;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        const auto queued = playLoad(settings, seed);
+        settings.usesQueue = false;
+        const auto direct = playLoad(settings, seed);
+        settings.usesQueue = true;
+        CHECK(queued.shareInTime() > direct.shareInTime());
+        CHECK(queued.shareServed() >= 0.85);
+    }
+}
+
+// Load answered: no engine for four seconds, as after a loss of power. Calls that can
+// still be served wait, the others are refused as soon as that is known, and those that
+// come after the engines are served in time.
+TEST(CallQueue, CallsBeforeTheEnginesAreBackDoNotMakeTheLaterOnesLate)
+{
+    auto settings = ordinaryLoad();
+    settings.callsPerSecond = 180;
+    settings.enginesFrom = Milliseconds(4000);
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        const auto result = playLoad(settings, seed);
+        // Calls of 16 of the 20 s come when engines serve.
+        CHECK(result.shareInTime() >= 0.8 * 0.8);
+        CHECK(result.refused > 0);
+        CHECK(result.refusedAfterWaiting <= result.calls / 20);
+        CHECK(result.givenUp <= result.calls / 50);
+    }
+}
+
+TEST(CallQueue, WithoutAnEngineThatIsExpectedACallIsRefusedAtOnce)
+{
+    EnginePool pool(1);
+    pool.setSpeed(platformSpeed());
+    CallQueue queue(pool);
+    queue.add({ 1, { 900, 90 }, 0, at(450), at(6000), {} }, at(0));
+    const auto decisions = queue.advance(at(0));
+    LONGS_EQUAL(1, decisions.refused.size());
+    CHECK(decisions.retryAfter >= Milliseconds(100));
+    LONGS_EQUAL(0, queue.size());
+}
+
+TEST(CallQueue, TheRetryAfterOfARefusalTellsWhenEnginesAreExpected)
+{
+    EnginePool pool(1);
+    pool.setSpeed(platformSpeed());
+    CallQueue queue(pool);
+    queue.setEnginesExpected(at(5500), 10);
+    queue.add({ 1, { 900, 90 }, 0, at(450), at(6000), {} }, at(0));
+    const auto decisions = queue.advance(at(0));
+    LONGS_EQUAL(1, decisions.refused.size());
+    CHECK(decisions.retryAfter >= Milliseconds(5500));
+}
+
+TEST(CallQueue, AnEngineThatWasTriedIsNotChosenAgain)
+{
+    EnginePool pool(1);
+    pool.setSpeed(platformSpeed());
+    pool.setEngines({ "a", "b" });
+    CallQueue queue(pool);
+    for (std::uint64_t id = 1; id <= 20; ++id)
+        queue.add({ id, { 10, 10 }, 0, at(60000), at(90000), { "a" } }, at(0));
+    for (const auto& sent : queue.advance(at(0)).sent)
+        STRCMP_EQUAL("b", sent.upstream.c_str());
+}
+
+TEST_GROUP(EnginePool) {};
+
+// The prediction that all decisions rest on, against the model of an engine.
+TEST(EnginePool, FirstEventsArePredictedWithinAHalf)
+{
+    for (const double rate : { 60.0, 120.0, 180.0 }) {
+        auto settings = ordinaryLoad();
+        settings.callsPerSecond = rate;
+        CHECK(playLoad(settings, 11).medianPredictionError <= 0.5);
+    }
+}
+
+TEST(EnginePool, AnEngineOfTheOwnRegionIsPreferredWhenAlike)
+{
+    EnginePool pool(1);
+    pool.setSpeed(platformSpeed());
+    pool.setEngines({ "far", "near" });
+    pool.setRemote({ "far" });
+    STRCMP_EQUAL("near", pool.choose({ 900, 90 }, {}, at(0))->upstream.c_str());
+    for (std::uint64_t call = 1; call <= 4; ++call)
+        pool.recordSend("near", call, { 900, 90 }, at(0));
+    STRCMP_EQUAL("far", pool.choose({ 900, 90 }, {}, at(0))->upstream.c_str());
+}
+
+TEST(EnginePool, AReportThatIsTooOldIsNotBelieved)
+{
+    EnginePool pool(1);
+    pool.setSpeed(platformSpeed());
+    pool.setEngines({ "a" });
+    EngineReport report;
+    report.waitingCalls = 10;
+    pool.recordReport("a", report, at(0));
+    const auto fresh = pool.predict("a", { 900, 90 }, at(100));
+    const auto stale = pool.predict("a", { 900, 90 }, at(60000));
+    CHECK(fresh.firstEventMilliseconds > stale.firstEventMilliseconds);
+}
+
+TEST_GROUP(UpstreamPool) {};
+
+// Load answered: one of three upstreams fails what it gets while its health check is good.
+TEST(UpstreamPool, AnUpstreamThatFailsIsPassedOver)
+{
+    UpstreamPool pool(2);
+    pool.setUpstreams({ { "a", 6 }, { "b", 6 }, { "grey", 6 } });
+    int toGrey = 0;
+    for (int i = 0; i < 300; ++i) {
+        const auto chosen = *pool.choose({}, at(i * 10));
+        pool.recordResult(chosen, chosen != "grey", at(i * 10));
+        toGrey += chosen == "grey";
+    }
+    CHECK(toGrey < 20);
+    CHECK(pool.choose({ "a", "b" }, at(3000)).value() == "grey");
+}
+
+TEST_GROUP(EventStreamSplitter) {};
+
+TEST(EventStreamSplitter, EventsAreWholeHoweverTheBytesAreCut)
+{
+    const std::string text = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: no id\n\nid: 4\ndata: cu";
+    for (std::size_t size = 1; size <= text.size(); ++size) {
+        EventStreamSplitter splitter;
+        std::vector<EventStreamSplitter::Event> events;
+        for (std::size_t from = 0; from < text.size(); from += size) {
+            for (auto& event : splitter.feed(text.substr(from, size)))
+                events.push_back(std::move(event));
+        }
+        LONGS_EQUAL(3, events.size());
+        STRCMP_EQUAL("1", events[0].id.c_str());
+        STRCMP_EQUAL("2", events[1].id.c_str());
+        STRCMP_EQUAL("", events[2].id.c_str());
+        CHECK(splitter.hasPartialEvent());
+        STRCMP_EQUAL((events[0].text + events[1].text + events[2].text + splitter.partialEvent()).c_str(), text.c_str());
+    }
+}
+
+TEST_GROUP(RetryBudget) {};
+
+TEST(RetryBudget, RetriesStayWithinTheShareOfFirstAttempts)
+{
+    RetryBudget budget(0.1, 5);
+    int taken = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.recordFirstAttempt();
+        taken += budget.tryTake();
+    }
+    CHECK(taken >= 95 && taken <= 105);
+    budget.setCapacity(1);
+    CHECK(budget.tryTake() + budget.tryTake() <= 1);
+}
--- /dev/null
+++ b/tests/PullTests.cpp
@@ -0,0 +1,166 @@
+#include "TestSupport.h"
+
+#include <algorithm>
+#include <hyssopwick_fakes.h>
+
+using namespace hyssopwick;
+
+namespace {
+
+    SwarmMember member(const std::string& region, int number) { return { region + std::to_string(number), region, region + "-a", 1 }; }
+
+    // Time for one copy over a VM's link.
+    std::int64_t copyMilliseconds(const SwarmNetworkSettings& settings) { return static_cast<std::int64_t>(1000.0 * settings.chunks * double(settings.chunkBytes) / settings.vmBytesPerSecond); }
+
+    void addFleet(FakeSwarmNetwork& network, int perRegion, bool isWhole)
+    {
+        for (const auto* region : { "north", "central", "south" }) {
+            for (int i = 0; i < perRegion; ++i)
+                network.add(member(region, i), isWhole);
+        }
+    }
+
+}
+
+TEST_GROUP(PullDecision) {};
+
+// Load answered: a new version for 24 VMs that hold nothing of it.
+TEST(PullDecision, ANewVersionReachesAllInLittleMoreThanACopysTime)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        const SwarmNetworkSettings settings;
+        FakeSwarmNetwork network(settings, seed);
+        addFleet(network, 8, false);
+        network.run(Milliseconds(6000));
+        const auto times = network.completionTimes();
+        LONGS_EQUAL(24, times.size());
+        CHECK(times.back() <= copyMilliseconds(settings) * 16 / 10);
+        CHECK(network.originBytes() <= 1.3 * settings.chunks * double(settings.chunkBytes));
+    }
+}
+
+// Load answered: VMs added to a fleet that holds everything.
+TEST(PullDecision, AnAddedVmIsWholeWithinItsLinksTime)
+{
+    const SwarmNetworkSettings settings;
+    FakeSwarmNetwork network(settings, 3);
+    addFleet(network, 5, true);
+    network.run(Milliseconds(1000));
+    for (int i = 10; i < 14; ++i)
+        network.add(member("north", i), false);
+    network.run(Milliseconds(6000));
+    const auto times = network.completionTimes();
+    LONGS_EQUAL(19, times.size());
+    CHECK(times.back() <= copyMilliseconds(settings) * 13 / 10);
+    CHECK(network.regionBytes() <= settings.chunks * double(settings.chunkBytes));
+}
+
+TEST(PullDecision, DeadVmsDoNotHoldUpTheOthers)
+{
+    const SwarmNetworkSettings settings;
+    FakeSwarmNetwork network(settings, 4);
+    addFleet(network, 6, false);
+    network.run(Milliseconds(700));
+    for (int i = 0; i < 3; ++i)
+        network.kill(member("central", i).id);
+    network.kill(member("south", 0).id);
+    network.run(Milliseconds(9000));
+    LONGS_EQUAL(14, network.completionTimes().size());
+}
+
+TEST(PullDecision, AnOriginThatWasAwayIsAskedAgainWithoutACrowd)
+{
+    const SwarmNetworkSettings settings;
+    FakeSwarmNetwork network(settings, 5);
+    network.setOriginUp(false);
+    addFleet(network, 6, false);
+    network.run(Milliseconds(6000));
+    LONGS_EQUAL(0, network.completionTimes().size());
+    network.setOriginUp(true);
+    network.run(Milliseconds(9000));
+    LONGS_EQUAL(18, network.completionTimes().size());
+    CHECK(network.originBytes() <= 1.5 * settings.chunks * double(settings.chunkBytes));
+}
+
+TEST(PullDecision, ACorruptChunkIsFetchedElsewhere)
+{
+    const auto now = testStart();
+    PullDecision decision({ member("north", 0), 1e6, 1e6, 24 }, "key", 1, 1000, 1, now);
+    decision.setMembers({ member("north", 1), member("north", 2) });
+    ChunkSet all(1);
+    all.insert(0);
+    decision.recordHeld("north1", all);
+    std::string first;
+    for (const auto& action : decision.advance(now)) {
+        if (const auto* pull = std::get_if<PullChunk>(&action))
+            first = pull->member;
+    }
+    STRCMP_EQUAL("north1", first.c_str());
+    decision.recordCorruptChunk(0, first, now);
+    decision.recordHeld("north2", all);
+    std::string second;
+    for (const auto& action : decision.advance(now + Milliseconds(1))) {
+        if (const auto* pull = std::get_if<PullChunk>(&action))
+            second = pull->member;
+    }
+    STRCMP_EQUAL("north2", second.c_str());
+    CHECK_FALSE(decision.isComplete());
+}
+
+TEST_GROUP(ActivationTurn) {};
+
+// Plays a rollout: every VM asks for its turn each 50 ms and loads for 800 ms.
+TEST(ActivationTurn, LoadsAreSpreadOverTheTimeThatIsLeft)
+{
+    constexpr int count = 24;
+    constexpr std::int64_t startBy = 4200;
+    constexpr std::int64_t loadTime = 800;
+    std::vector<std::string> ids;
+    for (int i = 0; i < count; ++i)
+        ids.push_back("vm" + std::to_string(i));
+    std::vector<ActivationTurn> turns;
+    for (const auto& id : ids) {
+        turns.emplace_back(id, "model/2", Milliseconds(loadTime), at(startBy));
+        auto peers = ids;
+        peers.erase(std::find(peers.begin(), peers.end(), id));
+        turns.back().setPeers(peers);
+    }
+    std::vector<std::int64_t> loadingSince(count, -1);
+    int most = 0;
+    for (std::int64_t now = 0; now <= startBy; now += 50) {
+        for (int i = 0; i < count; ++i) {
+            const bool isLoaded = loadingSince[i] >= 0 && now >= loadingSince[i] + loadTime;
+            const ActivationState state { true, loadingSince[i] >= 0 && !isLoaded, isLoaded };
+            for (int j = 0; j < count; ++j)
+                turns[j].recordPeer(ids[i], state, at(now));
+        }
+        int loading = 0;
+        for (int i = 0; i < count; ++i) {
+            if (loadingSince[i] < 0 && turns[i].mayLoad(true, at(now)))
+                loadingSince[i] = now;
+            loading += loadingSince[i] >= 0 && now < loadingSince[i] + loadTime;
+        }
+        most = std::max(most, loading);
+    }
+    for (const auto since : loadingSince)
+        CHECK(since >= 0 && since <= startBy);
+    CHECK(most <= count / 3);
+}
+
+TEST(ActivationTurn, NobodyWaitsWithoutServingOrPastTheBound)
+{
+    ActivationTurn turn("vm0", "model/2", Milliseconds(800), at(1000));
+    turn.setPeers({ "vm1" });
+    turn.recordPeer("vm1", { true, true, false }, at(0));
+    CHECK(turn.mayLoad(false, at(0)));
+    CHECK(turn.mayLoad(true, at(1000)));
+}
+
+TEST(ActivationTurn, AVmThatFellSilentHoldsUpNobody)
+{
+    ActivationTurn turn("vm0", "model/2", Milliseconds(800), at(60000));
+    turn.setPeers({ "vm1" });
+    turn.recordPeer("vm1", { true, true, false }, at(0));
+    CHECK_FALSE(turn.mayLoad(true, at(100)));
+    CHECK(turn.mayLoad(true, at(5000)));
+}
