--- a/modules/hyssopwick_requests/admission/CallQueue.cpp
+++ b/modules/hyssopwick_requests/admission/CallQueue.cpp
@@ -11,9 +11,9 @@
     // A late call goes to an engine that is expected to begin it this soon, in parts of
     // the time that an idle engine takes: more would delay calls that are in time.
     constexpr double spareFactor = 1.4;
-    // Part of the time until a call is due that a prediction may fill: predictions are short
-    // by a third at times, and calls that are sent at the edge end up late by half.
-    constexpr double trustedSlack = 0.75;
+    // Predictions of the wait before a call may be short by this factor; half of the calls
+    // that are sent at the edge would end up late.
+    constexpr double waitSafety = 1.35;
     // Predictions of the end may be short by this factor.
     constexpr double endSafety = 1.3;
     // Part of the time left that a late call may be expected to take.
@@ -114,9 +114,12 @@
 CallQueue::Verdict CallQueue::decide(Waiting& waiting, std::optional<EngineChoice>& choice, TimePoint now)
 {
     const auto& call = waiting.call;
-    choice = m_engines.choose(call.size, call.excluded, now, m_isContended);
+    choice = m_engines.choose(call.size, call.excluded, now, m_isContended && !call.hasBegun);
+    if (call.hasBegun)
+        return choice ? Verdict::Send : Verdict::Wait;
     const double slack = double(millisecondsBetween(now, call.onTimeBy));
-    if (choice && choice->prediction.firstEventMilliseconds <= slack * trustedSlack)
+    const double idle = m_engines.predictIdle(call.size).firstEventMilliseconds;
+    if (choice && idle + (choice->prediction.firstEventMilliseconds - idle) * waitSafety <= slack)
         return Verdict::Send;
     if (canBeInTime(call, now)) {
         waiting.isJudgedInTime = true;
@@ -126,8 +129,7 @@
     if (!waiting.isJudgedLate && !isServableLate(call, now))
         return Verdict::Refuse;
     waiting.isJudgedLate = true;
-    const double spare = m_engines.predictIdle(call.size).firstEventMilliseconds * spareFactor;
-    if (choice && choice->prediction.firstEventMilliseconds <= spare)
+    if (choice && choice->prediction.firstEventMilliseconds <= idle * spareFactor)
         return Verdict::Send;
     if (choice && now >= lastMoment(call) && takeLateTurn(now))
         return Verdict::Send;
@@ -145,12 +147,12 @@
     // most time left and are the surest to make it. Then late ones by their deadlines.
     const auto rank = [this](std::uint64_t id) {
         const auto& waiting = m_calls.at(id);
-        return std::make_tuple(waiting.isJudgedLate, waiting.isJudgedLate ? waiting.call.deadline.time_since_epoch() : -waiting.call.onTimeBy.time_since_epoch(), id);
+        return std::make_tuple(!waiting.call.hasBegun, waiting.isJudgedLate, waiting.isJudgedLate ? waiting.call.deadline.time_since_epoch() : -waiting.call.onTimeBy.time_since_epoch(), id);
     };
     std::sort(order.begin(), order.end(), [&rank](std::uint64_t left, std::uint64_t right) { return rank(left) < rank(right); });
     m_inTimeAhead = 0;
     m_lateAhead = static_cast<std::size_t>(std::count_if(m_calls.begin(), m_calls.end(), [](const auto& entry) { return entry.second.isJudgedLate; }));
-    m_isContended = std::any_of(m_calls.begin(), m_calls.end(), [](const auto& entry) { return entry.second.isJudgedInTime || entry.second.isJudgedLate; });
+    m_isContended = std::any_of(m_calls.begin(), m_calls.end(), [](const auto& entry) { return entry.second.isJudgedInTime && !entry.second.isJudgedLate; });
     bool isLateCounted = false;
     for (const auto id : order) {
         auto& waiting = m_calls.at(id);
--- a/modules/hyssopwick_requests/admission/CallQueue.h
+++ b/modules/hyssopwick_requests/admission/CallQueue.h
@@ -14,6 +14,7 @@
     TimePoint onTimeBy; ///< when its first event is due
     TimePoint deadline; ///< when its caller gives up
     std::set<std::string> excluded; ///< engines that it was sent to before
+    bool hasBegun = false; ///< its caller has a part of the answer and waits for the rest
 };
 
 /// What becomes of queued calls now.
@@ -38,6 +39,7 @@
 /// less, though far more than a refusal: it is served by what the others leave, on engines
 /// with room to spare or, at its last moment, within a share of the rate at which engines
 /// take calls. Giving late calls more than that would make the calls behind them late too.
+/// A call whose caller has a part of the answer goes to the best engine at once.
 /// What cannot be served so before its deadline is refused as soon as that is known, with
 /// the time at which a place should be free. Pure.
 class CallQueue {
@@ -91,7 +93,7 @@
     std::map<std::uint64_t, Waiting> m_calls; // by id, in order of arrival
     std::size_t m_inTimeAhead = 0; // counted while advance() goes through the calls
     std::size_t m_lateAhead = 0;
-    bool m_isContended = false; // calls have waited
+    bool m_isContended = false; // calls that may be in time have waited
     double m_arrivals = 0; // decaying count
     TimePoint m_arrivalsAt;
     double m_lateTurns = 1; // late calls that may be sent at their last moment
