Followers of the store begin a cut watch anew; nobody follows in circles

Ruled out: links (none was harmed there). Change: a cut watch is reopened first, entries follow only those who follow the store, and one that lags says so at once.

--- a/fakes/hyssopwick_fakes/EngineModel.h
+++ b/fakes/hyssopwick_fakes/EngineModel.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <hyssopwick_requests.h>
 #include <deque>
+#include <hyssopwick_requests.h>
 
 namespace hyssopwick {
 
--- a/modules/hyssopwick_deployment/view/FollowDecision.cpp
+++ b/modules/hyssopwick_deployment/view/FollowDecision.cpp
@@ -8,8 +8,7 @@
     // The others notice a lost one well within the bound of a change, and each call to the
     // store is paid for.
     constexpr std::size_t designatedPerRegion = 1;
-    // Peers that are tried before the store.
-    constexpr std::size_t maxPeerSources = 3;
+    constexpr std::size_t maxRegionalSources = 2;
     // A follower of the store waits up to 1 s for a change, then asks anew.
     constexpr Milliseconds maxSourceAge { 1200 };
     // A process that fell back to another source looks at its preferred one again.
@@ -48,26 +47,38 @@
     const auto designatedEnd = order.begin() + static_cast<std::ptrdiff_t>(std::min(designatedPerRegion, order.size()));
     m_isDesignated = m_isEntry && std::find(order.begin(), designatedEnd, m_self.id) != designatedEnd;
 
-    // Entries follow a designated one. Agents follow any entry of their region, spread
-    // over them; each has its own order.
-    std::vector<std::string> candidates(order.begin(), m_isEntry ? designatedEnd : order.end());
-    candidates = rendezvousOrder(m_self.id, candidates);
-    std::vector<std::string> others;
-    for (const auto& [id, entry] : byId) {
-        if (std::find(candidates.begin(), candidates.end(), id) == candidates.end() && id != m_self.id)
-            others.push_back(id);
+    // Entries follow the designated one of their region, agents any entry of it, spread
+    // over them. What is left is the designated one of another region and the store: other
+    // peers follow somebody themselves and would be followed in circles.
+    std::vector<std::string> peers;
+    for (const auto& id : m_isEntry ? std::vector<std::string>(order.begin(), designatedEnd) : rendezvousOrder(m_self.id, order)) {
+        if (peers.size() < maxRegionalSources && id != m_self.id)
+            peers.push_back(id);
     }
-    for (const auto& id : rendezvousOrder(m_self.id, others))
-        candidates.push_back(id);
-    candidates.erase(std::remove(candidates.begin(), candidates.end(), m_self.id), candidates.end());
-    candidates.resize(std::min(candidates.size(), maxPeerSources));
+    std::map<std::string, std::vector<std::string>> elsewhere;
+    for (const auto& entry : m_entries) {
+        if (entry.region != m_self.region)
+            elsewhere[entry.region].push_back(entry.id);
+    }
+    std::vector<std::string> designatedElsewhere;
+    for (const auto& [region, ids] : elsewhere)
+        designatedElsewhere.push_back(rendezvousFirst("store-followers/" + region, ids));
+    const auto fallback = rendezvousFirst(m_self.id, designatedElsewhere);
 
     const auto current = m_sources.empty() ? FollowSource(FollowStore {}) : source();
     m_sources.clear();
-    if (m_isDesignated)
+    const auto addPeer = [this, &byId](const std::string& id) {
+        if (!id.empty())
+            m_sources.push_back(FollowPeer { id, byId[id].address });
+    };
+    // A watch that is cut is begun anew before anybody else is asked.
+    if (m_isDesignated) {
+        m_sources.push_back(FollowStore {});
         m_sources.push_back(FollowStore {});
-    for (const auto& id : candidates)
-        m_sources.push_back(FollowPeer { id, byId[id].address });
+    }
+    for (const auto& id : peers)
+        addPeer(id);
+    addPeer(fallback);
     if (!m_isDesignated)
         m_sources.push_back(FollowStore {});
     const auto kept = std::find(m_sources.begin(), m_sources.end(), current);
@@ -108,6 +119,8 @@
     advance();
 }
 
+bool FollowDecision::isTooOld(Milliseconds age) { return age > maxSourceAge; }
+
 Milliseconds FollowDecision::age(TimePoint now) const
 {
     if (!m_hasAnswer)
--- a/modules/hyssopwick_deployment/view/FollowDecision.h
+++ b/modules/hyssopwick_deployment/view/FollowDecision.h
@@ -47,6 +47,9 @@
     /// Records that a source did not answer or gave an error.
     void recordFailure(const FollowSource& source, TimePoint now);
 
+    /// Returns whether \p age is too old for others to follow this process.
+    static bool isTooOld(Milliseconds age);
+
     /// Returns how old the knowledge of the store is; a very long time before the first answer.
     Milliseconds age(TimePoint now) const;
 
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -43,8 +43,10 @@
     , m_hub(context)
     , m_view(context, identityOf(context), false)
     , m_engine(context)
-    , m_internal(context.loop, [this](const ServerExchangePointer& exchange) { serveInternal(exchange); }, [] { return CallerLimits(); })
-    , m_metrics(context.loop, [this](const ServerExchangePointer& exchange) { serveMetrics(exchange); }, [] { return CallerLimits(); })
+    , m_internal(
+          context.loop, [this](const ServerExchangePointer& exchange) { serveInternal(exchange); }, [] { return CallerLimits(); })
+    , m_metrics(
+          context.loop, [this](const ServerExchangePointer& exchange) { serveMetrics(exchange); }, [] { return CallerLimits(); })
     , m_pollTimer(context.loop)
     , m_registry(context.description.drainBound)
 {
@@ -314,8 +316,7 @@
         m_activation->start([this] { return mayLoad(); }, [this] {
             sendNews(true);
             m_lastAnnouncementAt = {};
-            announceActivation();
-        });
+            announceActivation(); });
         return;
     }
 }
--- a/modules/hyssopwick_gateway/agent/EngineActivation.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineActivation.cpp
@@ -143,7 +143,9 @@
         if (self->m_isStopped || result == OrderResult::Begun || result == OrderResult::AlreadyInEffect)
             return;
         // Without an answer the order may have begun: the next reports tell.
-        self->m_context.log.write("order.failed", { { "version", std::to_string(self->weights().version) }, { "result", result == OrderResult::Conflict ? "conflict" : result == OrderResult::Refused ? "refused" : "unknown" }, { "sequence", std::to_string(self->m_sequenceBeforeOrder) } });
+        self->m_context.log.write("order.failed", { { "version", std::to_string(self->weights().version) }, { "result", result == OrderResult::Conflict ? "conflict" : result == OrderResult::Refused ? "refused"
+                                                                                                                                                                                                      : "unknown" },
+                                                      { "sequence", std::to_string(self->m_sequenceBeforeOrder) } });
         if (result != OrderResult::Unknown)
             self->enter(Phase::Failed);
     });
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -43,11 +43,16 @@
     , m_gossip(context, m_hub)
     , m_services(context)
     , m_view(context, m_gossip.self(), true)
-    , m_callers(context.loop, [this](const ServerExchangePointer& exchange) { serveCaller(exchange); }, [this] { return m_services.routes() ? m_services.routes()->configuration().limits : CallerLimits(); })
-    , m_directory(context.loop, [this](const ServerExchangePointer& exchange) { serveDirectory(exchange); }, internalLimits)
-    , m_readiness(context.loop, [this](const ServerExchangePointer& exchange) { serveReadiness(exchange); }, internalLimits)
-    , m_internal(context.loop, [this](const ServerExchangePointer& exchange) { serveInternal(exchange); }, internalLimits)
-    , m_metrics(context.loop, [this](const ServerExchangePointer& exchange) { serveMetrics(exchange); }, internalLimits)
+    , m_callers(
+          context.loop, [this](const ServerExchangePointer& exchange) { serveCaller(exchange); }, [this] { return m_services.routes() ? m_services.routes()->configuration().limits : CallerLimits(); })
+    , m_directory(
+          context.loop, [this](const ServerExchangePointer& exchange) { serveDirectory(exchange); }, internalLimits)
+    , m_readiness(
+          context.loop, [this](const ServerExchangePointer& exchange) { serveReadiness(exchange); }, internalLimits)
+    , m_internal(
+          context.loop, [this](const ServerExchangePointer& exchange) { serveInternal(exchange); }, internalLimits)
+    , m_metrics(
+          context.loop, [this](const ServerExchangePointer& exchange) { serveMetrics(exchange); }, internalLimits)
     , m_maintenanceTimer(context.loop)
     , m_registrationTimer(context.loop)
     , m_stopTimer(context.loop)
@@ -102,7 +107,8 @@
 
 void EntryGateway::serveCaller(const ServerExchangePointer& exchange)
 {
-    const auto call = std::make_shared<CallFlow>(m_services, exchange, [this](const std::string& service) { advanceQueueSoon(service); }, [this](CallFlow* ended) { m_calls.erase(ended->id()); });
+    const auto call = std::make_shared<CallFlow>(
+        m_services, exchange, [this](const std::string& service) { advanceQueueSoon(service); }, [this](CallFlow* ended) { m_calls.erase(ended->id()); });
     m_calls[call->id()] = call;
     call->start();
 }
@@ -163,7 +169,8 @@
 {
     auto entries = m_gossip.servingEntries();
     const auto port = m_context.description.callerAddress.substr(m_context.description.callerAddress.find(':'));
-    const auto rank = [&question](const VmIdentity& vm) { return vm.failureDomain == question.failureDomain ? 0 : vm.region == question.region ? 1 : 2; };
+    const auto rank = [&question](const VmIdentity& vm) { return vm.failureDomain == question.failureDomain ? 0 : vm.region == question.region ? 1
+                                                                                                                                               : 2; };
     std::stable_sort(entries.begin(), entries.end(), [&rank](const VmIdentity& left, const VmIdentity& right) { return rank(left) < rank(right); });
     std::vector<std::string> addresses;
     int lastRank = 0;
--- a/modules/hyssopwick_gateway/view/ViewKeeper.cpp
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.cpp
@@ -264,7 +264,8 @@
         return true;
     }
     const WaitingPeer peer { exchange, known, monotonicNow() + peerWait };
-    if (known < m_view.revision()) {
+    // One whose own source lags says so at once, so that it is left for a better one.
+    if (known < m_view.revision() || FollowDecision::isTooOld(age())) {
         answerPeer(peer);
         return true;
     }
--- a/modules/hyssopwick_operator/apply/Applier.h
+++ b/modules/hyssopwick_operator/apply/Applier.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <hyssopwick_transport.h>
 #include <hyssopwick_records.h>
+#include <hyssopwick_transport.h>
 
 namespace hyssopwick {
 
--- a/modules/hyssopwick_requests/placing/EnginePool.cpp
+++ b/modules/hyssopwick_requests/placing/EnginePool.cpp
@@ -204,7 +204,8 @@
     double bestScore = 0;
     for (const auto& id : sample(excluded, isContended)) {
         const auto prediction = predict(id, size, now);
-        const double leaving = m_leavingSoon.count(id) == 0 ? 0 : excluded.empty() ? leavingPenaltyMilliseconds : secondLeavingPenaltyMilliseconds;
+        const double leaving = m_leavingSoon.count(id) == 0 ? 0 : excluded.empty() ? leavingPenaltyMilliseconds
+                                                                                   : secondLeavingPenaltyMilliseconds;
         const double crossing = m_remote.count(id) == 0 ? 0 : remotePenaltyMilliseconds;
         const double score = prediction.firstEventMilliseconds + leaving + crossing;
         if (best && score >= bestScore)
--- a/tests/LoadTests.cpp
+++ b/tests/LoadTests.cpp
@@ -6,29 +6,29 @@
 
 namespace {
 
-    // The engines of the platform's pages.
-    EngineSpeed platformSpeed()
-    {
-        EngineSpeed speed;
-        speed.slots = 16;
-        speed.stepMilliseconds = 8.87;
-        speed.perSequenceMilliseconds = 0.0388;
-        speed.perThousandContextMilliseconds = 0.0227;
-        speed.promptTokensPerMillisecond = 19.1;
-        speed.perMillionPairsMilliseconds = 1.47;
-        speed.stepsPerPass = 5;
-        speed.promptTokensPerPass = 2048;
-        speed.usualPromptTokens = 977;
-        speed.usualAnswerTokens = 94;
-        return speed;
-    }
+// The engines of the platform's pages.
+EngineSpeed platformSpeed()
+{
+    EngineSpeed speed;
+    speed.slots = 16;
+    speed.stepMilliseconds = 8.87;
+    speed.perSequenceMilliseconds = 0.0388;
+    speed.perThousandContextMilliseconds = 0.0227;
+    speed.promptTokensPerMillisecond = 19.1;
+    speed.perMillionPairsMilliseconds = 1.47;
+    speed.stepsPerPass = 5;
+    speed.promptTokensPerPass = 2048;
+    speed.usualPromptTokens = 977;
+    speed.usualAnswerTokens = 94;
+    return speed;
+}
 
-    LoadPlaySettings ordinaryLoad()
-    {
-        LoadPlaySettings settings;
-        settings.speed = platformSpeed();
-        return settings;
-    }
+LoadPlaySettings ordinaryLoad()
+{
+    LoadPlaySettings settings;
+    settings.speed = platformSpeed();
+    return settings;
+}
 
 }
 
--- a/tests/PullTests.cpp
+++ b/tests/PullTests.cpp
@@ -7,18 +7,18 @@
 
 namespace {
 
-    SwarmMember member(const std::string& region, int number) { return { region + std::to_string(number), region, region + "-a", 1 }; }
+SwarmMember member(const std::string& region, int number) { return { region + std::to_string(number), region, region + "-a", 1 }; }
 
-    // Time for one copy over a VM's link.
-    std::int64_t copyMilliseconds(const SwarmNetworkSettings& settings) { return static_cast<std::int64_t>(1000.0 * settings.chunks * double(settings.chunkBytes) / settings.vmBytesPerSecond); }
+// Time for one copy over a VM's link.
+std::int64_t copyMilliseconds(const SwarmNetworkSettings& settings) { return static_cast<std::int64_t>(1000.0 * settings.chunks * double(settings.chunkBytes) / settings.vmBytesPerSecond); }
 
-    void addFleet(FakeSwarmNetwork& network, int perRegion, bool isWhole)
-    {
-        for (const auto* region : { "north", "central", "south" }) {
-            for (int i = 0; i < perRegion; ++i)
-                network.add(member(region, i), isWhole);
-        }
+void addFleet(FakeSwarmNetwork& network, int perRegion, bool isWhole)
+{
+    for (const auto* region : { "north", "central", "south" }) {
+        for (int i = 0; i < perRegion; ++i)
+            network.add(member(region, i), isWhole);
     }
+}
 
 }
 
--- /dev/null
+++ b/tests/platform/CallFlowTests.cpp
@@ -0,0 +1,461 @@
+#include "../TestSupport.h"
+
+#include <PlatformAdapter.h>
+#include <hyssopwick_gateway.h>
+#include <unistd.h>
+
+using namespace hyssopwick;
+
+namespace {
+
+// An upstream on a loopback port that gives one scripted answer a connection.
+class ScriptedUpstream {
+public:
+    explicit ScriptedUpstream(EventLoop& loop)
+        : m_acceptor(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        accept();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+
+    // Bytes of the next answer; then the connection is closed, or reset.
+    void answer(const std::string& bytes, bool isReset = false) { m_answers.emplace_back(bytes, isReset); }
+
+    const std::vector<std::string>& requests() const { return m_requests; }
+
+private:
+    struct Connection {
+        explicit Connection(TcpSocket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+        TcpSocket socket;
+        std::string read;
+        std::array<char, 4096> buffer;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code error, TcpSocket socket) {
+            if (error)
+                return;
+            readRequest(std::make_shared<Connection>(std::move(socket)));
+            accept();
+        });
+    }
+
+    void readRequest(const std::shared_ptr<Connection>& connection)
+    {
+        connection->socket.async_read_some(asio::buffer(connection->buffer), [this, connection](boost::system::error_code error, std::size_t size) {
+            if (error)
+                return;
+            connection->read.append(connection->buffer.data(), size);
+            const auto headEnd = connection->read.find("\r\n\r\n");
+            const auto length = connection->read.find("Content-Length: ");
+            const auto body = length == std::string::npos ? 0 : std::stoul(connection->read.substr(length + 16));
+            if (headEnd == std::string::npos || connection->read.size() < headEnd + 4 + body)
+                return readRequest(connection);
+            m_requests.push_back(connection->read);
+            if (m_answers.empty())
+                return hold(connection);
+            const auto answer = m_answers.front();
+            m_answers.erase(m_answers.begin());
+            boost::system::error_code ignored;
+            asio::write(connection->socket, asio::buffer(answer.first), ignored);
+            if (answer.second)
+                connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            connection->socket.close(ignored);
+        });
+    }
+
+    // Gives no answer until the other side leaves.
+    void hold(const std::shared_ptr<Connection>& connection)
+    {
+        connection->socket.async_read_some(asio::buffer(connection->buffer), [this, connection](boost::system::error_code error, std::size_t) {
+            if (error)
+                ++m_left;
+        });
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    std::vector<std::pair<std::string, bool>> m_answers;
+    std::vector<std::string> m_requests;
+
+public:
+    int m_left = 0;
+};
+
+// Records what a caller gets.
+class RecordedExchange : public ServerExchange {
+public:
+    explicit RecordedExchange(ServerRequest request)
+        : m_request(std::move(request))
+    {
+    }
+
+    const ServerRequest& request() const override { return m_request; }
+    void respond(unsigned code, HeaderFields answerFields, std::string answerBody) override
+    {
+        CHECK_FALSE(isOver || isStream); // one answer, and none within a stream
+        status = code;
+        fields = std::move(answerFields);
+        body = std::move(answerBody);
+        isOver = true;
+    }
+    void startStream(unsigned code, HeaderFields answerFields) override
+    {
+        CHECK_FALSE(isOver || isStream);
+        status = code;
+        fields = std::move(answerFields);
+        isStream = true;
+    }
+    void write(std::string data) override { body += data; }
+    void finish() override
+    {
+        isOver = true;
+        isFinished = true;
+    }
+    void abort() override
+    {
+        isOver = true;
+        isAborted = true;
+    }
+    void onGone(std::function<void()> handler) override { m_onGone = std::move(handler); }
+    void onDone(std::function<void()>) override { }
+
+    void leave() { m_onGone(); }
+
+    unsigned status = 0;
+    HeaderFields fields;
+    std::string body;
+    bool isStream = false;
+    bool isOver = false;
+    bool isFinished = false;
+    bool isAborted = false;
+
+private:
+    ServerRequest m_request;
+    std::function<void()> m_onGone;
+};
+
+const std::string okHead = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s1\r\n";
+const std::string notRun = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+std::string chunk(const std::string& text)
+{
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+
+}
+
+TEST_GROUP(CallFlow)
+{
+    EventLoop loop { 1 };
+    std::vector<std::string> lines;
+    EventLog log { "test", [this](const std::string& line) { lines.push_back(line); } };
+    MetricsRegistry metrics;
+    ProcessDescription description = [] {
+        ProcessDescription result;
+        result.node = "entry";
+        result.ip = "127.0.0.1";
+        result.region = "north";
+        result.failureDomain = "north-a";
+        result.internalPort = 1;
+        return result;
+    }();
+    GatewayContext context { loop, description, platform::platformPorts(), log, metrics, 1 };
+    EntryServices services { context };
+    ScriptedUpstream first { loop };
+    ScriptedUpstream second { loop };
+    DeploymentConfiguration configuration;
+    std::shared_ptr<CallFlow> flow;
+    std::shared_ptr<RecordedExchange> exchange;
+
+    void setup() override
+    {
+        configuration.version = 1;
+        ServiceDescription service;
+        service.name = "plain";
+        configuration.services["plain"] = service;
+        configuration.accounts = { { "carrier", { "secret-key" }, std::nullopt } };
+    }
+
+    void route(CallKind kind, unsigned maxUpstreams, bool isResumable)
+    {
+        CallRoute route;
+        route.name = "route";
+        route.host = "a.example";
+        route.pathPrefix = "/x/";
+        route.kind = kind;
+        route.maxUpstreams = maxUpstreams;
+        route.isResumable = isResumable;
+        route.answerWithin = Milliseconds(2000);
+        route.targets = { { "plain", 1 } };
+        configuration.routes = { route };
+        services.setConfiguration(configuration);
+        int number = 0;
+        for (const auto* upstream : { &first, &second }) {
+            Upstream registered;
+            registered.id = "i-" + std::to_string(++number);
+            registered.service = "plain";
+            registered.address = upstream->address();
+            registered.failureDomain = "north-a";
+            services.setUpstream(registered);
+        }
+        services.refresh();
+    }
+
+    void send(const std::string& key = "secret-key")
+    {
+        ServerRequest request;
+        request.method = "POST";
+        request.target = "/x/book?b=2&a=1&a=3";
+        request.host = "a.example";
+        request.fields = { { "Host", "a.example" }, { "Request-Id", "r1" }, { "Deadline-Ms", "1500" }, { "Tenant", "forged" }, { "Connection", "x-hop" }, { "X-Hop", "1" }, { "X-Kept", "1" } };
+        if (!key.empty())
+            request.fields.emplace_back("Authorization", "Bearer " + key);
+        request.body = "body";
+        request.receivedAt = monotonicNow();
+        exchange = std::make_shared<RecordedExchange>(std::move(request));
+        flow = std::make_shared<CallFlow>(
+            services, exchange, [](const std::string&) {}, [](CallFlow*) {});
+        flow->start();
+    }
+
+    // Runs the loop until the caller has its answer; the route's bound ends it in any case.
+    void finish()
+    {
+        while (!exchange->isOver)
+            loop.run_one();
+    }
+
+    std::size_t arrivals() const { return first.requests().size() + second.requests().size(); }
+
+    // The same answer at whichever upstream is asked first, then another one.
+    void answerBoth(const std::string& bytes, bool isReset = false)
+    {
+        first.answer(bytes, isReset);
+        second.answer(bytes, isReset);
+    }
+};
+
+TEST(CallFlow, WhatRunsAtMostOnceIsNotSentAgainWhenItsAnswerIsLost)
+{
+    route(CallKind::AtMostOnce, 2, false);
+    answerBoth("", true);
+    send();
+    finish();
+    LONGS_EQUAL(502, exchange->status);
+    LONGS_EQUAL(1, arrivals());
+}
+
+TEST(CallFlow, WhatAnUpstreamPromisesNotToRunGoesToAnother)
+{
+    route(CallKind::AtMostOnce, 2, false);
+    answerBoth(notRun);
+    answerBoth(okHead + "Content-Length: 2\r\n\r\nok");
+    send();
+    finish();
+    // The other upstream refuses as well; two upstreams are the most.
+    LONGS_EQUAL(503, exchange->status);
+    LONGS_EQUAL(2, arrivals());
+    LONGS_EQUAL(1, first.requests().size());
+}
+
+TEST(CallFlow, AnIdempotentCallIsSentAgainAfterALostAnswer)
+{
+    route(CallKind::Idempotent, 2, false);
+    first.answer("", true);
+    first.answer(okHead + "Content-Length: 2\r\n\r\nok");
+    second.answer(okHead + "Content-Length: 2\r\n\r\nok");
+    send();
+    finish();
+    LONGS_EQUAL(200, exchange->status);
+    STRCMP_EQUAL("ok", exchange->body.c_str());
+}
+
+TEST(CallFlow, ARefusalThatPromisesNothingIsNotPassedOnAsAPromise)
+{
+    route(CallKind::AtMostOnce, 2, false);
+    answerBoth("HTTP/1.1 503 Service Unavailable\r\nServer-Seal: s1\r\nContent-Length: 0\r\n\r\n");
+    send();
+    finish();
+    LONGS_EQUAL(502, exchange->status);
+    LONGS_EQUAL(0, exchange->fields.size());
+    LONGS_EQUAL(1, arrivals());
+}
+
+TEST(CallFlow, AnAnswerToAnotherRequestIsNotDelivered)
+{
+    route(CallKind::AtMostOnce, 1, false);
+    answerBoth("HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nServer-Seal: s2\r\nContent-Length: 5\r\n\r\nwrong");
+    send();
+    finish();
+    LONGS_EQUAL(502, exchange->status);
+}
+
+TEST(CallFlow, ASuccessWithoutTheUpstreamsReceiptIsNotDelivered)
+{
+    route(CallKind::AtMostOnce, 1, false);
+    answerBoth("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok");
+    send();
+    finish();
+    LONGS_EQUAL(502, exchange->status);
+}
+
+TEST(CallFlow, AnAnswerThatIsCutIsNotDelivered)
+{
+    route(CallKind::AtMostOnce, 1, false);
+    answerBoth(okHead + "Content-Length: 20\r\n\r\nonly a part", true);
+    send();
+    finish();
+    LONGS_EQUAL(502, exchange->status);
+}
+
+TEST(CallFlow, ABodyWithoutLengthThatEndsInAResetIsNotComplete)
+{
+    route(CallKind::AtMostOnce, 1, false);
+    answerBoth(okHead + "\r\nonly a part", true);
+    send();
+    finish();
+    LONGS_EQUAL(502, exchange->status);
+}
+
+TEST(CallFlow, TheRequestArrivesUnchangedWithTheSystemsOwnHeaders)
+{
+    route(CallKind::AtMostOnce, 1, false);
+    answerBoth(okHead + "Content-Length: 2\r\n\r\nok");
+    send();
+    finish();
+    const auto& request = first.requests().empty() ? second.requests()[0] : first.requests()[0];
+    CHECK(request.find("POST /x/book?b=2&a=1&a=3 HTTP/1.1\r\n") == 0);
+    CHECK(request.find("Tenant: carrier\r\n") != std::string::npos);
+    CHECK(request.find("forged") == std::string::npos);
+    CHECK(request.find("secret-key") == std::string::npos);
+    CHECK(request.find("X-Hop") == std::string::npos);
+    CHECK(request.find("X-Kept: 1\r\n") != std::string::npos);
+    CHECK(request.find("Request-Id: r1\r\n") != std::string::npos);
+    CHECK(request.find("Expect-Instance: i-") != std::string::npos);
+    CHECK(request.substr(request.size() - 8) == "\r\n\r\nbody");
+    const auto deadline = std::stoul(request.substr(request.find("Deadline-Ms: ") + 13));
+    CHECK(deadline <= 1500);
+}
+
+TEST(CallFlow, AnUnknownKeyIsRefusedAndNoConfigurationIsNoReasonToSayNotFound)
+{
+    send();
+    finish();
+    LONGS_EQUAL(503, exchange->status);
+    route(CallKind::AtMostOnce, 1, false);
+    send("other-key");
+    finish();
+    LONGS_EQUAL(401, exchange->status);
+    LONGS_EQUAL(0, arrivals());
+}
+
+TEST(CallFlow, ABrokenStreamGoesOnAtTheLastWholeEvent)
+{
+    route(CallKind::Stream, 2, true);
+    const auto cut = okHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 1\ndata: a\n\n") + chunk("id: 2\ndata: b\n\nid: 3\nda");
+    const auto rest = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n";
+    answerBoth(cut, false);
+    send();
+    while (arrivals() < 1)
+        loop.run_one();
+    // Whichever upstream comes second answers with the rest.
+    for (auto* upstream : { &first, &second }) {
+        if (upstream->requests().empty()) {
+            ScriptedUpstream& other = *upstream;
+            other.answer(rest);
+        }
+    }
+    finish();
+    CHECK(exchange->isStream);
+    LONGS_EQUAL(2, arrivals());
+    const auto& events = exchange->body;
+    CHECK(events.find("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") == 0);
+    CHECK(events.find("id: 3\nda") == std::string::npos || exchange->isFinished);
+    STRCMP_EQUAL("s1", std::string(headerValue(exchange->fields, "Server-Seal")).c_str());
+    bool isResumedAtTwo = false;
+    for (const auto* upstream : { &first, &second }) {
+        for (const auto& request : upstream->requests())
+            isResumedAtTwo = isResumedAtTwo || request.find("Last-Event-Id: 2\r\n") != std::string::npos;
+    }
+    CHECK(isResumedAtTwo);
+}
+
+TEST(CallFlow, AStreamThatMayNotBeResumedIsBrokenOffNotFinished)
+{
+    route(CallKind::Stream, 2, false);
+    answerBoth(okHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 1\ndata: a\n\n"), true);
+    send();
+    finish();
+    CHECK(exchange->isAborted);
+    CHECK_FALSE(exchange->isFinished);
+    LONGS_EQUAL(1, arrivals());
+}
+
+// Regression: a call that had been moved and found no engine was answered a second time.
+TEST(CallFlow, ACallWhoseAnswerHasBegunIsNeverAnsweredAgain)
+{
+    route(CallKind::Stream, 2, true);
+    answerBoth(okHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 1\ndata: a\n\n"), true);
+    send();
+    while (exchange->body.empty())
+        loop.run_one();
+    flow->refuseUnservable(Milliseconds(100));
+    CHECK(exchange->isAborted);
+}
+
+TEST(CallFlow, AnUpstreamIsLeftWhenTheCallerLeaves)
+{
+    route(CallKind::AtMostOnce, 1, false);
+    send();
+    while (arrivals() == 0)
+        loop.run_one();
+    exchange->leave();
+    while (first.m_left + second.m_left == 0)
+        loop.run_one();
+    LONGS_EQUAL(1, first.m_left + second.m_left);
+}
+
+TEST(CallFlow, AnUpstreamThatGivesNoAnswerEndsAtTheRoutesBound)
+{
+    route(CallKind::AtMostOnce, 1, false);
+    send();
+    finish();
+    LONGS_EQUAL(504, exchange->status);
+}
+
+TEST_GROUP(HttpExchange) {};
+
+// Regression: a connect timer that had expired ended an exchange whose request was sent.
+TEST(HttpExchange, AnExchangeThatSaysNotSentHasSentNothing)
+{
+    for (int round = 0; round < 200; ++round) {
+        EventLoop loop(1);
+        ScriptedUpstream upstream(loop);
+        upstream.answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        bool isOver = false;
+        ExchangeEnd end = ExchangeEnd::Complete;
+        ExchangeHandlers handlers;
+        handlers.onEnd = [&](ExchangeEnd ended) {
+            end = ended;
+            isOver = true;
+        };
+        const auto now = monotonicNow();
+        const auto exchange = HttpExchange::start(loop, upstream.address(), { "POST", "/", {}, "body" }, now, now + std::chrono::seconds(5), handlers);
+        // Both the connection and the timer are ready when the loop looks first.
+        usleep(200);
+        while (!isOver)
+            loop.run_one();
+        loop.poll();
+        if (end == ExchangeEnd::NotSent) {
+            CHECK_FALSE(exchange->isSent());
+            LONGS_EQUAL(0, upstream.requests().size());
+        }
+    }
+}
