--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -358,7 +358,6 @@
         void operator()(const PingAnswer&) const { }
         void operator()(const PingRequest&) const { }
         void operator()(const EngineNews&) const { }
-        void operator()(const CrashNews&) const { }
         void operator()(const CrashSighting&) const { }
         void operator()(const NewsSubscription& subscription) const
         {
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -98,7 +98,8 @@
     if (m_route->answerWithin.count() > 0)
         m_deadline = std::min(m_call.callerWaits ? m_deadline : TimePoint::max(), received + m_route->answerWithin);
     m_size = { double(m_call.promptTokens), double(m_call.answerTokensHint > 0 ? m_call.answerTokensHint : m_call.maxAnswerTokens) };
-    if (m_services.suspicion().verdict(fingerprint(), monotonicNow()) == CrashVerdict::Refuse) {
+    m_fingerprint = fingerprint();
+    if (m_services.suspicion().verdict(m_fingerprint, monotonicNow()) == CrashVerdict::Refuse) {
         refuse(RefusalReason::CrashSuspected, statusBadGateway, Milliseconds(0));
         return false;
     }
@@ -166,6 +167,8 @@
 void CallFlow::refuseUnservable(Milliseconds retryAfter)
 {
     m_isQueued = false;
+    const auto& queue = m_services.queue(m_service->name);
+    m_services.context().log.write("call.unservable", { { "request", m_call.requestId }, { "waiting", std::to_string(queue.size()) }, { "engines", std::to_string(m_services.engines(m_service->name)->size()) }, { "left_ms", std::to_string(millisecondsBetween(monotonicNow(), m_deadline)) }, { "retry_after_ms", milliseconds(retryAfter) } });
     if (m_sentAttempts > 0 && !m_answer.isNotRun)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
     refuse(RefusalReason::DeadlineUnreachable, statusUnavailable, retryAfter);
@@ -278,10 +281,15 @@
     if (m_phase == Phase::Ended)
         return;
     const auto upstream = m_upstream;
+    const auto address = m_upstreamAddress;
     const bool isGood = end == ExchangeEnd::Complete && m_head.status < statusServerError;
     if (!isEngineCall() && m_service)
         m_services.plain(m_service->name).recordResult(upstream, isGood, monotonicNow());
     leaveUpstream();
+    if (end == ExchangeEnd::NotSent)
+        m_services.recordUpstreamDown(address);
+    if (end == ExchangeEnd::Lost)
+        m_services.recordLostCall(address, m_fingerprint);
     if (end == ExchangeEnd::NotSent)
         return attemptFailed(AttemptFailure::NotSent, exchangeEndName(end));
     ++m_sentAttempts;
@@ -295,6 +303,7 @@
         if (m_splitter.hasPartialEvent() || m_eventsForwarded == 0)
             return attemptFailed(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "cut-event");
         m_exchange->finish();
+        m_services.suspicion().recordFinished(m_fingerprint);
         return this->end("served", m_head.status);
     }
     if (m_eventsForwarded > 0)
@@ -341,6 +350,7 @@
     if (isPromise)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
     m_exchange->respond(status, m_services.context().ports.calls->encodeAnswer(m_head.fields), std::move(m_body));
+    m_services.suspicion().recordFinished(m_fingerprint);
     end("served", status);
 }
 
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -88,6 +88,7 @@
     unsigned m_priority = 0;
     TimePoint m_deadline;
     CallSize m_size;
+    Digest m_fingerprint; // equal for a request that comes again
 
     HttpExchangePointer m_attempt;
     std::string m_upstream; // id of the attempt's upstream
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -78,6 +78,10 @@
                 advanceQueueSoon(name);
         }
     });
+    m_services.onCrashSighting([this](const CrashSighting& sighting) {
+        for (const auto& peer : m_gossip.livePeers())
+            m_hub.send(peer.address, sighting);
+    });
     m_services.onEngineDown([this](const std::string& address) {
         const auto calls = m_calls;
         for (const auto& [id, call] : calls)
@@ -215,13 +219,12 @@
         void operator()(const PingAnswer& answer) const { entry.m_gossip.receive(answer); }
         void operator()(const PingRequest& request) const { entry.m_gossip.receive(request, sender); }
         void operator()(const EngineNews& news) const { entry.m_services.recordEngineNews(news); }
-        void operator()(const CrashNews& news) const
+        void operator()(const CrashSighting& sighting) const
         {
-            const auto digest = Digest::fromHex(news.digest);
+            const auto digest = Digest::fromHex(sighting.digest);
             if (!digest.isEmpty())
-                entry.m_services.suspicion().mergeRefused(digest, news.remaining, monotonicNow());
+                entry.m_services.suspicion().recordDeath({ digest }, false, monotonicNow());
         }
-        void operator()(const CrashSighting&) const { }
         void operator()(const NewsSubscription&) const { }
         void operator()(const ActivationNews&) const { }
         void operator()(const HeldNews&) const { }
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -16,6 +16,11 @@
     // call that was sent before has begun by then.
     constexpr Milliseconds versionMargin { 800 };
 
+    // A request is contained from the third upstream on that it crashed (the platform's rules).
+    constexpr unsigned deathsToRefuse = 3;
+    // A crash shows as a lost connection first, and as a silent or new engine shortly after.
+    constexpr Milliseconds crashWindow { 2000 };
+
     const char* availabilityName(EngineAvailability availability)
     {
         switch (availability) {
@@ -34,6 +39,7 @@
     : m_context(context)
     , m_registry(context.description.drainBound / removalGraceShare)
     , m_budget(context.description.retryRatio * budgetShare, context.description.retrySlack * budgetShare)
+    , m_suspicion(deathsToRefuse)
     , m_random(stableHash(context.description.node) ^ context.incarnation)
 {
 }
@@ -180,11 +186,14 @@
     const bool wasAnswering = known == m_engineStatus.end() || known->second.news.isAnswering;
     const bool isNewState = news.readyIn.has_value() || known == m_engineStatus.end() || wasAnswering != news.isAnswering || known->second.news.availability != news.availability
         || known->second.news.report.heldVersions != news.report.heldVersions || known->second.news.report.bornAt != news.report.bornAt;
+    const bool isNewStart = known != m_engineStatus.end() && known->second.news.report.bornAt != news.report.bornAt;
     m_engineStatus[news.engineAddress] = { news, monotonicNow() };
     if (isNewState) {
         if (!news.readyIn)
             m_context.log.write("engine.state", { { "engine", news.engineAddress }, { "answering", news.isAnswering ? "true" : "false" }, { "availability", availabilityName(news.availability) }, { "held", news.report.heldVersions.empty() ? "none" : std::to_string(news.report.heldVersions.begin()->second) } });
         refresh();
+        if ((wasAnswering && !news.isAnswering) || isNewStart)
+            recordUpstreamDown(news.engineAddress);
         if (wasAnswering && !news.isAnswering && m_onEngineDown)
             m_onEngineDown(news.engineAddress);
         if (!wasClearing && news.availability == EngineAvailability::Clearing && m_onEngineClearing)
@@ -201,9 +210,31 @@
         m_onCapacity();
 }
 
+void EntryServices::recordLostCall(const std::string& address, const Digest& request) { m_lostCalls[address].emplace_back(request, monotonicNow()); }
+
+void EntryServices::recordUpstreamDown(const std::string& address)
+{
+    const auto found = m_lostCalls.find(address);
+    if (found == m_lostCalls.end())
+        return;
+    const auto lost = std::move(found->second);
+    m_lostCalls.erase(found);
+    const auto now = monotonicNow();
+    for (const auto& [request, at] : lost) {
+        if (now > at + crashWindow)
+            continue;
+        m_suspicion.recordDeath({ request }, false, now);
+        m_context.log.write("crash.sighted", { { "digest", request.shortHex() }, { "upstream", address } });
+        if (m_onCrashSighting)
+            m_onCrashSighting({ request.hex(), address });
+    }
+}
+
 TimePoint EntryServices::maintain()
 {
     const auto now = monotonicNow();
+    for (auto lost = m_lostCalls.begin(); lost != m_lostCalls.end();)
+        lost = lost->second.back().second + crashWindow < now ? m_lostCalls.erase(lost) : std::next(lost);
     if (m_registry.expire(now))
         m_context.log.write("upstream.grace-ended", {});
     refresh();
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -57,6 +57,14 @@
     RandomSource& random() { return m_random; }
     GatewayContext& context() { return m_context; }
 
+    /// Records that a request was sent to an upstream whose connection ended without an answer.
+    void recordLostCall(const std::string& address, const Digest& request);
+    /// Records that an upstream turned out to be down: what it lost shortly before may have
+    /// crashed it.
+    void recordUpstreamDown(const std::string& address);
+
+    /// Called with each request that was in flight when an upstream went down.
+    void onCrashSighting(std::function<void(const CrashSighting&)> handler) { m_onCrashSighting = std::move(handler); }
     /// Called when an engine turned out to be down, with its address.
     void onEngineDown(std::function<void(const std::string&)> handler) { m_onEngineDown = std::move(handler); }
     /// Called when calls should leave an engine that serves on for now, with its address.
@@ -83,6 +91,8 @@
     RetryBudget m_budget;
     CrashSuspicion m_suspicion;
     RandomSource m_random;
+    std::map<std::string, std::vector<std::pair<Digest, TimePoint>>> m_lostCalls; // by upstream address
+    std::function<void(const CrashSighting&)> m_onCrashSighting;
     std::function<void(const std::string&)> m_onEngineDown;
     std::function<void(const std::string&)> m_onEngineClearing;
     std::function<void()> m_onCapacity;
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
@@ -60,7 +60,6 @@
             const auto& vm = message.subscriber;
             return { vm.id, vm.address, vm.region, vm.failureDomain, vm.kind };
         }
-        Json operator()(const CrashNews& message) const { return { message.digest, message.remaining.count() }; }
         Json operator()(const CrashSighting& message) const { return { message.digest, message.upstream }; }
         Json operator()(const ActivationNews& message) const
         {
@@ -109,13 +108,11 @@
             return NewsSubscription { { json.at(1).get<std::string>(), json.at(2).get<std::string>(), json.at(3).get<std::string>(),
                 json.at(4).get<std::string>(), json.at(5).get<std::string>() } };
         case 5:
-            return CrashNews { json.at(1).get<std::string>(), Milliseconds(json.at(2).get<std::int64_t>()) };
-        case 6:
             return CrashSighting { json.at(1).get<std::string>(), json.at(2).get<std::string>() };
-        case 7:
+        case 6:
             return ActivationNews { json.at(1).get<std::string>(), json.at(2).get<std::string>(), json.at(3).get<std::uint64_t>(),
                 json.at(4).get<std::uint64_t>(), json.at(5).get<bool>(), json.at(6).get<bool>() };
-        case 8:
+        case 7:
             return HeldNews { json.at(1).get<std::string>(), json.at(2).get<std::string>(), json.at(3).get<std::uint64_t>(),
                 json.at(4).get<std::string>(), json.at(5).get<bool>() };
         default:
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.h
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.h
@@ -50,13 +50,7 @@
     VmIdentity subscriber;
 };
 
-/// A request is refused by every entry for a while, because it crashes upstreams.
-struct CrashNews {
-    std::string digest; ///< hexadecimal digest of the request
-    Milliseconds remaining { 0 };
-};
-
-/// A caller's request was in flight at an upstream that died.
+/// A request was in flight at an upstream that died.
 struct CrashSighting {
     std::string digest;
     std::string upstream;
@@ -81,7 +75,7 @@
     bool wantsAnswer = false;
 };
 
-using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineNews, NewsSubscription, CrashNews, CrashSighting, ActivationNews, HeldNews>;
+using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineNews, NewsSubscription, CrashSighting, ActivationNews, HeldNews>;
 
 /// Encodes a message as CBOR (RFC 8949).
 std::string encodePeerMessage(const PeerMessage& message);
--- a/modules/hyssopwick_operator/commands/CommandLine.cpp
+++ b/modules/hyssopwick_operator/commands/CommandLine.cpp
@@ -1,6 +1,7 @@
 #include "CommandLine.h"
 
 #include "../apply/Applier.h"
+#include "RequestStory.h"
 
 #include <boost/program_options.hpp>
 #include <fstream>
@@ -26,6 +27,7 @@
   apply DIRECTORY         accept the records: they are in force everywhere in seconds
   status                  show the revision in force, laggards, rollouts
   audit FILE...           check collected event logs against every promise
+  explain ID FILE...      show what happened to one request, by the event logs
 
 hyssopwick COMMAND --help shows a command's options and an example.
 hyssopwick --version shows the version.
@@ -351,6 +353,25 @@
         return isBehind || !fleet.silent.empty() ? ExitCode::Negative : ExitCode::Success;
     }
 
+    ExitCode explain(const Context& context)
+    {
+        auto files = context.inputs();
+        if (files.size() < 2) {
+            context.errors << "hyssopwick explain: name a request id and the event log files\n";
+            return ExitCode::Usage;
+        }
+        RequestStory story(files.front());
+        for (std::size_t i = 1; i < files.size(); ++i) {
+            const auto read = story.addFile(files[i]);
+            if (!read) {
+                context.errors << "hyssopwick explain: " << read.error().message << "\n";
+                return ExitCode::Usage;
+            }
+        }
+        story.print(context.out);
+        return story.isEmpty() ? ExitCode::Negative : ExitCode::Success;
+    }
+
     ExitCode audit(const Context& context)
     {
         if (context.inputs().empty()) {
@@ -381,6 +402,7 @@
         { "plan", plan, "Shows the difference between the records in force and those of the directory.\n\nExample:\n  hyssopwick plan --settings operator.toml examples/caroni/records" },
         { "apply", apply, "Validates every file, then accepts all records at once by one compare-and-swap.\nWith findings, or when another operator was faster, nothing changes.\n\nExample:\n  hyssopwick apply --settings operator.toml --if-revision 7 examples/caroni/records" },
         { "status", status, "Shows revisions in force by count, laggards by name, and rollouts.\n\nExample:\n  hyssopwick status --settings operator.toml --json" },
+        { "explain", explain, "Shows the events of one request in their order, with what changed at its upstreams\nmeanwhile. Exit code 1: no event names the request.\n\nExample:\n  hyssopwick explain 9c41d07be2a35f68 logs/*.log" },
         { "audit", audit, "Checks collected event logs against every promise and names the first broken one\nwith its events. Exit code 1: a promise was broken; 2: input cannot be read.\n\nExample:\n  hyssopwick audit logs/*.log" },
     };
 
--- a/modules/hyssopwick_operator/hyssopwick_operator.h
+++ b/modules/hyssopwick_operator/hyssopwick_operator.h
@@ -7,3 +7,4 @@
 
 #include "apply/Applier.h"
 #include "commands/CommandLine.h"
+#include "commands/RequestStory.h"
--- a/modules/hyssopwick_requests/placing/EnginePool.h
+++ b/modules/hyssopwick_requests/placing/EnginePool.h
@@ -87,6 +87,9 @@
 
     bool isEmpty() const { return m_engines.empty(); }
 
+    /// Returns how many engines may be sent calls.
+    std::size_t size() const { return m_engines.size(); }
+
 private:
     struct SentCall {
         std::string upstream;
--- a/modules/hyssopwick_requests/retries/CrashSuspicion.cpp
+++ b/modules/hyssopwick_requests/retries/CrashSuspicion.cpp
@@ -36,7 +36,11 @@
     return isRefused(found->second) ? CrashVerdict::Refuse : CrashVerdict::RunAlone;
 }
 
-bool CrashSuspicion::isRefused(const Suspect& suspect) { return suspect.wasAlone && suspect.deaths >= deathsToRefuse; }
+bool CrashSuspicion::isRefused(const Suspect& suspect) const
+{
+    const bool isProven = suspect.wasAlone && suspect.deaths >= deathsToRefuse;
+    return isProven || (m_deathsToRefuseUnproven > 0 && suspect.deaths >= m_deathsToRefuseUnproven);
+}
 
 void CrashSuspicion::mergeRefused(const Digest& request, Milliseconds remaining, TimePoint now)
 {
--- a/modules/hyssopwick_requests/retries/CrashSuspicion.h
+++ b/modules/hyssopwick_requests/retries/CrashSuspicion.h
@@ -19,6 +19,13 @@
 /// the suspicion expires. Refused digests spread by gossip. Pure.
 class CrashSuspicion {
 public:
+    /// \param deathsToRefuseUnproven  deaths after which a request is refused also if it never
+    ///                                ran alone; 0: only one that ran alone is refused
+    explicit CrashSuspicion(unsigned deathsToRefuseUnproven = 0)
+        : m_deathsToRefuseUnproven(deathsToRefuseUnproven)
+    {
+    }
+
     /// Records that an upstream died while running these requests.
     /// \param wasAlone  the one request had been sent to run alone
     void recordDeath(const std::set<Digest>& inFlight, bool wasAlone, TimePoint now);
@@ -42,8 +49,9 @@
         TimePoint until;
     };
 
-    static bool isRefused(const Suspect& suspect);
+    bool isRefused(const Suspect& suspect) const;
 
+    unsigned m_deathsToRefuseUnproven;
     std::map<Digest, Suspect> m_suspects;
 };
 
--- /dev/null
+++ b/scripts/check-boundary.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Fails when a name of the users' platform stands outside platform/, and prints how large
+# that folder is against the modules.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+names='Server-Seal|Token-Counts|Prompt-Prefix|Not-Executed|Expect-Instance|Expect-Version|Weight-Versions|Request-Priority|Length-Hint|Instance-Id|Deadline-Ms|kv-txn|kv-watch|kv-range|kv-lease|kv-keep|stage-put|stage-get|HYSSOPWICK_BOOT|"op/config|op/version|"servers/|canResume|gapGoalMs|/-/'
+if git grep -nE "$names" -- '*.h' '*.cpp' ':!platform' ':!tests/platform'; then
+    echo "names of the platform stand outside platform/" >&2
+    exit 1
+fi
+adapter=$(git ls-files 'platform/*.h' 'platform/*.cpp' | xargs cat | wc -l)
+modules=$(git ls-files 'modules/*.h' 'modules/*.cpp' | xargs cat | wc -l)
+echo "platform/ has $adapter lines, $((100 * adapter / modules)) in 100 of the modules' $modules"
--- a/tests/OperatorTests.cpp
+++ b/tests/OperatorTests.cpp
@@ -223,3 +223,36 @@
     LONGS_EQUAL(1, run({ "validate", "--json", "/does/not/exist" }));
     CHECK(out.str().find("\"findings\":[{") != std::string::npos);
 }
+
+TEST_GROUP(RequestStory) {};
+
+TEST(RequestStory, TheEventsOfOneRequestAndItsUpstreamsAreToldInOrder)
+{
+    RequestStory story("r1");
+    story.addLine("v=1 process=entry/1 seq=3 at=2000 event=call.ended request=r1 outcome=upstream-failed status=502 chain=x");
+    story.addLine("  1.25 entry v=1 process=entry/1 seq=1 at=1900 event=call.sent request=r1 upstream=i-1 chain=x");
+    story.addLine("v=1 process=entry/1 seq=2 at=1950 event=upstream.unregistered upstream=i-1 reason=registration-ended chain=x");
+    story.addLine("v=1 process=entry/1 seq=4 at=1950 event=upstream.unregistered upstream=i-2 chain=x");
+    story.addLine("v=1 process=entry/1 seq=5 at=1950 event=call.sent request=r2 upstream=i-1 chain=x");
+    story.addLine("v=1 process=other/1 seq=5 at=1950 event=upstream.unregistered upstream=i-1 chain=x");
+    story.addLine("no event");
+    std::ostringstream out;
+    story.print(out);
+    const auto text = out.str();
+    CHECK(text.find("call.sent") < text.find("upstream.unregistered"));
+    CHECK(text.find("upstream.unregistered") < text.find("call.ended"));
+    CHECK(text.find("+100 ms") != std::string::npos);
+    CHECK(text.find("status=502") != std::string::npos);
+    CHECK(text.find("i-2") == std::string::npos);
+    CHECK(text.find("r2") == std::string::npos);
+    CHECK(text.find("other/1") == std::string::npos);
+}
+
+TEST(RequestStory, ARequestThatNoEventNamesIsSaidSo)
+{
+    const RequestStory story("r9");
+    std::ostringstream out;
+    story.print(out);
+    CHECK(story.isEmpty());
+    CHECK(out.str().find("no event names request r9") == 0);
+}
--- a/tests/platform/CallFlowTests.cpp
+++ b/tests/platform/CallFlowTests.cpp
@@ -410,6 +410,41 @@
     CHECK(exchange->isAborted);
 }
 
+// A request that crashes each upstream which begins it comes again at any entry.
+TEST(CallFlow, ARequestIsContainedFromItsThirdCrashOn)
+{
+    route(CallKind::AtMostOnce, 1, false);
+    std::vector<CrashSighting> sightings;
+    services.onCrashSighting([&](const CrashSighting& sighting) { sightings.push_back(sighting); });
+    for (int crash = 1; crash <= 3; ++crash) {
+        answerBoth("", true);
+        send();
+        finish();
+        services.recordUpstreamDown(first.address());
+        services.recordUpstreamDown(second.address());
+        LONGS_EQUAL(crash, sightings.size());
+    }
+    const auto before = arrivals();
+    send();
+    finish();
+    LONGS_EQUAL(before, arrivals());
+    LONGS_EQUAL(502, exchange->status);
+}
+
+TEST(CallFlow, ALostAnswerOfAnUpstreamThatLivesIsNoCrash)
+{
+    route(CallKind::AtMostOnce, 1, false);
+    int sightings = 0;
+    services.onCrashSighting([&](const CrashSighting&) { ++sightings; });
+    answerBoth("", true);
+    send();
+    finish();
+    answerBoth(okHead + "Content-Length: 2\r\n\r\nok");
+    send();
+    finish();
+    LONGS_EQUAL(0, sightings);
+}
+
 TEST(CallFlow, AnUpstreamIsLeftWhenTheCallerLeaves)
 {
     route(CallKind::AtMostOnce, 1, false);
