--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusNotFound = 404;
     constexpr const char* agentKind = "agent";
     // The engine is on the same VM, so that asking it costs little.
     constexpr Milliseconds reportPeriod { 80 };
@@ -301,8 +299,7 @@
             return;
         if (!swarm->second->isComplete())
             continue;
-        const auto& named = m_versions.at(version);
-        const auto bound = named.learntAt + (named.isNamed ? m_context.description.versionBound : unnamedBound);
+        const auto bound = boundFrom(loaded, version);
         const bool isNewest = version == m_versions.rbegin()->first;
         if (!isNewest && loaded != 0 && now < bound - olderVersionLead)
             continue;
@@ -331,6 +328,18 @@
     }
 }
 
+// The earliest bound of the versions after \p loaded, up to \p version: naming a further
+// version does not put off the bound of the one before it.
+TimePoint AgentGateway::boundFrom(std::uint64_t loaded, std::uint64_t version) const
+{
+    auto bound = TimePoint::max();
+    for (auto named = m_versions.upper_bound(loaded); named != m_versions.end() && named->first <= version; ++named) {
+        if (named->second.isNamed)
+            bound = std::min(bound, named->second.learntAt + m_context.description.versionBound);
+    }
+    return bound == TimePoint::max() ? monotonicNow() + unnamedBound : bound;
+}
+
 bool AgentGateway::mayLoad() const { return m_turn && m_turn->mayLoad(loadedVersion() != 0, monotonicNow()); }
 
 void AgentGateway::announceActivation()
@@ -359,13 +368,12 @@
         void operator()(const PingRequest&) const { }
         void operator()(const EngineNews&) const { }
         void operator()(const CrashSighting&) const { }
-        void operator()(const NewsSubscription& subscription) const
+        void operator()(const NewsSubscription&) const
         {
             const bool isNew = agent.m_subscribers.count(sender) == 0;
             agent.m_subscribers[sender] = monotonicNow();
             if (isNew && agent.m_hasReport)
                 agent.sendNews(true);
-            static_cast<void>(subscription);
         }
         void operator()(const ActivationNews& news) const
         {
--- a/modules/hyssopwick_gateway/agent/AgentGateway.h
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.h
@@ -46,6 +46,7 @@
     void announceActivation();
     void recordPeerActivations();
     bool mayLoad() const;
+    TimePoint boundFrom(std::uint64_t loaded, std::uint64_t version) const;
     std::uint64_t loadedVersion() const;
     std::shared_ptr<WeightsSwarm> swarmOf(const std::string& model, const std::string& version) const;
     SwarmMember memberFor(const std::string& ip, const std::string& failureDomain, UnixMilliseconds bornAt) const;
--- a/modules/hyssopwick_gateway/agent/EngineLink.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineLink.cpp
@@ -6,8 +6,6 @@
     // The engine is on the same VM: it answers at once or not at all.
     constexpr Milliseconds connectTimeout { 100 };
     constexpr Milliseconds answerTimeout { 300 };
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusMultipleChoices = 300;
 
     Error errorOf(const WholeResponse& response, const char* what)
     {
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
@@ -24,9 +24,6 @@
     // Chunks that are sent to peers at a time, each at its part of the link. Receivers
     // fetch as many, so that no link gets more than its share.
     constexpr unsigned maxUploads = 3;
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusNotFound = 404;
-    constexpr unsigned statusUnavailable = 503;
 }
 
 WeightsSwarm::WeightsSwarm(GatewayContext& context, DatagramHub& hub, EngineLink& engine, WeightsVersion weights, ServiceDescription service, SwarmMember self)
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -4,18 +4,6 @@
 
 namespace {
 
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusMultipleChoices = 300;
-    constexpr unsigned statusUnauthorized = 401;
-    constexpr unsigned statusNotFound = 404;
-    constexpr unsigned statusTooManyRequests = 429;
-    constexpr unsigned statusTimeout = 408;
-    constexpr unsigned statusMisdirected = 421;
-    constexpr unsigned statusServerError = 500;
-    constexpr unsigned statusBadGateway = 502;
-    constexpr unsigned statusUnavailable = 503;
-    constexpr unsigned statusGatewayTimeout = 504;
-
     // Time to connect, in the first and in later rounds over the upstreams. The first is
     // several times the way between failure domains of one site; later ones serve sites
     // with longer ways.
@@ -346,7 +334,7 @@
     // These statuses promise that the call did not run; an upstream that answers with one
     // and does not say so itself may have run it.
     const auto status = m_head.status;
-    const bool isPromise = status == statusUnavailable || status == statusTooManyRequests || status == statusTimeout || status == statusMisdirected;
+    const bool isPromise = status == statusUnavailable || status == statusTooManyRequests || status == statusRequestTimeout || status == statusMisdirected;
     if (isPromise)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
     m_exchange->respond(status, m_services.context().ports.calls->encodeAnswer(m_head.fields), std::move(m_body));
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusNotFound = 404;
-    constexpr unsigned statusUnavailable = 503;
     // Callers that cannot get a new answer keep the old one; a short life bounds how long
     // they come to a VM that stopped.
     constexpr Milliseconds addressLifetime { 2000 };
@@ -23,18 +20,11 @@
     // What is left of the time to stop when calls are cut off.
     constexpr Milliseconds stopMargin { 300 };
     constexpr Milliseconds stopCheckPeriod { 50 };
-    // An agent whose news is older than this may not know of this entry.
-    constexpr Milliseconds subscriptionAge { 700 };
     // Fewer entries than this in the caller's failure domain: others are named too.
     constexpr std::size_t minAddresses = 2;
-    constexpr std::size_t fallbackHeaderBytes = 16384;
 
-    CallerLimits internalLimits()
-    {
-        CallerLimits limits;
-        limits.headerBytes = fallbackHeaderBytes;
-        return limits;
-    }
+    // Limits of requests that are not callers': the defaults.
+    CallerLimits internalLimits() { return {}; }
 }
 
 EntryGateway::EntryGateway(GatewayContext& context)
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -66,10 +66,8 @@
 
 void EntryServices::setVersion(const WeightsVersion& version)
 {
-    auto& wanted = m_wantedVersions[version.model];
-    if (version.version <= wanted.first)
+    if (!m_namedVersions[version.model].emplace(version.version, monotonicNow()).second)
         return;
-    wanted = { version.version, monotonicNow() };
     m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) } });
 }
 
@@ -90,15 +88,8 @@
     }
     if (held.empty())
         return false;
-    // After the bound, calls may not begin on an older version.
-    for (const auto& [model, version] : held) {
-        const auto wanted = m_wantedVersions.find(model);
-        if (wanted == m_wantedVersions.end() || version >= wanted->second.first)
-            continue;
-        if (monotonicNow() >= wanted->second.second + m_context.description.versionBound - versionMargin)
-            return false;
-    }
-    return true;
+    const auto until = usableUntil(upstream);
+    return !until || monotonicNow() < *until;
 }
 
 std::map<std::string, std::uint64_t> EntryServices::heldVersions(const Upstream& upstream) const
@@ -110,12 +101,25 @@
 // Whether the engine holds an older version than the one that is wanted.
 bool EntryServices::isBehind(const Upstream& upstream) const
 {
-    for (const auto& [model, version] : heldVersions(upstream)) {
-        const auto wanted = m_wantedVersions.find(model);
-        if (wanted != m_wantedVersions.end() && version < wanted->second.first)
-            return true;
+    return usableUntil(upstream).has_value();
+}
+
+// Calls may not begin on a version once the bound of any later one has passed; naming yet
+// another version does not put that off.
+std::optional<TimePoint> EntryServices::usableUntil(const Upstream& upstream) const
+{
+    std::optional<TimePoint> until;
+    for (const auto& [model, held] : heldVersions(upstream)) {
+        const auto named = m_namedVersions.find(model);
+        if (named == m_namedVersions.end())
+            continue;
+        for (auto later = named->second.upper_bound(held); later != named->second.end(); ++later) {
+            const auto end = later->second + m_context.description.versionBound - versionMargin;
+            if (!until || end < *until)
+                until = end;
+        }
     }
-    return false;
+    return until;
 }
 
 std::string EntryServices::regionOf(const std::string& failureDomain) const
@@ -241,10 +245,12 @@
     auto next = now + longestMaintenancePause;
     if (const auto expiry = m_registry.nextExpiry())
         next = std::min(next, *expiry);
-    for (const auto& [model, wanted] : m_wantedVersions) {
-        const auto oldVersionsEnd = wanted.second + m_context.description.versionBound - versionMargin;
-        if (oldVersionsEnd > now)
-            next = std::min(next, oldVersionsEnd);
+    for (const auto& [model, versions] : m_namedVersions) {
+        for (const auto& [version, learntAt] : versions) {
+            const auto oldVersionsEnd = learntAt + m_context.description.versionBound - versionMargin;
+            if (oldVersionsEnd > now)
+                next = std::min(next, oldVersionsEnd);
+        }
     }
     return next;
 }
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -76,6 +76,7 @@
     bool isUsableEngine(const Upstream& upstream) const;
     std::string regionOf(const std::string& failureDomain) const;
     bool isBehind(const Upstream& upstream) const;
+    std::optional<TimePoint> usableUntil(const Upstream& upstream) const;
     std::map<std::string, std::uint64_t> heldVersions(const Upstream& upstream) const;
     std::optional<TimePoint> enginesExpectedAt(const std::string& service) const;
 
@@ -83,7 +84,7 @@
     RouteTablePointer m_routes;
     UpstreamRegistry m_registry;
     std::map<std::string, EngineStatus> m_engineStatus; // by engine address
-    std::map<std::string, std::pair<std::uint64_t, TimePoint>> m_wantedVersions; // model to version and when it was learnt
+    std::map<std::string, std::map<std::uint64_t, TimePoint>> m_namedVersions; // model, version, when it was learnt
     std::map<std::string, EnginePool> m_engines;
     std::map<std::string, CallQueue> m_queues;
     std::size_t m_fleetSize = 1;
--- a/modules/hyssopwick_gateway/http/NetworkTypes.h
+++ b/modules/hyssopwick_gateway/http/NetworkTypes.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "HttpStatus.h"
+
 #include <boost/asio.hpp>
 #include <boost/outcome/try.hpp>
 #include <hyssopwick_deployment.h>
--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -14,10 +14,6 @@
     // Bytes of a body may not stop for longer than this; the caller's own deadline is
     // checked when the request is whole.
     constexpr Milliseconds bodyTimeout { 10000 };
-    constexpr unsigned statusBadRequest = 400;
-    constexpr unsigned statusTimeout = 408;
-    constexpr unsigned statusTooLarge = 413;
-    constexpr unsigned statusHeaderTooLarge = 431;
 
     std::string hostWithoutPort(boost::beast::string_view host)
     {
@@ -191,7 +187,7 @@
     armTimer(monotonicNow() + limits.headerWithin, [this] {
         if (m_buffer.size() == 0)
             return close();
-        reject(statusTimeout, "slow-header");
+        reject(statusRequestTimeout, "slow-header");
     });
     http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
         if (self->m_isClosed || self->m_isRejected)
@@ -241,7 +237,7 @@
     if (boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         enqueue("HTTP/1.1 100 Continue\r\n\r\n", false);
     }
-    armTimer(monotonicNow() + bodyTimeout, [this] { reject(statusTimeout, "slow-body"); });
+    armTimer(monotonicNow() + bodyTimeout, [this] { reject(statusRequestTimeout, "slow-body"); });
     http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
         if (self->m_isClosed || self->m_isRejected)
             return;
--- a/modules/hyssopwick_gateway/view/ViewKeeper.cpp
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.cpp
@@ -16,9 +16,6 @@
     constexpr Milliseconds readTimeout { 1500 };
     constexpr Milliseconds firstRetryPause { 50 };
     constexpr Milliseconds longestRetryPause { 1000 };
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusUnavailable = 503;
-    constexpr unsigned statusBadRequest = 400;
     constexpr std::string_view viewPath = "/view?after=";
 
     std::string describe(const FollowSource& source)
--- a/tests/platform/CallFlowTests.cpp
+++ b/tests/platform/CallFlowTests.cpp
@@ -445,6 +445,27 @@
     LONGS_EQUAL(0, sightings);
 }
 
+// Regression: naming version 3 put off the bound of version 2 for engines on version 1.
+TEST(CallFlow, ALaterVersionDoesNotPutOffTheBoundOfAnEarlierOne)
+{
+    context.description.versionBound = Milliseconds(850); // 50 ms beyond the margin
+    configuration.services["plain"].engine = EngineSpeed {};
+    route(CallKind::Stream, 1, false);
+    Upstream engine;
+    engine.id = "i-9";
+    engine.service = "plain";
+    engine.address = first.address();
+    engine.heldVersions["m"] = 1;
+    services.setUpstream(engine);
+    services.setVersion({ "m", 2 });
+    services.refresh();
+    LONGS_EQUAL(1, services.engines("plain")->size());
+    usleep(60000);
+    services.setVersion({ "m", 3 });
+    services.refresh();
+    LONGS_EQUAL(0, services.engines("plain")->size());
+}
+
 TEST(CallFlow, AnUpstreamIsLeftWhenTheCallerLeaves)
 {
     route(CallKind::AtMostOnce, 1, false);
