A version that a process finds at its start is taken to be due

Ruled out: the bound of a later version (mended before; the same test holds). Change: at the first read, named versions count as due for entries and agents. A test that fails before.

--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -70,7 +70,7 @@
     observer.onVersion = [this](const WeightsVersion& version) {
         if (!m_service || m_service->models.empty() || version.model != m_service->models.front())
             return;
-        if (m_versions.emplace(version.version, NamedVersion { monotonicNow(), true }).second)
+        if (m_versions.emplace(version.version, NamedVersion { m_hasFirstRead ? monotonicNow() : monotonicNow() - m_context.description.versionBound, true }).second)
             m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) } });
     };
     observer.onNode = [this](const RegisteredNode& node) { m_entries[node.vm.id] = node.vm; };
@@ -80,6 +80,7 @@
         for (const auto& [id, vm] : m_entries)
             entries.push_back(vm);
         m_view.setEntries(entries);
+        m_hasFirstRead = true;
         plan();
     };
     m_view.start(std::move(observer));
--- a/modules/hyssopwick_gateway/agent/AgentGateway.h
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.h
@@ -72,6 +72,7 @@
     std::vector<std::string> m_peerAddresses;
     EngineReport m_report;
     bool m_hasReport = false;
+    bool m_hasFirstRead = false; // what was named before is taken to be due
     bool m_isAnswering = false;
     unsigned m_failedPolls = 0;
     EngineNews m_lastNews;
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -66,7 +66,10 @@
 
 void EntryServices::setVersion(const WeightsVersion& version)
 {
-    if (!m_namedVersions[version.model].emplace(version.version, monotonicNow()).second)
+    // When a version was named that this process finds at its start is not known; its bound
+    // may have passed.
+    const auto learntAt = m_hasFirstRead ? monotonicNow() : monotonicNow() - m_context.description.versionBound;
+    if (!m_namedVersions[version.model].emplace(version.version, learntAt).second)
         return;
     m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) } });
 }
@@ -164,6 +167,7 @@
             plain(name).setUpstreams(slots);
         }
     }
+    m_hasFirstRead = true;
     if (m_onCapacity)
         m_onCapacity();
 }
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -88,6 +88,7 @@
     std::map<std::string, EnginePool> m_engines;
     std::map<std::string, CallQueue> m_queues;
     std::size_t m_fleetSize = 1;
+    bool m_hasFirstRead = false; // a configuration and all that was in the store with it
     std::map<std::string, UpstreamPool> m_plain;
     RetryBudget m_budget;
     CrashSuspicion m_suspicion;
--- a/tests/platform/CallFlowTests.cpp
+++ b/tests/platform/CallFlowTests.cpp
@@ -466,6 +466,21 @@
     LONGS_EQUAL(0, services.engines("plain")->size());
 }
 
+// Regression: an entry that started anew gave a named version its full time again.
+TEST(CallFlow, AVersionThatAnEntryFindsAtItsStartIsDue)
+{
+    configuration.services["plain"].engine = EngineSpeed {};
+    services.setVersion({ "m", 2 });
+    Upstream engine;
+    engine.id = "i-9";
+    engine.service = "plain";
+    engine.address = first.address();
+    engine.heldVersions["m"] = 1;
+    services.setUpstream(engine);
+    route(CallKind::Stream, 1, false);
+    LONGS_EQUAL(0, services.engines("plain")->size());
+}
+
 TEST(CallFlow, AnUpstreamIsLeftWhenTheCallerLeaves)
 {
     route(CallKind::AtMostOnce, 1, false);
