Pulls spread over the members, and an engine without weights is loaded at once

Arrival times of single chunks showed why: about a third of all uplinks idled while everybody asked the few holders of the rarest chunk, uploads got a third of the link even when alone, and their pieces drifted behind their timers. Ruled out: the origin (all chunks are out after 1.4 s) and the links between regions. Change: a member is drawn first, then the rarest chunk that it holds; uploads share the link by their number, along a schedule, all of it where the engine serves nothing; more fetches at once; no closing phase for an engine without weights. Two tests that failed before (the closing one: function is new). What is left is mostly the first half second, in which the origin has sent too few chunks to occupy all links.

--- a/fakes/hyssopwick_fakes/FakeSwarmNetwork.h
+++ b/fakes/hyssopwick_fakes/FakeSwarmNetwork.h
@@ -13,7 +13,7 @@
     Milliseconds delay { 2 }; ///< to ask for a chunk, and of a message
     std::uint32_t chunks = 48;
     std::uint64_t chunkBytes = 49152;
-    unsigned maxUploads = 3; ///< chunks that a VM sends at a time
+    unsigned maxUploads = 4; ///< chunks that a VM sends at a time, as WeightsSwarm does
 };
 
 /// VMs that spread one version by PullDecision, in virtual time. Links are shared evenly
--- a/modules/hyssopwick_distribution/swarm/PullDecision.cpp
+++ b/modules/hyssopwick_distribution/swarm/PullDecision.cpp
@@ -6,13 +6,15 @@
 
 namespace {
 
-    // Two fetches keep a downlink busy while one ends and the next begins; the third
-    // covers one that waits at a busy member.
-    constexpr std::size_t maxPending = 4;
+    // Some members send several chunks at once and are slow; with fewer fetches the
+    // downlink idles behind them (tests/PullTests.cpp).
+    constexpr std::size_t maxPending = 6;
+    // Of these, from the origin: more at once would crowd it when it comes back.
+    constexpr std::size_t maxPendingAtOrigin = 4;
     // Requests that the origin should have at a time, so that its link never idles.
     constexpr std::uint32_t originOverlap = 3;
     // Members of the region hear of new chunks this often.
-    constexpr Milliseconds announcePeriod { 40 };
+    constexpr Milliseconds announcePeriod { 20 };
     // All members hear of what is held this often while something is missing somewhere.
     constexpr Milliseconds announceAllPeriod { 500 };
     constexpr Milliseconds busyPause { 15 };
@@ -237,7 +239,7 @@
 void PullDecision::planOrigin(TimePoint now, std::vector<PullAction>& actions)
 {
     // One request at a time finds out whether an origin that failed is back.
-    std::size_t allowed = now < m_originFailedAt + failurePause * 2 ? 1 : maxPending;
+    std::size_t allowed = now < m_originFailedAt + failurePause * 2 ? 1 : maxPendingAtOrigin;
     for (const auto& state : m_chunks)
         allowed -= std::min<std::size_t>(allowed, state.isPending && state.isFromOrigin);
     for (std::uint32_t chunk = 0; chunk < m_chunks.size() && m_pending < maxPending && allowed > 0; ++chunk) {
@@ -257,54 +259,81 @@
     while (m_pending < maxPending && pullOne(now, actions)) { }
 }
 
-// Takes the rarest chunk that some member holds which may be asked now.
+bool PullDecision::isWanted(std::uint32_t chunk) const { return !m_held.contains(chunk) && !m_chunks[chunk].isPending; }
+
+std::vector<std::size_t> PullDecision::holdersInRegion() const
+{
+    std::vector<std::size_t> holders(m_chunks.size());
+    for (const auto& [id, state] : m_members) {
+        for (std::uint32_t chunk = 0; chunk < m_chunks.size() && state.member.region == m_settings.self.region; ++chunk)
+            holders[chunk] += state.held.contains(chunk);
+    }
+    return holders;
+}
+
+// Chunks that this VM brings into its region come first, since all others there wait for
+// them. Otherwise a member is drawn first and then the rarest chunk that it holds: drawn
+// the other way round, all VMs would meet at the few that hold the rarest chunks while the
+// links of the others idle.
 bool PullDecision::pullOne(TimePoint now, std::vector<PullAction>& actions)
 {
-    struct Candidate {
-        std::uint32_t chunk = 0;
-        std::size_t holders = 0;
-        std::string member;
-        bool isAcrossRegions = false;
+    const auto holders = holdersInRegion();
+    for (std::uint32_t chunk = 0; chunk < m_chunks.size(); ++chunk) {
+        if (!isWanted(chunk) || holders[chunk] > 0 || now < crossingDueAt(chunk))
+            continue;
+        if (const auto* source = drawMember(now, [&](const MemberState& state) { return state.held.contains(chunk); })) {
+            pull(*source, chunk, now, actions);
+            return true;
+        }
+    }
+    const auto isUseful = [&](const MemberState& state, bool isNearest) {
+        const bool isNear = isNearest ? state.member.failureDomain == m_settings.self.failureDomain : state.member.region == m_settings.self.region;
+        if (!isNear)
+            return false;
+        for (std::uint32_t chunk = 0; chunk < m_chunks.size(); ++chunk) {
+            if (isWanted(chunk) && state.held.contains(chunk))
+                return true;
+        }
+        return false;
     };
-    std::optional<Candidate> best;
+    // Within the own failure domain bytes are cheapest; any member there will do.
+    const auto* source = drawMember(now, [&](const MemberState& state) { return isUseful(state, true); });
+    if (!source)
+        source = drawMember(now, [&](const MemberState& state) { return isUseful(state, false); });
+    if (!source)
+        return false;
+    std::optional<std::uint32_t> rarest;
     const auto first = static_cast<std::uint32_t>(m_random.below(m_chunks.size()));
     for (std::uint32_t i = 0; i < m_chunks.size(); ++i) {
         const auto chunk = (first + i) % static_cast<std::uint32_t>(m_chunks.size());
-        if (m_held.contains(chunk) || m_chunks[chunk].isPending)
-            continue;
-        std::vector<const MemberState*> near;
-        std::vector<const MemberState*> far;
-        std::size_t holders = 0;
-        for (const auto& [id, state] : m_members) {
-            if (!state.held.contains(chunk))
-                continue;
-            const bool isNear = state.member.region == m_settings.self.region;
-            holders += isNear;
-            if (now >= state.askAgainAt)
-                (isNear ? near : far).push_back(&state);
-        }
-        const bool mayCross = holders == 0 && now >= crossingDueAt(chunk);
-        const auto& sources = !near.empty() || !mayCross ? near : far;
-        if (sources.empty() || (best && best->holders <= holders))
-            continue;
-        // Within the own failure domain bytes are cheapest; any member there will do.
-        std::vector<const MemberState*> nearest;
-        for (const auto* source : sources) {
-            if (source->member.failureDomain == m_settings.self.failureDomain)
-                nearest.push_back(source);
-        }
-        const auto& pool = nearest.empty() ? sources : nearest;
-        best = Candidate { chunk, holders, pool[m_random.below(pool.size())]->member.id, near.empty() };
+        if (isWanted(chunk) && source->held.contains(chunk) && (!rarest || holders[chunk] < holders[*rarest]))
+            rarest = chunk;
     }
-    if (!best)
-        return false;
-    m_chunks[best->chunk].isPending = true;
-    m_chunks[best->chunk].isFromOrigin = false;
+    pull(*source, *rarest, now, actions);
+    return true;
+}
+
+const PullDecision::MemberState* PullDecision::drawMember(TimePoint now, const std::function<bool(const MemberState&)>& isSuitable)
+{
+    const MemberState* drawn = nullptr;
+    std::size_t count = 0;
+    for (const auto& [id, state] : m_members) {
+        // Each of the suitable members is drawn alike, in one pass.
+        if (now >= state.askAgainAt && isSuitable(state) && m_random.below(++count) == 0)
+            drawn = &state;
+    }
+    return drawn;
+}
+
+void PullDecision::pull(const MemberState& source, std::uint32_t chunk, TimePoint now, std::vector<PullAction>& actions)
+{
+    m_chunks[chunk].isPending = true;
+    m_chunks[chunk].isFromOrigin = false;
     ++m_pending;
     // A member that is asked serves this VM first; the next fetch goes elsewhere.
-    m_members.at(best->member).askAgainAt = now + busyPause;
-    actions.push_back(PullChunk { best->member, best->chunk, best->isAcrossRegions, now + chunkTime() * chunkTimesPerDeadline + deadlineSlack });
-    return true;
+    m_members.at(source.member.id).askAgainAt = now + busyPause;
+    const bool isAcrossRegions = source.member.region != m_settings.self.region;
+    actions.push_back(PullChunk { source.member.id, chunk, isAcrossRegions, now + chunkTime() * chunkTimesPerDeadline + deadlineSlack });
 }
 
 void PullDecision::planAnnouncements(TimePoint now, std::vector<PullAction>& actions)
--- a/modules/hyssopwick_distribution/swarm/PullDecision.h
+++ b/modules/hyssopwick_distribution/swarm/PullDecision.h
@@ -2,6 +2,8 @@
 
 #include "SwarmDecision.h"
 
+#include <functional>
+
 namespace hyssopwick {
 
 /// Fixed inputs of a PullDecision.
@@ -91,6 +93,10 @@
     void planOrigin(TimePoint now, std::vector<PullAction>& actions);
     void planPulls(TimePoint now, std::vector<PullAction>& actions);
     bool pullOne(TimePoint now, std::vector<PullAction>& actions);
+    void pull(const MemberState& source, std::uint32_t chunk, TimePoint now, std::vector<PullAction>& actions);
+    const MemberState* drawMember(TimePoint now, const std::function<bool(const MemberState&)>& isSuitable);
+    bool isWanted(std::uint32_t chunk) const;
+    std::vector<std::size_t> holdersInRegion() const;
     TimePoint originDueAt(std::uint32_t chunk) const;
     TimePoint crossingDueAt(std::uint32_t chunk) const;
     bool isHeldInRegion(std::uint32_t chunk) const;
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -277,8 +277,10 @@
         m_peerAddresses.push_back(address);
         ids.push_back(ip);
     }
-    for (const auto& [version, swarm] : m_swarms)
+    for (const auto& [version, swarm] : m_swarms) {
         swarm->setPeers(peers);
+        swarm->setEngineServing(loadedVersion() != 0);
+    }
     if (m_turn)
         m_turn->setPeers(ids);
 }
--- a/modules/hyssopwick_gateway/agent/EngineActivation.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineActivation.cpp
@@ -4,7 +4,7 @@
 
 namespace {
     // Between closing and clearing: calls that are nearly done end by themselves.
-    constexpr Milliseconds closingTime { 400 };
+    constexpr Milliseconds usualClosingTime { 400 };
     // What cannot leave the engine is waited for by the engine itself, after the order.
     constexpr Milliseconds longestClearing { 120 };
     constexpr Milliseconds clearingCheckPeriod { 15 };
@@ -40,7 +40,13 @@
 
 Milliseconds EngineActivation::usualTime(const EngineSpeed& speed)
 {
-    return closingTime + longestClearing / 2 + Milliseconds(static_cast<std::int64_t>(speed.loadMilliseconds));
+    return usualClosingTime + longestClearing / 2 + Milliseconds(static_cast<std::int64_t>(speed.loadMilliseconds));
+}
+
+Milliseconds EngineActivation::closingTime(const EngineReport& report)
+{
+    const bool isEmpty = report.heldVersions.empty() && report.runningCalls == 0 && report.waitingCalls == 0;
+    return isEmpty ? Milliseconds(0) : usualClosingTime;
 }
 
 void EngineActivation::start(std::function<bool()> mayLoad, std::function<void()> onChange)
@@ -107,7 +113,7 @@
 
 void EngineActivation::clear()
 {
-    const auto timer = std::make_shared<LoopTimer>(m_context.loop, m_closedAt + closingTime);
+    const auto timer = std::make_shared<LoopTimer>(m_context.loop, m_closedAt + closingTime(m_report));
     timer->async_wait([self = shared_from_this(), timer](boost::system::error_code) {
         if (self->m_isStopped)
             return;
--- a/modules/hyssopwick_gateway/agent/EngineActivation.h
+++ b/modules/hyssopwick_gateway/agent/EngineActivation.h
@@ -23,6 +23,10 @@
     /// Returns how long an engine is usually out of service for this.
     static Milliseconds usualTime(const EngineSpeed& speed);
 
+    /// Returns how long an engine gets no further calls before those that can go on
+    /// elsewhere leave it. An engine without weights runs nothing that could end by itself.
+    static Milliseconds closingTime(const EngineReport& report);
+
     /// Begins. \param mayLoad  asked before the order; \param onChange  called when the phase changed
     void start(std::function<bool()> mayLoad, std::function<void()> onChange);
 
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
@@ -16,14 +16,14 @@
     constexpr Milliseconds longestPause { 1500 };
     // A busy origin takes connections late, since its link is full.
     constexpr Milliseconds originConnectTimeout { 1500 };
-    // Further peers are told to ask elsewhere.
-    constexpr std::size_t maxQueuedUploads = 1;
     // What weights may take of a VM's link; the rest is left to calls and streams.
     constexpr double weightsShareOfLink = 0.85;
+    // What they may take while the engine serves nothing.
+    constexpr double idleShareOfLink = 1;
     constexpr Milliseconds pacePeriod { 10 };
-    // Chunks that are sent to peers at a time, each at its part of the link. Receivers
-    // fetch as many, so that no link gets more than its share.
-    constexpr unsigned maxUploads = 3;
+    // Chunks that are sent to peers at a time, each at its part of the link; further peers
+    // are told to ask elsewhere. More at once would only make each of them slower.
+    constexpr unsigned maxUploads = 4;
 }
 
 WeightsSwarm::WeightsSwarm(GatewayContext& context, DatagramHub& hub, EngineLink& engine, WeightsVersion weights, ServiceDescription service, SwarmMember self)
@@ -309,7 +309,7 @@
 {
     if (!m_swarm || chunk >= m_manifest->chunks.size() || !m_swarm->held().contains(chunk))
         return exchange->respond(statusNotFound, {}, "");
-    if (m_uploadQueue.size() >= maxQueuedUploads)
+    if (m_uploads + m_uploadQueue.size() >= maxUploads)
         return exchange->respond(statusUnavailable, {}, "");
     exchange->onGone([weak = weak_from_this(), raw = exchange.get()] {
         if (const auto self = weak.lock())
@@ -320,18 +320,22 @@
 }
 
 // The link also carries calls and streams of the engine, which would wait behind whole
-// chunks; so each upload gets an equal part of the link, in small pieces.
-void WeightsSwarm::sendPaced(const ServerExchangePointer& exchange, const std::shared_ptr<const std::string>& bytes, std::size_t from)
+// chunks; so the uploads share its weights' part, in small pieces. Pieces follow a schedule,
+// since timers fire late.
+void WeightsSwarm::sendPaced(const ServerExchangePointer& exchange, const std::shared_ptr<const std::string>& bytes, std::size_t from, TimePoint sentUntil)
 {
-    const double bytesPerSecond = m_context.description.linkBytesPerSecond * weightsShareOfLink / maxUploads;
-    const auto size = std::max<std::size_t>(1, static_cast<std::size_t>(bytesPerSecond * double(pacePeriod.count()) / 1000));
+    const double share = m_isEngineServing ? weightsShareOfLink : idleShareOfLink;
+    const double bytesPerSecond = m_context.description.linkBytesPerSecond * share / std::max(1u, m_uploads);
+    const auto sendUntil = std::max(sentUntil, monotonicNow()) + pacePeriod;
+    const double span = double(millisecondsBetween(sentUntil, sendUntil));
+    const auto size = std::max<std::size_t>(1, static_cast<std::size_t>(bytesPerSecond * span / 1000));
     exchange->write(bytes->substr(from, size));
     if (from + size >= bytes->size())
         return exchange->finish();
-    const auto timer = std::make_shared<LoopTimer>(m_context.loop, pacePeriod);
-    timer->async_wait([self = shared_from_this(), exchange, bytes, next = from + size, timer](boost::system::error_code) {
+    const auto timer = std::make_shared<LoopTimer>(m_context.loop, sendUntil);
+    timer->async_wait([self = shared_from_this(), exchange, bytes, next = from + size, sendUntil, timer](boost::system::error_code) {
         if (!self->m_isStopped)
-            self->sendPaced(exchange, bytes, next);
+            self->sendPaced(exchange, bytes, next, sendUntil);
         else
             exchange->abort();
     });
@@ -351,7 +355,7 @@
     readChunk(chunk, [self = shared_from_this(), exchange = exchange, chunk = chunk](Outcome<std::string> bytes) {
         if (bytes) {
             exchange->startStream(statusOk, {});
-            return self->sendPaced(exchange, std::make_shared<const std::string>(std::move(bytes.value())), 0);
+            return self->sendPaced(exchange, std::make_shared<const std::string>(std::move(bytes.value())), 0, monotonicNow());
         }
         self->m_context.log.write("chunk.unreadable", { { "version", std::to_string(self->m_weights.version) }, { "chunk", std::to_string(chunk) }, { "problem", bytes.error().message } });
         exchange->respond(statusNotFound, {}, "");
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.h
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.h
@@ -34,6 +34,9 @@
 
     void setPeers(const std::vector<Peer>& peers);
 
+    /// Sets whether the engine of this VM serves calls, which need a part of the link.
+    void setEngineServing(bool isServing) { m_isEngineServing = isServing; }
+
     /// Called when the last chunk has arrived.
     void onComplete(std::function<void()> handler) { m_onComplete = std::move(handler); }
 
@@ -77,7 +80,7 @@
     void perform(const PullChunk& action);
     void perform(const AnnounceHeld& action);
     void uploadNext();
-    void sendPaced(const ServerExchangePointer& exchange, const std::shared_ptr<const std::string>& bytes, std::size_t from);
+    void sendPaced(const ServerExchangePointer& exchange, const std::shared_ptr<const std::string>& bytes, std::size_t from, TimePoint sentUntil);
     HeldNews heldNews(bool wantsAnswer) const;
     bool keepChunk(unsigned chunk, std::string bytes, const std::string& from);
     std::vector<SwarmMember> members() const;
@@ -103,6 +106,7 @@
     std::list<std::pair<ServerExchangePointer, unsigned>> m_uploadQueue;
     bool m_mayBeStaged = false;
     bool m_isStopped = false;
+    bool m_isEngineServing = false;
     bool m_wasComplete = false;
 };
 
--- a/tests/PullTests.cpp
+++ b/tests/PullTests.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <hyssopwick_fakes.h>
+#include <hyssopwick_gateway.h>
 
 using namespace hyssopwick;
 
@@ -109,6 +110,52 @@
     CHECK_FALSE(decision.isComplete());
 }
 
+// Load answered: many VMs fetch at once, and few of them hold the rarest chunks.
+TEST(PullDecision, TheHoldersOfRareChunksAreNotAskedByEverybody)
+{
+    constexpr std::uint32_t chunks = 12;
+    ChunkSet common(chunks);
+    for (std::uint32_t chunk = 1; chunk < chunks; ++chunk)
+        common.insert(chunk);
+    ChunkSet all = common;
+    all.insert(0);
+    int rareFirst = 0;
+    constexpr int vms = 100;
+    for (std::uint64_t seed = 1; seed <= vms; ++seed) {
+        PullDecision decision({ member("north", 0), 1e6, 1e6, 24 }, "key", chunks, 1000, seed, testStart());
+        std::vector<SwarmMember> members;
+        for (int i = 1; i <= 6; ++i)
+            members.push_back(member("north", i));
+        decision.setMembers(members);
+        for (int i = 1; i <= 6; ++i)
+            decision.recordHeld(member("north", i).id, i == 1 ? all : common);
+        for (const auto& action : decision.advance(testStart())) {
+            const auto* pull = std::get_if<PullChunk>(&action);
+            if (!pull)
+                continue;
+            rareFirst += pull->member == "north1";
+            break;
+        }
+    }
+    // One of six holds it; half of all requests at that one would leave other links idle.
+    CHECK(rareFirst < vms / 2);
+    CHECK(rareFirst > 0);
+}
+
+TEST_GROUP(EngineActivation) {};
+
+TEST(EngineActivation, AnEngineThatServesNothingIsNotHeldBackBeforeItsLoad)
+{
+    EngineReport empty;
+    CHECK(EngineActivation::closingTime(empty) == Milliseconds(0));
+    EngineReport serving;
+    serving.heldVersions["model"] = 1;
+    CHECK(EngineActivation::closingTime(serving) > Milliseconds(0));
+    EngineReport busy;
+    busy.runningCalls = 1;
+    CHECK(EngineActivation::closingTime(busy) > Milliseconds(0));
+}
+
 TEST_GROUP(ActivationTurn) {};
 
 // Plays a rollout: every VM asks for its turn each 50 ms and loads for 800 ms.
