A stopping entry refuses what it could not finish

Ruled out: kept connections (the call came on a new one), the engine (it was still at work). Change: such a call is refused at once, with the promise that it has not run, unless it is expected to end in time even at three times the usual length. A test that refuses and takes.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -15,6 +15,11 @@
     constexpr Milliseconds notReadyRetryAfter { 500 };
     constexpr Milliseconds overloadRetryAfter { 500 };
     constexpr Milliseconds defaultDeadline { 10000 }; // for callers that name none, on routes without a bound
+    // A call that a stopping process takes may need this much more time than an idle engine
+    // would, or than its objective: answers are up to 2.5 times the usual ones (the
+    // platform's sheets), and it may have to wait.
+    constexpr double stoppingSafety = 3;
+    constexpr int objectivesOfPlainCall = 10;
     // Time for the answer's last bytes to reach a caller before it gives up.
     constexpr Milliseconds answerMargin { 5 };
 
@@ -86,6 +91,10 @@
     if (m_route->answerWithin.count() > 0)
         m_deadline = std::min(m_call.callerWaits ? m_deadline : TimePoint::max(), received + m_route->answerWithin);
     m_size = { double(m_call.promptTokens), double(m_call.answerTokensHint > 0 ? m_call.answerTokensHint : m_call.maxAnswerTokens) };
+    if (!canEndBeforeStop()) {
+        refuse(RefusalReason::EntryLeaving, statusUnavailable, Milliseconds(0));
+        return false;
+    }
     m_fingerprint = fingerprint();
     if (m_services.suspicion().verdict(m_fingerprint, monotonicNow()) == CrashVerdict::Refuse) {
         refuse(RefusalReason::CrashSuspected, statusBadGateway, Milliseconds(0));
@@ -94,6 +103,19 @@
     return true;
 }
 
+// A stopping process still takes calls of callers that keep its address, but none that it
+// would have to break off: those have not run and can go to another entry at once.
+bool CallFlow::canEndBeforeStop() const
+{
+    const auto stopBy = m_services.stopBy();
+    if (!stopBy)
+        return true;
+    auto needed = m_route->objective * objectivesOfPlainCall;
+    if (const auto* engines = isEngineCall() ? m_services.engines(m_service->name) : nullptr)
+        needed = Milliseconds(static_cast<std::int64_t>(engines->predictIdle(m_size).endMilliseconds * stoppingSafety));
+    return monotonicNow() + needed <= *stopBy;
+}
+
 Digest CallFlow::fingerprint() const
 {
     const auto& request = m_exchange->request();
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -66,6 +66,7 @@
     bool mayRunAgain() const;
     bool isEngineCall() const { return m_service && m_service->engine.has_value(); }
     Digest fingerprint() const;
+    bool canEndBeforeStop() const;
     Milliseconds elapsed() const { return Milliseconds(millisecondsBetween(m_exchange->request().receivedAt, monotonicNow())); }
 
     EntryServices& m_services;
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -52,6 +52,11 @@
     /// Returns the addresses of agents that were not heard of lately.
     std::vector<std::string> silentAgents() const;
 
+    /// Sets when this process cuts what still runs, because it stops.
+    void setStopBy(TimePoint stopBy) { m_stopBy = stopBy; }
+    /// Returns that moment, or nothing while the process is not stopping.
+    std::optional<TimePoint> stopBy() const { return m_stopBy; }
+
     RetryBudget& budget() { return m_budget; }
     CrashSuspicion& suspicion() { return m_suspicion; }
     RandomSource& random() { return m_random; }
@@ -87,6 +92,7 @@
     std::map<std::string, EnginePool> m_engines;
     std::map<std::string, CallQueue> m_queues;
     std::size_t m_fleetSize = 1;
+    std::optional<TimePoint> m_stopBy;
     bool m_hasFirstRead = false; // a configuration and all that was in the store with it
     std::map<std::string, UpstreamPool> m_plain;
     RetryBudget m_budget;
--- a/tests/platform/CallFlowTests.cpp
+++ b/tests/platform/CallFlowTests.cpp
@@ -265,6 +265,26 @@
     LONGS_EQUAL(1, first.requests().size());
 }
 
+// Regression (caroni trouble-3 --seed 960389088379, LOST): a call taken 6 s after SIGTERM was
+// broken off when the time to stop was over.
+TEST(CallFlow, AStoppingEntryRefusesWhatItCouldNotFinish)
+{
+    route(CallKind::AtMostOnce, 2, false);
+    configuration.routes.front().objective = Milliseconds(150);
+    configuration.version = 2;
+    services.setConfiguration(configuration);
+    answerBoth(okHead + "Content-Length: 2\r\n\r\nok");
+    services.setStopBy(monotonicNow() + Milliseconds(1000));
+    send();
+    finish();
+    LONGS_EQUAL(503, exchange->status);
+    LONGS_EQUAL(0, arrivals());
+    services.setStopBy(monotonicNow() + Milliseconds(5000));
+    send();
+    finish();
+    LONGS_EQUAL(200, exchange->status);
+}
+
 TEST(CallFlow, AnIdempotentCallIsSentAgainAfterALostAnswer)
 {
     route(CallKind::Idempotent, 2, false);
