--- a/fakes/hyssopwick_fakes/LoadPlay.cpp
+++ b/fakes/hyssopwick_fakes/LoadPlay.cpp
@@ -118,7 +118,7 @@
                 auto& entry = *m_entries[call.entry];
                 const auto onTimeBy = now + m_settings.objective;
                 if (m_settings.usesQueue) {
-                    entry.queue.add({ id, { call.size.promptTokens, m_settings.speed.usualAnswerTokens }, 0, now, onTimeBy, now + m_settings.deadline, {}, false }, now);
+                    entry.queue.add({ id, { call.size.promptTokens, m_settings.speed.usualAnswerTokens }, 0, onTimeBy, now + m_settings.deadline, {}, false }, now);
                 } else if (const auto choice = entry.pool.choose(call.size, {}, now)) {
                     entry.pool.recordSend(choice->upstream, id, call.size, now);
                     send(id, choice->upstream, choice->prediction, now);
--- a/modules/hyssopwick_distribution/rollout/ActivationTurn.h
+++ b/modules/hyssopwick_distribution/rollout/ActivationTurn.h
@@ -21,10 +21,10 @@
 
 /// Decides when the engine on one VM may leave service to load a new version, without a
 /// coordinator: engines load in waves, as few at once as the time left allows, in an
-/// order that every VM computes alike. The first ones begin one after the other, since the
-/// calls that leave engines at the same moment would all meet at the same few others. An engine that serves nothing loads at once, and
-/// none waits past the bound on the new version. What is not known of others can make
-/// more load at once, never mix versions. Pure.
+/// order that every VM computes alike. The first ones begin one after the other, so that
+/// calls do not lose a whole wave of engines at once. An engine that serves nothing loads at
+/// once, and none waits past the bound on the new version. What is not known of others can
+/// make more load at once, never mix versions. Pure.
 class ActivationTurn {
 public:
     /// \param self      id of the own VM
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -154,8 +154,8 @@
     m_isQueued = true;
     m_attempt.reset();
     m_phase = m_eventsForwarded > 0 ? Phase::Answering : Phase::Waiting;
-    const auto arrivedAt = m_exchange->request().receivedAt;
-    m_services.queue(m_service->name).add({ m_id, m_size, m_priority, arrivedAt, arrivedAt + m_route->objective, m_deadline, m_tried, m_eventsForwarded > 0 }, monotonicNow());
+    const auto onTimeBy = m_exchange->request().receivedAt + m_route->objective;
+    m_services.queue(m_service->name).add({ m_id, m_size, m_priority, onTimeBy, m_deadline, m_tried, m_eventsForwarded > 0 }, monotonicNow());
     m_onQueued(m_service->name);
 }
 
--- a/modules/hyssopwick_requests/admission/CallQueue.h
+++ b/modules/hyssopwick_requests/admission/CallQueue.h
@@ -11,7 +11,6 @@
     std::uint64_t id = 0;
     CallSize size;
     unsigned priority = 0; ///< 0 is the most urgent
-    TimePoint arrivedAt;
     TimePoint onTimeBy; ///< when its first event is due
     TimePoint deadline; ///< when its caller gives up
     std::set<std::string> excluded; ///< engines that it was sent to before
--- a/tests/LoadTests.cpp
+++ b/tests/LoadTests.cpp
@@ -87,7 +87,7 @@
     EnginePool pool(1);
     pool.setSpeed(platformSpeed());
     CallQueue queue(pool);
-    queue.add({ 1, { 900, 90 }, 0, at(0), at(450), at(6000), {}, false }, at(0));
+    queue.add({ 1, { 900, 90 }, 0, at(450), at(6000), {}, false }, at(0));
     const auto decisions = queue.advance(at(0));
     LONGS_EQUAL(1, decisions.refused.size());
     CHECK(decisions.retryAfter >= Milliseconds(100));
@@ -100,7 +100,7 @@
     pool.setSpeed(platformSpeed());
     CallQueue queue(pool);
     queue.setEnginesExpected(at(5500), 10);
-    queue.add({ 1, { 900, 90 }, 0, at(0), at(450), at(6000), {}, false }, at(0));
+    queue.add({ 1, { 900, 90 }, 0, at(450), at(6000), {}, false }, at(0));
     const auto decisions = queue.advance(at(0));
     LONGS_EQUAL(1, decisions.refused.size());
     CHECK(decisions.retryAfter >= Milliseconds(5500));
@@ -119,7 +119,7 @@
         queue.setFleetSize(18);
         queue.setEnginesExpected(std::nullopt, expected);
         for (std::uint64_t id = 1; id <= 10; ++id)
-            queue.add({ id, { 900, 90 }, 0, at(0), at(100), at(6000), {}, false }, at(0));
+            queue.add({ id, { 900, 90 }, 0, at(100), at(6000), {}, false }, at(0));
         return queue.advance(at(0)).refused.size();
     };
     CHECK(refusedOf(24) < refusedOf(1));
@@ -131,7 +131,7 @@
     EnginePool pool(1);
     pool.setSpeed(platformSpeed());
     CallQueue queue(pool);
-    queue.add({ 1, { 900, 90 }, 0, at(0), at(-500), at(3000), {}, true }, at(0));
+    queue.add({ 1, { 900, 90 }, 0, at(-500), at(3000), {}, true }, at(0));
     LONGS_EQUAL(0, queue.advance(at(0)).refused.size());
     pool.setEngines({ "a" });
     for (std::uint64_t call = 10; call < 40; ++call)
@@ -146,7 +146,7 @@
     pool.setEngines({ "a", "b" });
     CallQueue queue(pool);
     for (std::uint64_t id = 1; id <= 20; ++id)
-        queue.add({ id, { 10, 10 }, 0, at(0), at(60000), at(90000), { "a" }, false }, at(0));
+        queue.add({ id, { 10, 10 }, 0, at(60000), at(90000), { "a" }, false }, at(0));
     for (const auto& sent : queue.advance(at(0)).sent)
         STRCMP_EQUAL("b", sent.upstream.c_str());
 }
