Logs that tell why a call began on old weights

call.sent has the version that the entry took the engine to hold and how long calls may still begin on it; call.ended has the version of the answer; a counter of calls sent to older weights and a histogram of the time to the first event. No change of behaviour.

--- a/modules/hyssopwick_deployment/model/Call.h
+++ b/modules/hyssopwick_deployment/model/Call.h
@@ -47,8 +47,9 @@
     bool isOtherUpstream = false; ///< refused because another upstream was expected
     bool hasReceipt = false; ///< carries the upstream's signature of the answer
     std::optional<Milliseconds> retryAfter;
+    std::uint64_t weightsVersion = 0; ///< that the answer was made with; 0 when not said
 
-    auto tied() const { return std::tie(requestId, isNotRun, isOtherUpstream, hasReceipt, retryAfter); }
+    auto tied() const { return std::tie(requestId, isNotRun, isOtherUpstream, hasReceipt, retryAfter, weightsVersion); }
     bool operator==(const AnswerDescription& other) const { return tied() == other.tied(); }
     bool operator!=(const AnswerDescription& other) const { return !(*this == other); }
 };
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -229,7 +229,10 @@
         if (const auto self = weak.lock())
             self->handleEnd(end);
     };
-    m_services.context().log.write("call.sent", { { "request", m_call.requestId }, { "upstream", upstreamId }, { "attempt", std::to_string(m_sentAttempts + 1) }, { "left_ms", milliseconds(forwarding.timeLeft) }, { "resume", m_lastEventId.empty() ? "no" : m_lastEventId } });
+    const auto beginBy = isEngineCall() ? m_services.usableUntil(*upstream) : std::nullopt;
+    if (beginBy)
+        m_services.context().metrics.count("calls_sent_to_older_weights_total");
+    m_services.context().log.write("call.sent", { { "request", m_call.requestId }, { "upstream", upstreamId }, { "attempt", std::to_string(m_sentAttempts + 1) }, { "left_ms", milliseconds(forwarding.timeLeft) }, { "resume", m_lastEventId.empty() ? "no" : m_lastEventId }, { "held", std::to_string(m_services.heldVersion(*upstream)) }, { "begin_within_ms", beginBy ? std::to_string(millisecondsBetween(now, *beginBy)) : "any" } });
     m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), std::move(handlers));
 }
 
@@ -261,8 +264,10 @@
         if (!event.id.empty())
             m_lastEventId = event.id;
     }
-    if (m_firstEventAfterSend < 0)
+    if (m_firstEventAfterSend < 0) {
         m_firstEventAfterSend = millisecondsBetween(m_sentAt, monotonicNow());
+        m_services.context().metrics.observe("first_event_after_send", double(m_firstEventAfterSend));
+    }
     if (m_eventsForwarded == 0) {
         m_phase = Phase::Answering;
         m_exchange->startStream(m_head.status, m_services.context().ports.calls->encodeAnswer(m_head.fields));
@@ -440,7 +445,7 @@
     m_deadlineTimer.cancel();
     m_pauseTimer.cancel();
     auto& context = m_services.context();
-    context.log.write("call.ended", { { "request", m_call.requestId }, { "route", m_route ? m_route->name : "none" }, { "account", m_account.empty() ? "none" : m_account }, { "outcome", outcome }, { "status", std::to_string(status) }, { "took_ms", milliseconds(elapsed()) }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "predicted_ms", std::to_string(static_cast<int>(m_predictedFirstEvent)) }, { "first_ms", std::to_string(m_firstEventAfterSend) }, { "configuration", m_routes ? std::to_string(m_routes->configuration().version) : "none" } });
+    context.log.write("call.ended", { { "request", m_call.requestId }, { "route", m_route ? m_route->name : "none" }, { "account", m_account.empty() ? "none" : m_account }, { "outcome", outcome }, { "status", std::to_string(status) }, { "took_ms", milliseconds(elapsed()) }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "predicted_ms", std::to_string(static_cast<int>(m_predictedFirstEvent)) }, { "first_ms", std::to_string(m_firstEventAfterSend) }, { "answered_version", std::to_string(m_answer.weightsVersion) }, { "configuration", m_routes ? std::to_string(m_routes->configuration().version) : "none" } });
     context.metrics.count("calls_total", outcome);
     const auto self = shared_from_this();
     if (m_onEnd)
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -101,6 +101,12 @@
     return status ? status->news.report.heldVersions : upstream.heldVersions;
 }
 
+std::uint64_t EntryServices::heldVersion(const Upstream& upstream) const
+{
+    const auto held = heldVersions(upstream);
+    return held.empty() ? 0 : held.begin()->second;
+}
+
 // Whether the engine holds an older version than the one that is wanted.
 bool EntryServices::isBehind(const Upstream& upstream) const
 {
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -49,6 +49,13 @@
     /// Returns the status of the engine at an address, or nullptr.
     const EngineStatus* engineAt(const std::string& address) const;
 
+    /// Returns the version of its model that an engine holds as far as is known here; 0 for none.
+    std::uint64_t heldVersion(const Upstream& upstream) const;
+
+    /// Returns until when calls may begin on the weights that an engine holds, or nothing
+    /// while no newer ones were named.
+    std::optional<TimePoint> usableUntil(const Upstream& upstream) const;
+
     /// Returns the addresses of agents that were not heard of lately.
     std::vector<std::string> silentAgents() const;
 
@@ -79,7 +86,6 @@
     bool isUsableEngine(const Upstream& upstream) const;
     std::string regionOf(const std::string& failureDomain) const;
     bool isBehind(const Upstream& upstream) const;
-    std::optional<TimePoint> usableUntil(const Upstream& upstream) const;
     std::map<std::string, std::uint64_t> heldVersions(const Upstream& upstream) const;
     std::size_t answeringEngines(const std::vector<const Upstream*>& registered) const;
     std::optional<TimePoint> enginesExpectedAt(const std::string& service) const;
--- a/tests/platform/FormatTests.cpp
+++ b/tests/platform/FormatTests.cpp
@@ -113,6 +113,8 @@
     CHECK(format.decodeAnswer(421, {}).isNotRun);
     CHECK_FALSE(format.decodeAnswer(503, {}).isNotRun);
     CHECK_FALSE(format.decodeAnswer(500, {}).isNotRun);
+    LONGS_EQUAL(3, format.decodeAnswer(200, { { "Weight-Versions", "3" } }).weightsVersion);
+    LONGS_EQUAL(0, format.decodeAnswer(200, { { "Weight-Versions", "x" } }).weightsVersion);
 }
 
 TEST_GROUP(EngineFormat) {};
