Calls that have not begun are taken back from engines on old weights

Cause: entries stopped sending to an engine on old weights 0.8 s before the bound, and what they had sent waited in the engine's own queue for as long as it took. 21 calls of many entries reached an engine within 0.4 s after it had come back from a load; their first events came after 1.6 to 2.0 s, predicted were 0.1 to 0.2 s. Ruled out there: late news (all entries knew the version within 0.5 s) and wrong news of the engine. Change: the margin is no guess of the wait any more. A call that has not had its first event when calls may no longer begin on the engine's weights is taken back and goes on elsewhere if it may run again; a version that is named after the send counts too. An engine that is expected to begin a call later than that is not chosen. The test of the versions' bounds takes the margin from the code instead of a copy of its figure.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -36,6 +36,7 @@
     , m_onEnd(std::move(onEnd))
     , m_deadlineTimer(services.context().loop)
     , m_pauseTimer(services.context().loop)
+    , m_beginTimer(services.context().loop)
     , m_id(nextCallId++)
 {
 }
@@ -234,6 +235,42 @@
         m_services.context().metrics.count("calls_sent_to_older_weights_total");
     m_services.context().log.write("call.sent", { { "request", m_call.requestId }, { "upstream", upstreamId }, { "attempt", std::to_string(m_sentAttempts + 1) }, { "left_ms", milliseconds(forwarding.timeLeft) }, { "resume", m_lastEventId.empty() ? "no" : m_lastEventId }, { "held", std::to_string(m_services.heldVersion(*upstream)) }, { "begin_within_ms", beginBy ? std::to_string(millisecondsBetween(now, *beginBy)) : "any" } });
     m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), std::move(handlers));
+    if (isEngineCall())
+        watchBeginning();
+}
+
+// A call may wait at an engine for longer than was predicted, and newer weights may be named
+// meanwhile.
+void CallFlow::watchBeginning()
+{
+    const auto* upstream = m_services.upstream(m_upstream);
+    const auto until = upstream ? m_services.usableUntil(*upstream) : std::nullopt;
+    // Weights that are named from now on leave at least this time.
+    m_beginBy = until.value_or(monotonicNow() + m_services.noticeOfOldWeights());
+    if (m_beginBy >= m_deadline)
+        return;
+    m_beginTimer.expires_at(m_beginBy);
+    m_beginTimer.async_wait([weak = weak_from_this(), attempt = std::weak_ptr<HttpExchange>(m_attempt)](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || self->m_upstream.empty() || self->m_attempt != attempt.lock() || self->m_firstEventAfterSend >= 0)
+            return;
+        const auto* upstream = self->m_services.upstream(self->m_upstream);
+        const auto until = upstream ? self->m_services.usableUntil(*upstream) : std::nullopt;
+        if (until && *until <= monotonicNow())
+            self->takeBack();
+        else
+            self->watchBeginning();
+    });
+}
+
+// The engine drops the call when its connection closes.
+void CallFlow::takeBack()
+{
+    m_services.context().metrics.count("calls_taken_back_total");
+    m_attempt->cancel();
+    leaveUpstream();
+    ++m_sentAttempts;
+    attemptFailed(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "old-weights");
 }
 
 void CallFlow::handleHead(const ResponseHead& head)
@@ -444,6 +481,7 @@
     m_phase = Phase::Ended;
     m_deadlineTimer.cancel();
     m_pauseTimer.cancel();
+    m_beginTimer.cancel();
     auto& context = m_services.context();
     context.log.write("call.ended", { { "request", m_call.requestId }, { "route", m_route ? m_route->name : "none" }, { "account", m_account.empty() ? "none" : m_account }, { "outcome", outcome }, { "status", std::to_string(status) }, { "took_ms", milliseconds(elapsed()) }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "predicted_ms", std::to_string(static_cast<int>(m_predictedFirstEvent)) }, { "first_ms", std::to_string(m_firstEventAfterSend) }, { "answered_version", std::to_string(m_answer.weightsVersion) }, { "configuration", m_routes ? std::to_string(m_routes->configuration().version) : "none" } });
     context.metrics.count("calls_total", outcome);
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -63,6 +63,8 @@
     void callerLeft();
     void end(const char* outcome, unsigned status);
     void leaveUpstream();
+    void watchBeginning();
+    void takeBack();
     bool mayRunAgain() const;
     bool isEngineCall() const { return m_service && m_service->engine.has_value(); }
     Digest fingerprint() const;
@@ -75,6 +77,7 @@
     EndHandler m_onEnd;
     LoopTimer m_deadlineTimer;
     LoopTimer m_pauseTimer;
+    LoopTimer m_beginTimer;
     std::uint64_t m_id;
     Phase m_phase = Phase::Waiting;
     CallDescription m_call;
@@ -104,6 +107,7 @@
     bool m_isQueued = false;
     double m_predictedFirstEvent = 0; // milliseconds after the send
     TimePoint m_sentAt;
+    TimePoint m_beginBy; // the attempt is taken back unless it has begun
     std::int64_t m_firstEventAfterSend = -1;
 };
 
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -12,9 +12,10 @@
     // Agents report twice a second at least.
     constexpr Milliseconds maxNewsAge { 1500 };
     constexpr Milliseconds longestMaintenancePause { 500 };
-    // What is left of the bound on weights versions when old ones get no more calls: a
-    // call that was sent before has begun by then.
-    constexpr Milliseconds versionMargin { 800 };
+    // What is left of the bound on weights versions when calls that have not begun on old
+    // ones are taken back: the news of the version was on its way for a while, and the end
+    // of the call has to reach the engine.
+    constexpr Milliseconds versionMargin { 500 };
 
     // A request is contained from the third upstream on that it crashed (the platform's rules).
     constexpr unsigned deathsToRefuse = 3;
@@ -107,12 +108,6 @@
     return held.empty() ? 0 : held.begin()->second;
 }
 
-// Whether the engine holds an older version than the one that is wanted.
-bool EntryServices::isBehind(const Upstream& upstream) const
-{
-    return usableUntil(upstream).has_value();
-}
-
 // Calls may not begin on a version once the bound of any later one has passed; naming yet
 // another version does not put that off.
 std::optional<TimePoint> EntryServices::usableUntil(const Upstream& upstream) const
@@ -123,7 +118,7 @@
         if (named == m_namedVersions.end())
             continue;
         for (auto later = named->second.upper_bound(held); later != named->second.end(); ++later) {
-            const auto end = later->second + m_context.description.versionBound - versionMargin;
+            const auto end = later->second + noticeOfOldWeights();
             if (!until || end < *until)
                 until = end;
         }
@@ -131,6 +126,8 @@
     return until;
 }
 
+Milliseconds EntryServices::noticeOfOldWeights() const { return m_context.description.versionBound - versionMargin; }
+
 std::string EntryServices::regionOf(const std::string& failureDomain) const
 {
     const auto& regions = m_context.description.regionOfFailureDomain;
@@ -147,7 +144,7 @@
             auto& pool = m_engines.try_emplace(name, m_random.next()).first->second;
             pool.setSpeed(*service.engine);
             std::set<std::string> usable;
-            std::set<std::string> behind;
+            std::map<std::string, TimePoint> beginBy;
             std::set<std::string> remote;
             const auto registered = m_registry.usable(name);
             for (const auto* upstream : registered) {
@@ -156,11 +153,11 @@
                 usable.insert(upstream->id);
                 if (regionOf(upstream->failureDomain) != m_context.description.region)
                     remote.insert(upstream->id);
-                if (isBehind(*upstream))
-                    behind.insert(upstream->id);
+                if (const auto until = usableUntil(*upstream))
+                    beginBy[upstream->id] = *until;
             }
             pool.setEngines(usable);
-            pool.setLeavingSoon(behind);
+            pool.setLeavingSoon(std::move(beginBy));
             pool.setRemote(remote);
             queue(name).setEnginesExpected(enginesExpectedAt(name), registered.size());
             for (const auto& id : usable) {
@@ -261,7 +258,7 @@
         next = std::min(next, *expiry);
     for (const auto& [model, versions] : m_namedVersions) {
         for (const auto& [version, learntAt] : versions) {
-            const auto oldVersionsEnd = learntAt + m_context.description.versionBound - versionMargin;
+            const auto oldVersionsEnd = learntAt + noticeOfOldWeights();
             if (oldVersionsEnd > now)
                 next = std::min(next, oldVersionsEnd);
         }
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -56,6 +56,9 @@
     /// while no newer ones were named.
     std::optional<TimePoint> usableUntil(const Upstream& upstream) const;
 
+    /// Returns for how long calls may still begin on weights after newer ones were named.
+    Milliseconds noticeOfOldWeights() const;
+
     /// Returns the addresses of agents that were not heard of lately.
     std::vector<std::string> silentAgents() const;
 
@@ -85,7 +88,6 @@
 private:
     bool isUsableEngine(const Upstream& upstream) const;
     std::string regionOf(const std::string& failureDomain) const;
-    bool isBehind(const Upstream& upstream) const;
     std::map<std::string, std::uint64_t> heldVersions(const Upstream& upstream) const;
     std::size_t answeringEngines(const std::vector<const Upstream*>& registered) const;
     std::optional<TimePoint> enginesExpectedAt(const std::string& service) const;
--- a/modules/hyssopwick_requests/placing/EnginePool.cpp
+++ b/modules/hyssopwick_requests/placing/EnginePool.cpp
@@ -204,8 +204,12 @@
     double bestScore = 0;
     for (const auto& id : sample(excluded, isContended)) {
         const auto prediction = predict(id, size, now);
-        const double leaving = m_leavingSoon.count(id) == 0 ? 0 : excluded.empty() ? leavingPenaltyMilliseconds
-                                                                                   : secondLeavingPenaltyMilliseconds;
+        const auto leavingSoon = m_leavingSoon.find(id);
+        const bool isLeaving = leavingSoon != m_leavingSoon.end();
+        if (isLeaving && prediction.firstEventMilliseconds >= double(millisecondsBetween(now, leavingSoon->second)))
+            continue;
+        const double leaving = !isLeaving ? 0 : excluded.empty() ? leavingPenaltyMilliseconds
+                                                                 : secondLeavingPenaltyMilliseconds;
         const double crossing = m_remote.count(id) == 0 ? 0 : remotePenaltyMilliseconds;
         const double score = prediction.firstEventMilliseconds + leaving + crossing;
         if (best && score >= bestScore)
--- a/modules/hyssopwick_requests/placing/EnginePool.h
+++ b/modules/hyssopwick_requests/placing/EnginePool.h
@@ -46,8 +46,9 @@
     /// Replaces the engines that may be sent calls.
     void setEngines(const std::set<std::string>& upstreams);
 
-    /// Sets the engines that will leave service for a while soon, to load newer weights.
-    void setLeavingSoon(const std::set<std::string>& upstreams) { m_leavingSoon = upstreams; }
+    /// Sets the engines that will leave service for a while soon, to load newer weights, and
+    /// until when calls may begin on what they hold.
+    void setLeavingSoon(std::map<std::string, TimePoint> upstreams) { m_leavingSoon = std::move(upstreams); }
 
     /// Sets the engines that stand in another region than this entry.
     void setRemote(const std::set<std::string>& upstreams) { m_remote = upstreams; }
@@ -77,7 +78,7 @@
     /// Sets how many entries send to these engines.
     void setFleetSize(std::size_t entries) { m_fleetSize = entries; }
 
-    /// Chooses an engine, or nothing when there is none.
+    /// Chooses an engine that is expected to begin the call in time, or nothing when there is none.
     /// \param excluded  engines that the call was sent to before; such a call may not
     ///                  be moved again, and avoids engines that leave service soon
     /// \param isContended  calls wait for engines: every entry would send to an engine
@@ -123,7 +124,7 @@
     EngineSpeed m_speed;
     RandomSource m_random;
     std::map<std::string, Engine> m_engines;
-    std::set<std::string> m_leavingSoon;
+    std::map<std::string, TimePoint> m_leavingSoon;
     std::set<std::string> m_remote;
     std::map<std::uint64_t, SentCall> m_calls;
     std::size_t m_fleetSize = 1;
--- a/tests/LoadTests.cpp
+++ b/tests/LoadTests.cpp
@@ -218,6 +218,17 @@
     STRCMP_EQUAL("far", pool.choose({ 900, 90 }, {}, at(0))->upstream.c_str());
 }
 
+TEST(EnginePool, AnEngineOnOldWeightsIsNotChosenForACallThatItWouldBeginTooLate)
+{
+    EnginePool pool(1);
+    pool.setSpeed(platformSpeed());
+    pool.setEngines({ "a" });
+    const auto beginsIn = Milliseconds(static_cast<std::int64_t>(pool.predict("a", { 900, 90 }, at(0)).firstEventMilliseconds));
+    pool.setLeavingSoon({ { "a", at(0) + beginsIn + Milliseconds(2) } });
+    CHECK(pool.choose({ 900, 90 }, {}, at(0)).has_value());
+    CHECK_FALSE(pool.choose({ 900, 90 }, {}, at(3)).has_value());
+}
+
 TEST(EnginePool, AReportThatIsTooOldIsNotBelieved)
 {
     EnginePool pool(1);
--- a/tests/platform/CallFlowTests.cpp
+++ b/tests/platform/CallFlowTests.cpp
@@ -358,7 +358,8 @@
 // Regression: naming version 3 put off the bound of version 2 for engines on version 1.
 TEST(CallFlow, ALaterVersionDoesNotPutOffTheBoundOfAnEarlierOne)
 {
-    context.description.versionBound = Milliseconds(850) + context.description.collectionTime(); // 50 ms beyond the margin
+    // 50 ms are left for calls that begin on old weights.
+    context.description.versionBound += Milliseconds(50) + context.description.collectionTime() - services.noticeOfOldWeights();
     configuration.services["plain"].engine = EngineSpeed {};
     route(CallKind::Stream, 1, false);
     Upstream engine;
