The bound of a weights version counts from when it may have been named

Cause: an entry counted the bound from the moment at which it learnt of the version. While its view could not be brought up to date it knew nothing, and then it gave the old weights their full time again. Agents did the same for the load. Change: FollowDecision says since when a change may have been made: now while sources answer in their ordinary time, and the last moment for which the view was known to be current after a gap. That also covers what a process finds at its start, so its special case goes. New tests: AChangeLearntAfterAGapMayBeAsOldAsTheGap and AVersionLearntLateCountsFromWhenIt- MayHaveBeenNamed, which could not be written before (setVersion took no time). The test of a starting entry takes the time from FollowDecision, which the special case stood for.

--- a/modules/hyssopwick_deployment/view/FollowDecision.cpp
+++ b/modules/hyssopwick_deployment/view/FollowDecision.cpp
@@ -14,6 +14,9 @@
     // A process that fell back to another source looks at its preferred one again.
     constexpr Milliseconds preferredRetryPeriod { 3000 };
     constexpr Milliseconds unknownAge { 3600000 };
+    // Longest age without a gap: a follower of the store waits 1 s, entries and agents behind
+    // it 0.5 s each, and an answer may take 0.3 s.
+    constexpr Milliseconds longestOrdinaryAge { 2300 };
 }
 
 FollowDecision::FollowDecision(VmIdentity self, bool isEntry)
@@ -121,6 +124,12 @@
 
 bool FollowDecision::isTooOld(Milliseconds age) { return age > maxSourceAge; }
 
+TimePoint FollowDecision::changesSince(TimePoint now) const
+{
+    const auto knownFor = age(now);
+    return knownFor <= longestOrdinaryAge ? now : now - knownFor;
+}
+
 Milliseconds FollowDecision::age(TimePoint now) const
 {
     if (!m_hasAnswer)
--- a/modules/hyssopwick_deployment/view/FollowDecision.h
+++ b/modules/hyssopwick_deployment/view/FollowDecision.h
@@ -50,6 +50,11 @@
     /// Returns whether \p age is too old for others to follow this process.
     static bool isTooOld(Milliseconds age);
 
+    /// Returns the earliest moment at which a change that is learnt now may have been made: it
+    /// is passed on at once while sources answer in their ordinary time, and may be as old as
+    /// the gap after one. Call before recordAnswer().
+    TimePoint changesSince(TimePoint now) const;
+
     /// Returns how old the knowledge of the store is; a very long time before the first answer.
     Milliseconds age(TimePoint now) const;
 
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -67,12 +67,12 @@
     };
     observer.onUpstream = [this](const Upstream& upstream) { m_registry.set(upstream); };
     observer.onUpstreamGone = [this](const std::string& id, bool isReadable) { m_registry.remove(id, isReadable, monotonicNow()); };
-    observer.onVersion = [this](const WeightsVersion& version) {
+    observer.onVersion = [this](const WeightsVersion& version, TimePoint namedAfter) {
         if (!m_service || m_service->models.empty() || version.model != m_service->models.front())
             return;
-        const auto age = m_hasFirstRead ? m_context.description.collectionTime() : m_context.description.versionBound;
-        if (m_versions.emplace(version.version, NamedVersion { monotonicNow() - age, true }).second)
-            m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) } });
+        const auto namedAt = namedAfter - m_context.description.collectionTime();
+        if (m_versions.emplace(version.version, NamedVersion { namedAt, true }).second)
+            m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) }, { "at_most_ms_ago", std::to_string(millisecondsBetween(namedAt, monotonicNow())) } });
     };
     observer.onNode = [this](const RegisteredNode& node) { m_entries[node.vm.id] = node.vm; };
     observer.onNodeGone = [this](const std::string& id) { m_entries.erase(id); };
@@ -81,7 +81,6 @@
         for (const auto& [id, vm] : m_entries)
             entries.push_back(vm);
         m_view.setEntries(entries);
-        m_hasFirstRead = true;
         plan();
     };
     m_view.start(std::move(observer));
@@ -352,7 +351,7 @@
     auto bound = TimePoint::max();
     for (auto named = m_versions.upper_bound(loaded); named != m_versions.end() && named->first <= version; ++named) {
         if (named->second.isNamed)
-            bound = std::min(bound, named->second.learntAt + m_context.description.versionBound);
+            bound = std::min(bound, named->second.namedAt + m_context.description.versionBound);
     }
     return bound == TimePoint::max() ? monotonicNow() + unnamedBound : bound;
 }
@@ -364,7 +363,7 @@
     const auto now = monotonicNow();
     const auto newest = m_versions.rbegin()->first;
     const auto loaded = loadedVersion();
-    const bool isRollingOut = m_activation || loaded != newest || now < m_versions.rbegin()->second.learntAt + m_context.description.versionBound * 2;
+    const bool isRollingOut = m_activation || loaded != newest || now < m_versions.rbegin()->second.namedAt + m_context.description.versionBound * 2;
     if (!isRollingOut || !m_versions.rbegin()->second.isNamed || now < m_lastAnnouncementAt + announcementPeriod)
         return;
     m_lastAnnouncementAt = now;
--- a/modules/hyssopwick_gateway/agent/AgentGateway.h
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.h
@@ -24,7 +24,7 @@
 
 private:
     struct NamedVersion {
-        TimePoint learntAt;
+        TimePoint namedAt; ///< the earliest moment at which it may have been
         bool isNamed = false; ///< false for the first version, which nobody names
     };
 
@@ -78,7 +78,6 @@
     EngineReport m_report;
     ReadingEstimate m_reading;
     bool m_hasReport = false;
-    bool m_hasFirstRead = false; // what was named before is taken to be due
     bool m_isAnswering = false;
     unsigned m_failedPolls = 0;
     EngineNews m_lastNews;
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -81,7 +81,7 @@
     observer.onConfiguration = [this](const DeploymentConfiguration& configuration) { m_services.setConfiguration(configuration); };
     observer.onUpstream = [this](const Upstream& upstream) { m_services.setUpstream(upstream); };
     observer.onUpstreamGone = [this](const std::string& id, bool isReadable) { m_services.removeUpstream(id, isReadable); };
-    observer.onVersion = [this](const WeightsVersion& version) { m_services.setVersion(version); };
+    observer.onVersion = [this](const WeightsVersion& version, TimePoint namedAfter) { m_services.setVersion(version, namedAfter); };
     observer.onNode = [this](const RegisteredNode& node) { m_gossip.learn(node); };
     observer.onBatchEnd = [this] {
         m_services.refresh();
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -64,15 +64,12 @@
     m_context.log.write("upstream.unregistered", { { "upstream", id }, { "reason", isReadable ? "registration-ended" : "unreadable" } });
 }
 
-void EntryServices::setVersion(const WeightsVersion& version)
+void EntryServices::setVersion(const WeightsVersion& version, TimePoint namedAfter)
 {
-    // When a version was named that this process finds at its start is not known; its bound
-    // may have passed.
-    const auto age = m_hasFirstRead ? m_context.description.collectionTime() : m_context.description.versionBound;
-    const auto learntAt = monotonicNow() - age;
-    if (!m_namedVersions[version.model].emplace(version.version, learntAt).second)
+    const auto namedAt = namedAfter - m_context.description.collectionTime();
+    if (!m_namedVersions[version.model].emplace(version.version, namedAt).second)
         return;
-    m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) } });
+    m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) }, { "at_most_ms_ago", std::to_string(millisecondsBetween(namedAt, monotonicNow())) } });
 }
 
 const EngineStatus* EntryServices::engineAt(const std::string& address) const
@@ -171,7 +168,6 @@
             plain(name).setUpstreams(slots);
         }
     }
-    m_hasFirstRead = true;
     if (m_onCapacity)
         m_onCapacity();
 }
@@ -257,8 +253,8 @@
     if (const auto expiry = m_registry.nextExpiry())
         next = std::min(next, *expiry);
     for (const auto& [model, versions] : m_namedVersions) {
-        for (const auto& [version, learntAt] : versions) {
-            const auto oldVersionsEnd = learntAt + noticeOfOldWeights();
+        for (const auto& [version, namedAt] : versions) {
+            const auto oldVersionsEnd = namedAt + noticeOfOldWeights();
             if (oldVersionsEnd > now)
                 next = std::min(next, oldVersionsEnd);
         }
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -22,7 +22,8 @@
     void setConfiguration(const DeploymentConfiguration& configuration);
     void setUpstream(const Upstream& upstream);
     void removeUpstream(const std::string& id, bool isReadable);
-    void setVersion(const WeightsVersion& version);
+    /// \param namedAfter  the earliest moment at which the version may have been named
+    void setVersion(const WeightsVersion& version, TimePoint namedAfter);
     void recordEngineNews(const EngineNews& news);
 
     /// Recomputes which upstreams may be chosen. Call after a batch of changes.
@@ -96,12 +97,11 @@
     RouteTablePointer m_routes;
     UpstreamRegistry m_registry;
     std::map<std::string, EngineStatus> m_engineStatus; // by engine address
-    std::map<std::string, std::map<std::uint64_t, TimePoint>> m_namedVersions; // model, version, when it was learnt
+    std::map<std::string, std::map<std::uint64_t, TimePoint>> m_namedVersions; // model, version, when it may have been named
     std::map<std::string, EnginePool> m_engines;
     std::map<std::string, CallQueue> m_queues;
     std::size_t m_fleetSize = 1;
     std::optional<TimePoint> m_stopBy;
-    bool m_hasFirstRead = false; // a configuration and all that was in the store with it
     std::map<std::string, UpstreamPool> m_plain;
     RetryBudget m_budget;
     CrashSuspicion m_suspicion;
--- a/modules/hyssopwick_gateway/view/ViewKeeper.cpp
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.cpp
@@ -239,7 +239,7 @@
         void operator()(const WeightsVersion& version) const
         {
             if (keeper.m_observer.onVersion)
-                keeper.m_observer.onVersion(version);
+                keeper.m_observer.onVersion(version, keeper.m_decision.changesSince(monotonicNow()));
         }
         void operator()(const RegisteredNode& node) const
         {
--- a/modules/hyssopwick_gateway/view/ViewKeeper.h
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.h
@@ -17,7 +17,8 @@
         std::function<void(const DeploymentConfiguration&)> onConfiguration;
         std::function<void(const Upstream&)> onUpstream;
         std::function<void(const std::string& id, bool isReadable)> onUpstreamGone;
-        std::function<void(const WeightsVersion&)> onVersion;
+        /// \p namedAfter is the earliest moment at which the version may have been named.
+        std::function<void(const WeightsVersion&, TimePoint namedAfter)> onVersion;
         std::function<void(const RegisteredNode&)> onNode;
         std::function<void(const std::string& id)> onNodeGone;
         std::function<void()> onBatchEnd; ///< after all changes of one update
--- a/tests/DeploymentTests.cpp
+++ b/tests/DeploymentTests.cpp
@@ -248,6 +248,15 @@
     CHECK(decision.age(at(1000)) == Milliseconds(1010));
 }
 
+TEST(FollowDecision, AChangeLearntAfterAGapMayBeAsOldAsTheGap)
+{
+    FollowDecision decision(entry("agent", "north"), false);
+    decision.setEntries(fleet());
+    decision.recordAnswer(decision.source(), Milliseconds(500), at(10000));
+    CHECK(decision.changesSince(at(10500)) == at(10500));
+    CHECK(decision.changesSince(at(17000)) == at(9500));
+}
+
 // Regression: all watches were cut at once, when the store dropped its history, and the
 // processes followed each other in circles for two seconds.
 TEST(FollowDecision, AWatchThatIsCutIsBegunAnewBeforePeersAreAsked)
--- a/tests/platform/CallFlowTests.cpp
+++ b/tests/platform/CallFlowTests.cpp
@@ -368,11 +368,11 @@
     engine.address = first.address();
     engine.heldVersions["m"] = 1;
     services.setUpstream(engine);
-    services.setVersion({ "m", 2 });
+    services.setVersion({ "m", 2 }, monotonicNow());
     services.refresh();
     LONGS_EQUAL(1, services.engines("plain")->size());
     usleep(60000);
-    services.setVersion({ "m", 3 });
+    services.setVersion({ "m", 3 }, monotonicNow());
     services.refresh();
     LONGS_EQUAL(0, services.engines("plain")->size());
 }
@@ -381,7 +381,8 @@
 TEST(CallFlow, AVersionThatAnEntryFindsAtItsStartIsDue)
 {
     configuration.services["plain"].engine = EngineSpeed {};
-    services.setVersion({ "m", 2 });
+    const FollowDecision atStart({ "entry", "127.0.0.1:1", "north", "north-a", "entry" }, true);
+    services.setVersion({ "m", 2 }, atStart.changesSince(monotonicNow()));
     Upstream engine;
     engine.id = "i-9";
     engine.service = "plain";
--- a/tests/platform/VersionBoundTests.cpp
+++ b/tests/platform/VersionBoundTests.cpp
@@ -86,7 +86,7 @@
 {
     context.description.versionBound = Milliseconds(2500);
     addEngine("i-1", older, 1);
-    services.setVersion({ "m", 2 });
+    services.setVersion({ "m", 2 }, monotonicNow());
     send();
     while (older.requests().empty() && !exchange->isOver)
         loop.run_one();
@@ -106,7 +106,7 @@
     send();
     while (older.requests().empty() && !exchange->isOver)
         loop.run_one();
-    services.setVersion({ "m", 2 });
+    services.setVersion({ "m", 2 }, monotonicNow());
     newer.answer(streamOfOneEvent);
     addEngine("i-2", newer, 2);
     while (!exchange->isOver)
@@ -114,3 +114,11 @@
     LONGS_EQUAL(200, exchange->status);
     LONGS_EQUAL(1, older.m_left);
 }
+
+TEST(VersionBound, AVersionLearntLateCountsFromWhenItMayHaveBeenNamed)
+{
+    addEngine("i-1", older, 1);
+    services.setVersion({ "m", 2 }, monotonicNow() - context.description.versionBound);
+    services.refresh();
+    LONGS_EQUAL(0, services.engines("models")->size());
+}
