Processes of a region turn to the store or another region one after the other

Cause, of the spreading's second half: when the entry that follows the store for its region lagged, all processes behind it went to another region's and to the store at once, 50 to 60 of them over the one link between the regions. That link stayed full, so that neither the first entry nor the calls, gossip and registrations on it got through: connects between regions failed at 81 to 99 in 100, inside a region at 0 to 7 in 100, in the same seconds. Change: while sources of the region answer but lag, the second of the region's order goes elsewhere at once and further ones in turns of 0.4 s; who goes first is current for those behind it, which follow it. Sources that do not answer at all are passed over as before. Entries follow the first two of the order instead of the first one only. ARegionThatLagsDoesNotCrossToTheStoreAllAtOnce fails without this (soonCrossings). The test that entries follow only those who follow the store gives way to one that they never follow in circles, which is what it guarded; an order among them ensures it now.

--- a/modules/hyssopwick_deployment/view/FollowDecision.cpp
+++ b/modules/hyssopwick_deployment/view/FollowDecision.cpp
@@ -8,7 +8,13 @@
     // The others notice a lost one well within the bound of a change, and each call to the
     // store is paid for.
     constexpr std::size_t designatedPerRegion = 1;
+    // The first of the region's order, and the one that stands in for it.
     constexpr std::size_t maxRegionalSources = 2;
+    // Between two processes of a region that turn to the store or another region: time for an
+    // answer, so that the next one follows the one before instead.
+    constexpr Milliseconds crossingStep { 400 };
+    // Processes after this place, such as all agents, are spread over as many turns again.
+    constexpr std::size_t lastCrossingPlace = 10;
     // A follower of the store waits up to 1 s for a change, then asks anew.
     constexpr Milliseconds maxSourceAge { 1200 };
     // A process that fell back to another source looks at its preferred one again.
@@ -50,14 +56,13 @@
     const auto designatedEnd = order.begin() + static_cast<std::ptrdiff_t>(std::min(designatedPerRegion, order.size()));
     m_isDesignated = m_isEntry && std::find(order.begin(), designatedEnd, m_self.id) != designatedEnd;
 
-    // Entries follow the designated one of their region, agents any entry of it, spread
-    // over them. What is left is the designated one of another region and the store: other
-    // peers follow somebody themselves and would be followed in circles.
-    std::vector<std::string> peers;
-    for (const auto& id : m_isEntry ? std::vector<std::string>(order.begin(), designatedEnd) : rendezvousOrder(m_self.id, order)) {
-        if (peers.size() < maxRegionalSources && id != m_self.id)
-            peers.push_back(id);
-    }
+    // Agents are spread over the entries of their region.
+    const auto self = std::find(order.begin(), order.end(), m_self.id);
+    m_place = static_cast<std::size_t>(self - order.begin());
+    if (m_place > lastCrossingPlace)
+        m_place = lastCrossingPlace + static_cast<std::size_t>(stableHash(m_self.id) % lastCrossingPlace);
+    auto peers = m_isEntry ? std::vector<std::string>(order.begin(), self) : rendezvousOrder(m_self.id, order);
+    peers.resize(std::min(peers.size(), maxRegionalSources));
     std::map<std::string, std::vector<std::string>> elsewhere;
     for (const auto& entry : m_entries) {
         if (entry.region != m_self.region)
@@ -81,6 +86,7 @@
     }
     for (const auto& id : peers)
         addPeer(id);
+    m_inRegion = m_sources.size();
     addPeer(fallback);
     if (!m_isDesignated)
         m_sources.push_back(FollowStore {});
@@ -90,7 +96,27 @@
 
 FollowSource FollowDecision::source() const { return m_sources[m_position]; }
 
-void FollowDecision::advance() { m_position = (m_position + 1) % m_sources.size(); }
+bool FollowDecision::mayCross(TimePoint now) const
+{
+    // Those that do not answer at all cannot become current either. The second of the order
+    // stands in for the first at once.
+    const auto before = static_cast<int>(m_place < 2 ? 0 : m_place - 1);
+    return !m_isRegionAnswering || (m_lostAt && now >= *m_lostAt + crossingStep * before);
+}
+
+void FollowDecision::advance(TimePoint now)
+{
+    const bool wasOutside = m_position >= m_inRegion;
+    m_position = (m_position + 1) % m_sources.size();
+    const bool isOutside = m_position >= m_inRegion;
+    if (isOutside && !wasOutside) {
+        if (!mayCross(now))
+            m_position = 0;
+        else
+            m_lostAt = now; // the next time is a turn later
+        m_isRegionAnswering = false;
+    }
+}
 
 void FollowDecision::recordAnswer(const FollowSource& source, Milliseconds age, TimePoint now)
 {
@@ -99,10 +125,10 @@
     m_hasAnswer = true;
     if (!(source == this->source()))
         return;
-    if (age > maxSourceAge) {
-        advance();
-        return;
-    }
+    if (age > maxSourceAge)
+        return recordLag(source, now);
+    m_lostAt.reset();
+    m_isRegionAnswering = false;
     if (m_position == 0) {
         m_preferredRetryAt = now + preferredRetryPeriod;
         return;
@@ -113,13 +139,23 @@
     }
 }
 
+void FollowDecision::recordLag(const FollowSource& source, TimePoint now)
+{
+    if (!(source == this->source()))
+        return;
+    m_isRegionAnswering = m_isRegionAnswering || m_position < m_inRegion;
+    m_lostAt = m_lostAt.value_or(now);
+    advance(now);
+}
+
 void FollowDecision::recordFailure(const FollowSource& source, TimePoint now)
 {
     if (!(source == this->source()))
         return;
     if (m_position == 0)
         m_preferredRetryAt = now + preferredRetryPeriod;
-    advance();
+    m_lostAt = m_lostAt.value_or(now);
+    advance(now);
 }
 
 bool FollowDecision::isTooOld(Milliseconds age) { return age > maxSourceAge; }
--- a/modules/hyssopwick_deployment/view/FollowDecision.h
+++ b/modules/hyssopwick_deployment/view/FollowDecision.h
@@ -2,6 +2,7 @@
 
 #include <hyssopwick_core.h>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,7 +27,10 @@
 /// Decides where a process learns of changes in the store. A few entry VMs of each
 /// region follow the store, all others follow one of these, so that the calls to the
 /// store grow with the regions and not with the fleet. A source that fails or whose own
-/// knowledge is old is passed over, in turn for the next peer and the store. Pure.
+/// knowledge is old is passed over for the next one of the region; entries only follow those
+/// before them in the region's order, so that nobody follows in circles. The link between two
+/// regions is narrow, so processes turn to the store or another region one after the other,
+/// the first of the order at once: the others find what they need at those. Pure.
 class FollowDecision {
 public:
     /// \param isEntry  whether this process may be one that follows the store
@@ -44,6 +48,9 @@
     /// Records an answer of \p source. \param age  how old its knowledge of the store is
     void recordAnswer(const FollowSource& source, Milliseconds age, TimePoint now);
 
+    /// Records that a source answered, and that it has no current knowledge yet itself.
+    void recordLag(const FollowSource& source, TimePoint now);
+
     /// Records that a source did not answer or gave an error.
     void recordFailure(const FollowSource& source, TimePoint now);
 
@@ -60,14 +67,19 @@
 
 private:
     void rank();
-    void advance();
+    void advance(TimePoint now);
+    bool mayCross(TimePoint now) const;
 
     VmIdentity m_self;
     bool m_isEntry;
     bool m_isDesignated;
     std::vector<VmIdentity> m_entries;
     std::vector<FollowSource> m_sources; // in order of preference
+    std::size_t m_inRegion = 0; // of the sources, those that may be asked at any time
+    bool m_isRegionAnswering = false; // though its sources lag
+    std::size_t m_place = 0; // of this process in the order in which regions are left
     std::size_t m_position = 0;
+    std::optional<TimePoint> m_lostAt; // since when no source in the region is current
     bool m_hasAnswer = false;
     TimePoint m_knownAt; // instant for which the knowledge of the store held
     TimePoint m_preferredRetryAt;
