View: what a transfer brought, how long it took, what the view costs

Change: bytes and milliseconds since the request in view.source-lost, bytes and the age of the own knowledge in view.changed, counters of bytes and answers. No change of behaviour.

--- a/modules/hyssopwick_gateway/view/ViewKeeper.cpp
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.cpp
@@ -27,6 +27,13 @@
         return std::visit(Visitor {}, source);
     }
 
+    const char* answerKind(const ViewUpdate& update)
+    {
+        if (update.isWhole)
+            return "whole";
+        return update.records.empty() ? "empty" : "changes";
+    }
+
     std::string encodeUpdate(const ViewUpdate& update, Milliseconds age)
     {
         auto records = nlohmann::json::array();
@@ -74,7 +81,7 @@
         void operator()(const FollowStore&) const
         {
             if (keeper.m_isRereadNeeded || keeper.m_view.revision() == 0)
-                keeper.readStore("", std::make_shared<ViewUpdate>());
+                keeper.readStore("", std::make_shared<ViewUpdate>(), { monotonicNow() });
             else
                 keeper.watchStore();
         }
@@ -92,17 +99,18 @@
     });
 }
 
-void ViewKeeper::readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected)
+void ViewKeeper::readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before)
 {
     const auto now = monotonicNow();
     fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeRead(after), now + connectTimeout, now + readTimeout,
-        [this, after, collected](WholeResponse response) {
+        [this, after, collected, before](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "read");
+            const auto transfer = received(FollowStore {}, before, response);
             if (!response.isComplete() || response.status != statusOk)
-                return failed(FollowStore {}, "read: " + std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status));
+                return failed(FollowStore {}, "read: " + std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status), transfer);
             auto page = m_context.ports.store->decodeRead(response.body);
             if (!page)
-                return failed(FollowStore {}, page.error().message);
+                return failed(FollowStore {}, page.error().message, transfer);
             // Pages are read one after another; what changed meanwhile follows from a
             // watch that starts at the first page's revision.
             if (after.empty())
@@ -110,10 +118,10 @@
             auto& records = page.value().records;
             collected->records.insert(collected->records.end(), std::make_move_iterator(records.begin()), std::make_move_iterator(records.end()));
             if (page.value().hasMore && !collected->records.empty())
-                return readStore(collected->records.back().key, collected);
+                return readStore(collected->records.back().key, collected, transfer);
             collected->isWhole = true;
             m_isRereadNeeded = false;
-            take(*collected, "store");
+            take(*collected, "store", transfer);
             answered(FollowStore {}, Milliseconds(0));
         });
 }
@@ -122,20 +130,21 @@
 {
     const auto now = monotonicNow();
     fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeWatch(m_view.revision(), storeWait), now + connectTimeout, now + storeWait + answerSlack,
-        [this](WholeResponse response) {
+        [this, now](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "watch");
+            const auto transfer = received(FollowStore {}, { now }, response);
             if (response.isComplete() && m_context.ports.store->isHistoryGone(response.status)) {
                 m_isRereadNeeded = true;
                 m_context.log.write("view.history-gone", { { "revision", std::to_string(m_view.revision()) } });
                 return follow();
             }
             if (!response.isComplete() || response.status != statusOk)
-                return failed(FollowStore {}, "watch: " + std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status));
+                return failed(FollowStore {}, "watch: " + std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status), transfer);
             auto page = m_context.ports.store->decodeWatch(response.body);
             if (!page)
-                return failed(FollowStore {}, page.error().message);
+                return failed(FollowStore {}, page.error().message, transfer);
             const bool isChanged = !page.value().records.empty();
-            take({ page.value().revision, false, std::move(page.value().records) }, "store");
+            take({ page.value().revision, false, std::move(page.value().records) }, "store", transfer);
             // Each call to the store has its price and each update wakes all followers. A
             // change that comes alone is not delayed.
             answered(FollowStore {}, Milliseconds(0), isChanged ? m_context.description.collectionTime() : Milliseconds(0));
@@ -147,17 +156,25 @@
     const auto now = monotonicNow();
     HttpCall call;
     call.target = std::string(viewPath) + std::to_string(m_view.revision());
-    fetchWhole(m_context.loop, peer.address, std::move(call), now + connectTimeout, now + peerWait + peerAnswerSlack, [this, peer](WholeResponse response) {
+    fetchWhole(m_context.loop, peer.address, std::move(call), now + connectTimeout, now + peerWait + peerAnswerSlack, [this, peer, now](WholeResponse response) {
+        const auto transfer = received(peer, { now }, response);
         if (!response.isComplete() || response.status != statusOk)
-            return failed(peer, std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status));
+            return failed(peer, std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status), transfer);
         auto update = decodeUpdate(response.body);
         if (!update)
-            return failed(peer, update.error().message);
-        take(update.value().first, peer.id);
+            return failed(peer, update.error().message, transfer);
+        take(update.value().first, peer.id, transfer);
         answered(peer, update.value().second);
     });
 }
 
+ViewKeeper::Transfer ViewKeeper::received(const FollowSource& source, Transfer transfer, const WholeResponse& response)
+{
+    m_context.metrics.count("view_bytes_received_total", std::holds_alternative<FollowStore>(source) ? "store" : "peer", response.body.size());
+    transfer.bytes += response.body.size();
+    return transfer;
+}
+
 void ViewKeeper::answered(const FollowSource& source, Milliseconds age, Milliseconds pause)
 {
     m_failuresInRow = 0;
@@ -175,28 +192,29 @@
         follow();
 }
 
-void ViewKeeper::failed(const FollowSource& source, const std::string& problem)
+void ViewKeeper::failed(const FollowSource& source, const std::string& problem, const Transfer& transfer)
 {
     const auto now = monotonicNow();
     m_decision.recordFailure(source, now);
     m_context.metrics.count("view_source_failures_total", std::holds_alternative<FollowStore>(source) ? "store" : "peer");
     if (!m_isSourceLost) {
         m_isSourceLost = true;
-        m_context.log.write("view.source-lost", { { "source", describe(source) }, { "problem", problem }, { "next", describe(m_decision.source()) }, { "age_ms", std::to_string(m_decision.age(now).count()) } });
+        m_context.log.write("view.source-lost", { { "source", describe(source) }, { "problem", problem }, { "next", describe(m_decision.source()) }, { "age_ms", std::to_string(m_decision.age(now).count()) }, { "bytes", std::to_string(transfer.bytes) }, { "after_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - transfer.requestedAt).count()) } });
     }
     const auto pause = std::min(longestRetryPause, firstRetryPause * (1 << std::min(m_failuresInRow, 5u)));
     ++m_failuresInRow;
     followLater(pause);
 }
 
-void ViewKeeper::take(const ViewUpdate& update, const std::string& from)
+void ViewKeeper::take(const ViewUpdate& update, const std::string& from, const Transfer& transfer)
 {
+    const auto ageBefore = age(); // the caller records the answer after this
     const auto changed = m_view.apply(update);
     for (const auto& record : changed)
         observe(record);
     if (changed.empty())
         return;
-    m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isWhole ? "true" : "false" } });
+    m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isWhole ? "true" : "false" }, { "bytes", std::to_string(transfer.bytes) }, { "age_ms", std::to_string(ageBefore.count()) } });
     if (m_observer.onBatchEnd)
         m_observer.onBatchEnd();
     answerWaitingPeers();
@@ -278,7 +296,14 @@
     return true;
 }
 
-void ViewKeeper::answerPeer(const WaitingPeer& peer) { peer.exchange->respond(statusOk, {}, encodeUpdate(m_view.since(peer.known), age())); }
+void ViewKeeper::answerPeer(const WaitingPeer& peer)
+{
+    const auto update = m_view.since(peer.known);
+    auto bytes = encodeUpdate(update, age());
+    m_context.metrics.count("view_answers_total", answerKind(update));
+    m_context.metrics.count("view_bytes_sent_total", "", bytes.size());
+    peer.exchange->respond(statusOk, {}, std::move(bytes));
+}
 
 void ViewKeeper::answerWaitingPeers()
 {
--- a/modules/hyssopwick_gateway/view/ViewKeeper.h
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.h
@@ -45,14 +45,21 @@
         TimePoint deadline;
     };
 
+    /// How far a request for the view has come.
+    struct Transfer {
+        TimePoint requestedAt;
+        std::uint64_t bytes = 0; ///< of the answer's body
+    };
+
     void follow();
     void followLater(Milliseconds pause);
-    void readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected);
+    void readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before);
     void watchStore();
     void followPeer(const FollowPeer& peer);
-    void failed(const FollowSource& source, const std::string& problem);
+    void failed(const FollowSource& source, const std::string& problem, const Transfer& transfer);
     void answered(const FollowSource& source, Milliseconds age, Milliseconds pause = Milliseconds(0));
-    void take(const ViewUpdate& update, const std::string& from);
+    Transfer received(const FollowSource& source, Transfer transfer, const WholeResponse& response);
+    void take(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
     void observe(const StoreRecord& record);
     void answerPeer(const WaitingPeer& peer);
     void answerWaitingPeers();
