--- /dev/null
+++ b/tests/platform/ViewTests.cpp
@@ -0,0 +1,207 @@
+#include "../TestSupport.h"
+#include "CallFlowSupport.h"
+
+#include <PlatformAdapter.h>
+#include <hyssopwick_gateway.h>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+using namespace hyssopwick;
+
+namespace {
+
+std::string base64(const std::string& bytes)
+{
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()), reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+std::string httpAnswer(const std::string& body) { return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body; }
+
+// Returns a store's answer to a read, with one record at revision 7.
+std::string readAnswer(const std::string& key, const std::string& value)
+{
+    const nlohmann::json item { { "key", key }, { "value", base64(value) }, { "revision", 7 } };
+    return httpAnswer(nlohmann::json { { "at", 7 }, { "hasMore", false }, { "items", nlohmann::json::array({ item }) } }.dump());
+}
+
+// Returns a configuration as its operators write it, with names that do not repeat.
+std::string configurationText(int routes)
+{
+    RandomSource random(17);
+    const auto name = [&random](int length) {
+        std::string text;
+        for (int i = 0; i < length; ++i)
+            text += static_cast<char>('a' + random.below(26));
+        return text + std::to_string(random.below(1000));
+    };
+    std::vector<std::string> hosts;
+    std::vector<std::string> services;
+    for (int i = 0; i < 12; ++i) {
+        hosts.push_back(name(5) + ".example");
+        services.push_back(name(6));
+    }
+    nlohmann::json configuration { { "version", 2 }, { "routes", nlohmann::json::array() }, { "services", nlohmann::json::array() } };
+    for (int i = 0; i < routes; ++i) {
+        configuration["routes"].push_back({ { "name", "r-" + name(5) }, { "host", hosts[random.below(hosts.size())] }, { "prefix", "/" + name(4) + "/" + name(2) + "/" }, { "kind", random.below(3) == 0 ? "unsafe" : "safe" },
+            { "timeoutMs", 500 * (1 + random.below(12)) }, { "goalMs", 50 * (1 + random.below(20)) }, { "priority", random.below(4) }, { "attempts", 1 + random.below(3) }, { "service", services[random.below(services.size())] } });
+    }
+    return configuration.dump();
+}
+
+/// One process's view, with what it is made of.
+struct ViewProcess {
+    ViewProcess(EventLoop& loop, const std::string& id, const std::string& storeAddress, bool isEntry)
+        : context { loop, describe(storeAddress), platform::platformPorts(), log, metrics, 1 }
+        , keeper(context, { id, "127.0.0.1:1", "north", "north-a", isEntry ? "entry" : "agent" }, isEntry)
+    {
+    }
+
+    static ProcessDescription describe(const std::string& storeAddress)
+    {
+        ProcessDescription description;
+        description.ip = "127.0.0.1";
+        description.region = "north";
+        description.failureDomain = "north-a";
+        description.storeAddress = storeAddress;
+        return description;
+    }
+
+    // Asks for the view as a peer does.
+    std::shared_ptr<RecordedExchange> ask(std::uint64_t known)
+    {
+        ServerRequest request;
+        request.method = "GET";
+        request.target = "/view?after=" + std::to_string(known);
+        const auto exchange = std::make_shared<RecordedExchange>(std::move(request));
+        CHECK(keeper.serve(exchange));
+        return exchange;
+    }
+
+    EventLog log { "test", [](const std::string&) {} };
+    MetricsRegistry metrics;
+    GatewayContext context;
+    ViewKeeper keeper;
+};
+
+/// Sends the same answer to each request, in equal pieces that timers pace.
+class PacedSource {
+public:
+    PacedSource(EventLoop& loop, std::string answer, std::size_t pieces, Milliseconds pace)
+        : m_loop(loop)
+        , m_answer(std::move(answer))
+        , m_pieceBytes(m_answer.size() / pieces + 1)
+        , m_pace(pace)
+        , m_acceptor(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        accept();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+
+    int requests() const { return m_requests; }
+
+private:
+    struct Connection {
+        Connection(TcpSocket accepted, EventLoop& loop)
+            : socket(std::move(accepted))
+            , timer(loop)
+        {
+        }
+        TcpSocket socket;
+        LoopTimer timer;
+        std::string request;
+        std::size_t sent = 0;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code error, TcpSocket socket) {
+            if (error)
+                return;
+            const auto connection = std::make_shared<Connection>(std::move(socket), m_loop);
+            asio::async_read_until(connection->socket, asio::dynamic_buffer(connection->request), "\r\n\r\n", [this, connection](boost::system::error_code problem, std::size_t) {
+                if (problem)
+                    return;
+                ++m_requests;
+                sendPiece(connection);
+            });
+            accept();
+        });
+    }
+
+    void sendPiece(const std::shared_ptr<Connection>& connection)
+    {
+        const auto piece = m_answer.substr(connection->sent, m_pieceBytes);
+        boost::system::error_code error;
+        asio::write(connection->socket, asio::buffer(piece), error);
+        connection->sent += piece.size();
+        if (error || connection->sent == m_answer.size())
+            return;
+        connection->timer.expires_after(m_pace);
+        connection->timer.async_wait([this, connection](boost::system::error_code) { sendPiece(connection); });
+    }
+
+    EventLoop& m_loop;
+    std::string m_answer;
+    std::size_t m_pieceBytes;
+    Milliseconds m_pace;
+    asio::ip::tcp::acceptor m_acceptor;
+    int m_requests = 0;
+};
+
+}
+
+TEST_GROUP(View)
+{
+    EventLoop loop { 1 };
+    ScriptedUpstream store { loop };
+    ScriptedUpstream unusedStore { loop };
+    ViewProcess source { loop, "source", store.address(), true };
+
+    // Lets the source read a store that holds one record.
+    void readStore(const std::string& key, const std::string& value)
+    {
+        store.answer(readAnswer(key, value));
+        source.keeper.start({});
+        while (source.keeper.revision() == 0)
+            loop.run_one();
+    }
+
+    std::string wholeAnswer()
+    {
+        const auto exchange = source.ask(0);
+        LONGS_EQUAL(200, exchange->status);
+        std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(exchange->body.size()) + "\r\n";
+        for (const auto& [name, value] : exchange->fields)
+            head.append(name).append(": ").append(value).append("\r\n");
+        return head + "\r\n" + exchange->body;
+    }
+};
+
+// Regression: an answer that did not arrive whole within the wait for a change was
+// dropped and asked for anew, by all followers at once.
+TEST(View, AFollowerKeepsAnAnswerThatTakesLongerThanItsWait)
+{
+    readStore("op/config", configurationText(1370));
+    PacedSource paced(loop, wholeAnswer(), 20, Milliseconds(100)); // 2 s, the wait is 0.8 s
+    ViewProcess follower(loop, "follower", unusedStore.address(), false);
+    follower.keeper.setEntries({ { "source", paced.address(), "north", "north-a", "entry" } });
+    follower.keeper.start({});
+    while (follower.keeper.revision() == 0 && paced.requests() < 2 && unusedStore.requests().empty())
+        loop.run_one();
+    LONGS_EQUAL(7, follower.keeper.revision());
+    LONGS_EQUAL(1, paced.requests());
+    LONGS_EQUAL(0, unusedStore.requests().size());
+}
+
+// Regression: one large configuration kept the links of a region's entries full.
+TEST(View, ALargeConfigurationTakesLittleOfTheLink)
+{
+    const std::string key = "op/config";
+    const auto value = configurationText(1370);
+    readStore(key, value);
+    CHECK(wholeAnswer().size() * 5 < key.size() + value.size());
+}
