The view's answers are kept while they arrive, compressed and encoded once

Leaving engines got calls and weights' versions were learnt of up to 8 s late; CONFIG, DRAIN and VERSION were broken. Cause: an answer had 0.8 s to arrive whole; what had come was dropped and asked for anew, from zero and elsewhere. One entry sends to all others of its region at once, so none had it in time, and the repeats kept the links full. Evidence: from 19.4 s on view.source-lost with `timeout status 200`, `timeout status 0` and then `not-sent`, in 63 to 185 processes a second; a scripted source that takes 2 s was left after 0.8 s. Why it works: an answer has to begin in time and is then given up only when nothing came for 1 s, at the latest after 8 s; bytes that wait to be read count as progress. Updates of 4 KiB and more are compressed with zlib. The encoding is shared by all who know the same revision; the age goes in a header field, and knowledge is as old as the answer's head. What peers of other builds send is malformed, as before.

--- /dev/null
+++ b/modules/hyssopwick_gateway/http/Compression.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <hyssopwick_core.h>
+
+namespace hyssopwick {
+
+/// Compresses bytes in the format of RFC 1950, HTTP's content coding "deflate".
+/// Fails with ErrorCode::Unavailable when memory is short.
+Outcome<std::string> compress(const std::string& bytes);
+
+/// Restores what compress() made.
+/// \param maxBytes  longest result that is taken
+/// Fails with ErrorCode::InvalidInput when the bytes are malformed, cut off, followed by
+/// others, or give more than \p maxBytes.
+Outcome<std::string> decompress(const std::string& bytes, std::size_t maxBytes);
+
+}
--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -49,7 +49,8 @@
     std::string address;
     HttpCall call;
     ExchangeHandlers handlers;
-    TimePoint deadline;
+    TransferLimits limits;
+    TimePoint deadline; // of the answer's next piece
     http::request<http::string_body> request;
     boost::beast::flat_buffer buffer;
     http::response_parser<http::buffer_body> parser;
@@ -66,12 +67,19 @@
 HttpExchange::~HttpExchange() = default;
 
 HttpExchangePointer HttpExchange::start(EventLoop& loop, const std::string& address, HttpCall call, TimePoint connectBy, TimePoint deadline, ExchangeHandlers handlers)
+{
+    return start(loop, address, std::move(call), { connectBy, deadline, Milliseconds(0), deadline }, std::move(handlers));
+}
+
+HttpExchangePointer HttpExchange::start(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, ExchangeHandlers handlers)
 {
     const std::shared_ptr<HttpExchange> exchange(new HttpExchange(loop));
     exchange->m_state->address = address;
     exchange->m_state->call = std::move(call);
     exchange->m_state->handlers = std::move(handlers);
-    exchange->run(address, connectBy, deadline);
+    exchange->m_state->limits = limits;
+    exchange->m_state->deadline = std::min(limits.beginBy, limits.endBy);
+    exchange->run();
     return exchange;
 }
 
@@ -85,28 +93,53 @@
     end(ExchangeEnd::Cancelled);
 }
 
-void HttpExchange::armTimer(TimePoint deadline, ExchangeEnd reason)
+// A timer that has expired already cannot be cancelled any more; its handler must not
+// take effect once the next phase has begun.
+void HttpExchange::awaitAnswer()
 {
-    // A timer that has expired already cannot be cancelled any more; its handler must not
-    // take effect once the next phase has begun.
-    const auto generation = ++m_state->timerGeneration;
-    m_state->timer.expires_at(deadline);
-    m_state->timer.async_wait([self = shared_from_this(), reason, generation](error_code error) {
+    auto& state = *m_state;
+    const auto generation = ++state.timerGeneration;
+    state.timer.expires_at(state.deadline);
+    state.timer.async_wait([self = shared_from_this(), generation](error_code error) {
         if (!error && generation == self->m_state->timerGeneration)
-            self->end(reason);
+            self->answerOverdue();
     });
 }
 
-void HttpExchange::run(const std::string& address, TimePoint connectBy, TimePoint deadline)
+// Moves the deadline on. The timer stays as it is until it expires, since pieces come often.
+void HttpExchange::noteProgress()
+{
+    auto& state = *m_state;
+    state.deadline = std::min(std::max(state.deadline, monotonicNow() + state.limits.longestPause), state.limits.endBy);
+}
+
+void HttpExchange::answerOverdue()
+{
+    auto& state = *m_state;
+    // Bytes that wait to be read mean that this process is late and not the server.
+    error_code error;
+    if (state.socket.available(error) > 0 && !error)
+        noteProgress();
+    if (monotonicNow() < state.deadline)
+        return awaitAnswer();
+    end(ExchangeEnd::Timeout);
+}
+
+void HttpExchange::run()
 {
-    m_state->deadline = deadline;
-    const auto endpoint = parseEndpoint(address);
+    auto& state = *m_state;
+    const auto endpoint = parseEndpoint(state.address);
     if (!endpoint) {
-        asio::post(m_state->socket.get_executor(), [self = shared_from_this()] { self->end(ExchangeEnd::NotSent); });
+        asio::post(state.socket.get_executor(), [self = shared_from_this()] { self->end(ExchangeEnd::NotSent); });
         return;
     }
-    armTimer(std::min(connectBy, deadline), ExchangeEnd::NotSent);
-    m_state->socket.async_connect(endpoint.value(), [self = shared_from_this()](error_code error) {
+    const auto generation = ++state.timerGeneration;
+    state.timer.expires_at(std::min(state.limits.connectBy, state.deadline));
+    state.timer.async_wait([self = shared_from_this(), generation](error_code error) {
+        if (!error && generation == self->m_state->timerGeneration)
+            self->end(ExchangeEnd::NotSent);
+    });
+    state.socket.async_connect(endpoint.value(), [self = shared_from_this()](error_code error) {
         if (self->m_state->isEnded)
             return;
         if (error)
@@ -131,7 +164,7 @@
         state.request.content_length(state.request.body().size());
     state.request.set(http::field::connection, "close");
     state.isSent = true;
-    armTimer(state.deadline, ExchangeEnd::Timeout);
+    awaitAnswer();
     // A server may answer before it has read a long body, so reading starts at once.
     http::async_write(state.socket, state.request, [self = shared_from_this()](error_code, std::size_t) {
         self->m_state->request.body().clear();
@@ -155,6 +188,7 @@
             const bool isCut = error == http::error::end_of_stream || error == http::error::partial_message;
             return self->end(isProtocolError && !isCut ? ExchangeEnd::Malformed : ExchangeEnd::Lost);
         }
+        self->noteProgress();
         ResponseHead head;
         head.status = state.parser.get().result_int();
         for (const auto& field : state.parser.get())
@@ -179,6 +213,8 @@
         if (state.isEnded)
             return;
         const auto size = state.chunk.size() - state.parser.get().body().size;
+        if (size > 0)
+            self->noteProgress();
         if (size > 0 && state.handlers.onBody)
             state.handlers.onBody({ state.chunk.data(), size });
         if (state.isEnded)
@@ -207,10 +243,16 @@
 }
 
 HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, TimePoint connectBy, TimePoint deadline, std::function<void(WholeResponse)> handler)
+{
+    return fetchWhole(loop, address, std::move(call), { connectBy, deadline, Milliseconds(0), deadline }, std::move(handler));
+}
+
+HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, std::function<void(WholeResponse)> handler)
 {
     const auto response = std::make_shared<WholeResponse>();
     ExchangeHandlers handlers;
     handlers.onHead = [response](const ResponseHead& head) {
+        response->beganAt = monotonicNow();
         response->status = head.status;
         response->fields = head.fields;
     };
@@ -219,7 +261,7 @@
         response->end = end;
         handler(std::move(*response));
     };
-    return HttpExchange::start(loop, address, std::move(call), connectBy, deadline, std::move(handlers));
+    return HttpExchange::start(loop, address, std::move(call), limits, std::move(handlers));
 }
 
 }
--- a/modules/hyssopwick_gateway/http/HttpExchange.h
+++ b/modules/hyssopwick_gateway/http/HttpExchange.h
@@ -33,14 +33,26 @@
     std::function<void(ExchangeEnd)> onEnd; ///< called once, unless the exchange is cancelled
 };
 
+/// When to give up an exchange. An answer of unknown size is given up when it stops to
+/// arrive and not when it is long, since asking anew would begin it from zero.
+struct TransferLimits {
+    TimePoint connectBy;
+    TimePoint beginBy; ///< the answer has to begin until then
+    Milliseconds longestPause { 0 }; ///< between its pieces, once it has begun
+    TimePoint endBy; ///< also of an answer that still arrives
+};
+
 /// One request to a server and its answer, on a connection of its own. A connection of
 /// its own cannot carry the late answer of an earlier request, and is not closed by the
 /// server at the moment when a request that may run only once is sent on it.
 class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
 public:
+    /// Sends \p call to \p address.
+    static std::shared_ptr<HttpExchange> start(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, ExchangeHandlers handlers);
+
     /// Sends \p call to \p address.
     /// \param connectBy  when to give up connecting
-    /// \param deadline   when to give up the exchange
+    /// \param deadline   when to give up the exchange, however far it is
     static std::shared_ptr<HttpExchange> start(EventLoop& loop, const std::string& address, HttpCall call, TimePoint connectBy, TimePoint deadline, ExchangeHandlers handlers);
 
     ~HttpExchange();
@@ -55,12 +67,14 @@
     struct State;
 
     explicit HttpExchange(EventLoop& loop);
-    void run(const std::string& address, TimePoint connectBy, TimePoint deadline);
+    void run();
     void sendRequest();
     void readHead();
     void readBody();
     void end(ExchangeEnd end);
-    void armTimer(TimePoint deadline, ExchangeEnd reason);
+    void awaitAnswer();
+    void noteProgress();
+    void answerOverdue();
 
     std::unique_ptr<State> m_state;
 };
@@ -72,11 +86,16 @@
     ExchangeEnd end = ExchangeEnd::NotSent;
     unsigned status = 0;
     HeaderFields fields;
+    TimePoint beganAt; ///< arrival of the head
     std::string body;
 
     bool isComplete() const { return end == ExchangeEnd::Complete; }
 };
 
+/// Sends a request and reads the whole answer.
+/// \param handler  called once, unless the exchange is cancelled
+HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, std::function<void(WholeResponse)> handler);
+
 /// Sends a request and reads the whole answer.
 /// \param handler  called once, unless the exchange is cancelled
 HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, TimePoint connectBy, TimePoint deadline, std::function<void(WholeResponse)> handler);
--- a/modules/hyssopwick_gateway/view/ViewKeeper.cpp
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.cpp
@@ -1,7 +1,5 @@
 #include "ViewKeeper.h"
 
-#include <nlohmann/json.hpp>
-
 namespace hyssopwick {
 
 namespace {
@@ -12,6 +10,12 @@
     // On top of the wait: the longest ordinary way there and back.
     constexpr Milliseconds answerSlack { 600 };
     constexpr Milliseconds peerAnswerSlack { 300 };
+    // Once an answer has begun, only a pause ends it: longer than two retransmissions in
+    // a row, so that a full link is not taken for a source that is away.
+    constexpr Milliseconds longestPause { 1000 };
+    // A source that trickles is left after this time: the longest bound on a change's way
+    // (8 s) has passed.
+    constexpr Milliseconds longestTransfer { 8000 };
     constexpr Milliseconds connectTimeout { 400 };
     constexpr Milliseconds readTimeout { 1500 };
     constexpr Milliseconds firstRetryPause { 50 };
@@ -27,36 +31,11 @@
         return std::visit(Visitor {}, source);
     }
 
-    const char* answerKind(const ViewUpdate& update)
+    const char* answerKind(const EncodedView& encoded)
     {
-        if (update.isWhole)
+        if (encoded.isWhole)
             return "whole";
-        return update.records.empty() ? "empty" : "changes";
-    }
-
-    std::string encodeUpdate(const ViewUpdate& update, Milliseconds age)
-    {
-        auto records = nlohmann::json::array();
-        for (const auto& record : update.records)
-            records.push_back({ record.key, record.value, record.revision, record.isDeleted });
-        std::string bytes;
-        nlohmann::json::to_cbor(nlohmann::json::array({ update.revision, update.isWhole, age.count(), std::move(records) }), bytes);
-        return bytes;
-    }
-
-    Outcome<std::pair<ViewUpdate, Milliseconds>> decodeUpdate(const std::string& bytes)
-    {
-        try {
-            const auto json = nlohmann::json::from_cbor(bytes);
-            ViewUpdate update;
-            json.at(0).get_to(update.revision);
-            json.at(1).get_to(update.isWhole);
-            for (const auto& record : json.at(3))
-                update.records.push_back({ record.at(0), record.at(1), record.at(2), record.at(3) });
-            return std::make_pair(std::move(update), Milliseconds(json.at(2).get<std::int64_t>()));
-        } catch (const std::exception& problem) {
-            return failure(ErrorCode::InvalidInput, std::string("malformed view: ") + problem.what());
-        }
+        return encoded.isEmpty ? "empty" : "changes";
     }
 }
 
@@ -122,7 +101,7 @@
             collected->isWhole = true;
             m_isRereadNeeded = false;
             take(*collected, "store", transfer);
-            answered(FollowStore {}, Milliseconds(0));
+            answered(FollowStore {}, Milliseconds(0), monotonicNow());
         });
 }
 
@@ -147,7 +126,7 @@
             take({ page.value().revision, false, std::move(page.value().records) }, "store", transfer);
             // Each call to the store has its price and each update wakes all followers. A
             // change that comes alone is not delayed.
-            answered(FollowStore {}, Milliseconds(0), isChanged ? m_context.description.collectionTime() : Milliseconds(0));
+            answered(FollowStore {}, Milliseconds(0), monotonicNow(), isChanged ? m_context.description.collectionTime() : Milliseconds(0));
         });
 }
 
@@ -156,15 +135,15 @@
     const auto now = monotonicNow();
     HttpCall call;
     call.target = std::string(viewPath) + std::to_string(m_view.revision());
-    fetchWhole(m_context.loop, peer.address, std::move(call), now + connectTimeout, now + peerWait + peerAnswerSlack, [this, peer, now](WholeResponse response) {
+    fetchWhole(m_context.loop, peer.address, std::move(call), { now + connectTimeout, now + peerWait + peerAnswerSlack, longestPause, now + longestTransfer }, [this, peer, now](WholeResponse response) {
         const auto transfer = received(peer, { now }, response);
         if (!response.isComplete() || response.status != statusOk)
             return failed(peer, std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status), transfer);
-        auto update = decodeUpdate(response.body);
-        if (!update)
-            return failed(peer, update.error().message, transfer);
-        take(update.value().first, peer.id, transfer);
-        answered(peer, update.value().second);
+        const auto answer = decodeView(response.fields, response.body);
+        if (!answer)
+            return failed(peer, answer.error().message, transfer);
+        take(answer.value().update, peer.id, transfer);
+        answered(peer, answer.value().age, response.beganAt);
     });
 }
 
@@ -175,14 +154,14 @@
     return transfer;
 }
 
-void ViewKeeper::answered(const FollowSource& source, Milliseconds age, Milliseconds pause)
+void ViewKeeper::answered(const FollowSource& source, Milliseconds age, TimePoint at, Milliseconds pause)
 {
     m_failuresInRow = 0;
     if (m_isSourceLost) {
         m_isSourceLost = false;
         m_context.log.write("view.source-regained", { { "source", describe(source) }, { "revision", std::to_string(m_view.revision()) } });
     }
-    m_decision.recordAnswer(source, age, monotonicNow());
+    m_decision.recordAnswer(source, age, at);
     // A source that itself lags is left for the next one, without haste.
     if (!(source == m_decision.source()))
         followLater(firstRetryPause);
@@ -209,7 +188,10 @@
 void ViewKeeper::take(const ViewUpdate& update, const std::string& from, const Transfer& transfer)
 {
     const auto ageBefore = age(); // the caller records the answer after this
+    const auto revisionBefore = m_view.revision();
     const auto changed = m_view.apply(update);
+    if (m_view.revision() != revisionBefore || !update.records.empty())
+        m_encoded.clear();
     for (const auto& record : changed)
         observe(record);
     if (changed.empty())
@@ -298,11 +280,10 @@
 
 void ViewKeeper::answerPeer(const WaitingPeer& peer)
 {
-    const auto update = m_view.since(peer.known);
-    auto bytes = encodeUpdate(update, age());
-    m_context.metrics.count("view_answers_total", answerKind(update));
-    m_context.metrics.count("view_bytes_sent_total", "", bytes.size());
-    peer.exchange->respond(statusOk, {}, std::move(bytes));
+    const auto encoded = m_encoded.since(m_view, peer.known);
+    m_context.metrics.count("view_answers_total", answerKind(*encoded));
+    m_context.metrics.count("view_bytes_sent_total", "", encoded->body.size());
+    peer.exchange->respond(statusOk, encoded->fields(age()), encoded->body);
 }
 
 void ViewKeeper::answerWaitingPeers()
--- a/modules/hyssopwick_gateway/view/ViewKeeper.h
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.h
@@ -3,6 +3,7 @@
 #include "../http/HttpExchange.h"
 #include "../http/ServerExchange.h"
 #include "../runtime/GatewayContext.h"
+#include "ViewMessage.h"
 
 #include <list>
 
@@ -57,7 +58,7 @@
     void watchStore();
     void followPeer(const FollowPeer& peer);
     void failed(const FollowSource& source, const std::string& problem, const Transfer& transfer);
-    void answered(const FollowSource& source, Milliseconds age, Milliseconds pause = Milliseconds(0));
+    void answered(const FollowSource& source, Milliseconds age, TimePoint at, Milliseconds pause = Milliseconds(0));
     Transfer received(const FollowSource& source, Transfer transfer, const WholeResponse& response);
     void take(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
     void observe(const StoreRecord& record);
@@ -68,6 +69,7 @@
     GatewayContext& m_context;
     FollowDecision m_decision;
     StoreView m_view;
+    EncodedViews m_encoded; // of the view's current revision
     Observer m_observer;
     LoopTimer m_followTimer;
     LoopTimer m_peerTimer;
--- /dev/null
+++ b/modules/hyssopwick_gateway/view/ViewMessage.cpp
@@ -0,0 +1,99 @@
+#include "ViewMessage.h"
+
+#include "../http/Compression.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hyssopwick {
+
+namespace {
+    // Below this an update is one or two packets either way.
+    constexpr std::size_t minCompressedBytes = 4096;
+    // Against nonsense only: some hundred times a configuration of 1,370 routes.
+    constexpr std::size_t maxViewBytes = std::size_t(64) << 20;
+    // Followers know the last revision or the one before; those that start know none. What
+    // is kept is memory of an entry VM.
+    constexpr std::size_t maxKeptEncodings = 4;
+    constexpr std::size_t maxAgeDigits = 12;
+    constexpr const char* ageField = "View-Age-Ms";
+    constexpr const char* codingField = "Content-Encoding";
+    constexpr const char* deflateCoding = "deflate";
+
+    Outcome<Milliseconds> decodeAge(const HeaderFields& fields)
+    {
+        const std::string text(headerValue(fields, ageField));
+        if (text.empty() || text.size() > maxAgeDigits || text.find_first_not_of("0123456789") != std::string::npos)
+            return failure(ErrorCode::InvalidInput, "malformed view: age \"" + text + "\"");
+        return Milliseconds(std::stoll(text));
+    }
+
+    Outcome<ViewUpdate> decodeUpdate(const std::string& bytes)
+    {
+        try {
+            const auto json = nlohmann::json::from_cbor(bytes);
+            ViewUpdate update;
+            json.at(0).get_to(update.revision);
+            json.at(1).get_to(update.isWhole);
+            for (const auto& record : json.at(2).get_ref<const nlohmann::json::array_t&>())
+                update.records.push_back({ record.at(0), record.at(1), record.at(2), record.at(3) });
+            return update;
+        } catch (const std::exception& problem) {
+            return failure(ErrorCode::InvalidInput, std::string("malformed view: ") + problem.what());
+        }
+    }
+}
+
+HeaderFields EncodedView::fields(Milliseconds age) const
+{
+    HeaderFields fields { { ageField, std::to_string(age.count()) } };
+    if (isCompressed)
+        fields.emplace_back(codingField, deflateCoding);
+    return fields;
+}
+
+EncodedView encodeView(const ViewUpdate& update)
+{
+    EncodedView encoded;
+    encoded.isWhole = update.isWhole;
+    encoded.isEmpty = update.records.empty();
+    auto records = nlohmann::json::array();
+    for (const auto& record : update.records)
+        records.push_back({ record.key, record.value, record.revision, record.isDeleted });
+    nlohmann::json::to_cbor(nlohmann::json::array({ update.revision, update.isWhole, std::move(records) }), encoded.body);
+    if (encoded.body.size() < minCompressedBytes)
+        return encoded;
+    // Without memory to compress, the update still goes out as it is.
+    if (auto compressed = compress(encoded.body)) {
+        encoded.body = std::move(compressed.value());
+        encoded.isCompressed = true;
+    }
+    return encoded;
+}
+
+Outcome<ReceivedView> decodeView(const HeaderFields& fields, const std::string& body)
+{
+    BOOST_OUTCOME_TRY(age, decodeAge(fields));
+    const auto coding = headerValue(fields, codingField);
+    if (!coding.empty() && coding != deflateCoding)
+        return failure(ErrorCode::InvalidInput, "malformed view: content coding \"" + std::string(coding) + "\"");
+    if (coding.empty()) {
+        BOOST_OUTCOME_TRY(update, decodeUpdate(body));
+        return ReceivedView { std::move(update), age };
+    }
+    BOOST_OUTCOME_TRY(bytes, decompress(body, maxViewBytes));
+    BOOST_OUTCOME_TRY(update, decodeUpdate(bytes));
+    return ReceivedView { std::move(update), age };
+}
+
+std::shared_ptr<const EncodedView> EncodedViews::since(const StoreView& view, std::uint64_t known)
+{
+    const auto kept = m_byKnown.find(known);
+    if (kept != m_byKnown.end())
+        return kept->second;
+    const auto encoded = std::make_shared<const EncodedView>(encodeView(view.since(known)));
+    if (m_byKnown.size() < maxKeptEncodings)
+        m_byKnown.emplace(known, encoded);
+    return encoded;
+}
+
+}
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -2,9 +2,12 @@
 #include "CallFlowSupport.h"
 
 #include <PlatformAdapter.h>
+#include <http/Compression.h>
 #include <hyssopwick_gateway.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
+#include <optional>
 
 using namespace hyssopwick;
 
@@ -89,11 +92,13 @@
 /// Sends the same answer to each request, in equal pieces that timers pace.
 class PacedSource {
 public:
-    PacedSource(EventLoop& loop, std::string answer, std::size_t pieces, Milliseconds pace)
+    /// \param silentAfter  pieces after which it sends nothing more and stays connected
+    PacedSource(EventLoop& loop, std::string answer, std::size_t pieces, Milliseconds pace, std::size_t silentAfter = std::numeric_limits<std::size_t>::max())
         : m_loop(loop)
         , m_answer(std::move(answer))
         , m_pieceBytes(m_answer.size() / pieces + 1)
         , m_pace(pace)
+        , m_silentAfter(silentAfter)
         , m_acceptor(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
     {
         accept();
@@ -114,6 +119,7 @@
         LoopTimer timer;
         std::string request;
         std::size_t sent = 0;
+        std::size_t pieces = 0;
     };
 
     void accept()
@@ -134,6 +140,8 @@
 
     void sendPiece(const std::shared_ptr<Connection>& connection)
     {
+        if (connection->pieces++ == m_silentAfter)
+            return hold(connection);
         const auto piece = m_answer.substr(connection->sent, m_pieceBytes);
         boost::system::error_code error;
         asio::write(connection->socket, asio::buffer(piece), error);
@@ -144,10 +152,17 @@
         connection->timer.async_wait([this, connection](boost::system::error_code) { sendPiece(connection); });
     }
 
+    // Stays connected until the other side leaves.
+    void hold(const std::shared_ptr<Connection>& connection)
+    {
+        connection->socket.async_wait(TcpSocket::wait_read, [connection](boost::system::error_code) {});
+    }
+
     EventLoop& m_loop;
     std::string m_answer;
     std::size_t m_pieceBytes;
     Milliseconds m_pace;
+    std::size_t m_silentAfter;
     asio::ip::tcp::acceptor m_acceptor;
     int m_requests = 0;
 };
@@ -205,3 +220,137 @@
     readStore(key, value);
     CHECK(wholeAnswer().size() * 5 < key.size() + value.size());
 }
+
+TEST(View, AFollowerLeavesASourceThatFallsSilentWithinItsAnswer)
+{
+    readStore("op/config", configurationText(1370));
+    PacedSource silent(loop, wholeAnswer(), 20, Milliseconds(10), 5);
+    ViewProcess follower(loop, "follower", unusedStore.address(), false);
+    follower.keeper.setEntries({ { "source", silent.address(), "north", "north-a", "entry" } });
+    follower.keeper.start({});
+    while (unusedStore.requests().empty())
+        loop.run_one();
+    LONGS_EQUAL(0, follower.keeper.revision());
+    LONGS_EQUAL(1, silent.requests());
+}
+
+TEST(View, AnUpdateIsTheSameAfterItsWay)
+{
+    for (const int routes : { 0, 1370 }) {
+        const ViewUpdate update { 9, routes == 0, { { "key", configurationText(routes), 8, false }, { "gone", "", 9, true } } };
+        const auto encoded = encodeView(update);
+        CHECK_EQUAL(routes != 0, encoded.isCompressed);
+        const auto decoded = decodeView(encoded.fields(Milliseconds(25)), encoded.body);
+        CHECK(decoded.has_value());
+        CHECK(decoded.value().update == update);
+        LONGS_EQUAL(25, decoded.value().age.count());
+    }
+}
+
+TEST(View, AnAnswerOfAnotherBuildIsMalformed)
+{
+    const auto encoded = encodeView({ 9, true, { { "key", configurationText(1370), 8, false } } });
+    const auto fields = encoded.fields(Milliseconds(0));
+    std::string earlier; // age within the body
+    nlohmann::json::to_cbor(nlohmann::json::array({ 9, true, 25, nlohmann::json::array() }), earlier);
+    std::string noList;
+    nlohmann::json::to_cbor(nlohmann::json::array({ 9, true, nullptr }), noList);
+    CHECK_FALSE(decodeView({ { "View-Age-Ms", "0" } }, noList).has_value());
+    CHECK_FALSE(decodeView({}, earlier).has_value());
+    CHECK_FALSE(decodeView({ { "View-Age-Ms", "0" } }, earlier).has_value());
+    CHECK_FALSE(decodeView({ { "View-Age-Ms", "0" } }, "").has_value());
+    CHECK_FALSE(decodeView({ { "View-Age-Ms", "0" } }, encoded.body).has_value()); // coding not named
+    CHECK_FALSE(decodeView({ { "View-Age-Ms", "-1" }, { "Content-Encoding", "deflate" } }, encoded.body).has_value());
+    CHECK_FALSE(decodeView({ { "View-Age-Ms", "9999999999999999999999" }, { "Content-Encoding", "deflate" } }, encoded.body).has_value());
+    CHECK_FALSE(decodeView({ { "View-Age-Ms", "0" }, { "Content-Encoding", "br" } }, encoded.body).has_value());
+    CHECK_FALSE(decodeView(fields, encoded.body.substr(0, encoded.body.size() / 2)).has_value());
+    CHECK_FALSE(decodeView(fields, encoded.body + "more").has_value());
+    CHECK_FALSE(decodeView(fields, "no deflated bytes").has_value());
+    CHECK_FALSE(decodeView(fields, "").has_value());
+    CHECK(decodeView(fields, encoded.body).has_value());
+}
+
+TEST(View, DecompressedBytesAreBounded)
+{
+    const std::string zeros(100000, '\0');
+    const auto small = compress(zeros);
+    CHECK(small.has_value());
+    CHECK(small.value().size() < 1000);
+    CHECK(decompress(small.value(), zeros.size()).has_value());
+    CHECK(decompress(small.value(), zeros.size()).value() == zeros);
+    CHECK_FALSE(decompress(small.value(), zeros.size() - 1).has_value());
+}
+
+TEST(View, FollowersThatKnowTheSameShareOneEncoding)
+{
+    StoreView view;
+    EncodedViews encoded;
+    view.apply({ 10, true, { { "a", "1", 5, false } } });
+    view.apply({ 11, false, { { "a", "2", 11, false } } });
+    const auto first = encoded.since(view, 10);
+    CHECK(first == encoded.since(view, 10));
+    CHECK_FALSE(first == encoded.since(view, 0));
+    view.apply({ 12, false, { { "a", "3", 12, false } } });
+    encoded.clear();
+    const auto decoded = decodeView(encoded.since(view, 10)->fields(Milliseconds(0)), encoded.since(view, 10)->body);
+    CHECK(decoded.has_value());
+    CHECK(decoded.value().update == view.since(10));
+}
+
+// The process that serves changes has to forget what it encoded before.
+TEST(View, AChangeReachesThoseThatAskedBeforeIt)
+{
+    readStore("op/config", configurationText(1));
+    const auto before = source.ask(0);
+    const nlohmann::json event { { "key", "op/version/m" }, { "value", base64("{}") }, { "revision", 8 } };
+    store.answer(httpAnswer(nlohmann::json { { "at", 8 }, { "events", nlohmann::json::array({ event }) } }.dump()));
+    while (source.keeper.revision() == 7)
+        loop.run_one();
+    const auto changes = source.ask(7);
+    const auto change = decodeView(changes->fields, changes->body);
+    CHECK(change.has_value());
+    LONGS_EQUAL(8, change.value().update.revision);
+    LONGS_EQUAL(1, change.value().update.records.size());
+    const auto whole = source.ask(0);
+    CHECK_FALSE(before->body == whole->body);
+    LONGS_EQUAL(2, decodeView(whole->fields, whole->body).value().update.records.size());
+}
+
+TEST_GROUP(TransferLimits)
+{
+    EventLoop loop { 1 };
+    const std::string answer = httpAnswer(std::string(100000, 'x'));
+
+    WholeResponse fetch(const std::string& address, const TransferLimits& limits)
+    {
+        std::optional<WholeResponse> result;
+        fetchWhole(loop, address, HttpCall {}, limits, [&result](WholeResponse response) { result = std::move(response); });
+        while (!result)
+            loop.run_one();
+        return *result;
+    }
+};
+
+TEST(TransferLimits, AnAnswerThatDoesNotBeginIsLeft)
+{
+    PacedSource silent(loop, answer, 10, Milliseconds(10), 0);
+    const auto now = monotonicNow();
+    const auto endBy = now + Milliseconds(30000);
+    CHECK(ExchangeEnd::Timeout == fetch(silent.address(), { endBy, now + Milliseconds(300), Milliseconds(30000), endBy }).end);
+    CHECK(monotonicNow() < endBy);
+}
+
+TEST(TransferLimits, AnAnswerThatStopsIsLeft)
+{
+    PacedSource silent(loop, answer, 10, Milliseconds(10), 3);
+    const auto endBy = monotonicNow() + Milliseconds(30000);
+    CHECK(ExchangeEnd::Timeout == fetch(silent.address(), { endBy, monotonicNow() + Milliseconds(100), Milliseconds(300), endBy }).end);
+    CHECK(monotonicNow() < endBy);
+}
+
+TEST(TransferLimits, AnAnswerThatTricklesIsLeftAtTheEnd)
+{
+    PacedSource trickle(loop, answer, 1000, Milliseconds(20)); // 20 s
+    const auto now = monotonicNow();
+    CHECK(ExchangeEnd::Timeout == fetch(trickle.address(), { now + Milliseconds(500), now + Milliseconds(500), Milliseconds(60000), now + Milliseconds(500) }).end);
+}
