--- a/modules/hyssopwick_gateway/view/ViewKeeper.h
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.h
@@ -3,6 +3,7 @@
 #include "../http/HttpExchange.h"
 #include "../http/ServerExchange.h"
 #include "../runtime/GatewayContext.h"
+#include "ViewMessage.h"
 
 #include <list>
 
@@ -46,14 +47,21 @@
         TimePoint deadline;
     };
 
+    /// How far a request for the view has come.
+    struct Transfer {
+        TimePoint requestedAt;
+        std::uint64_t bytes = 0; ///< of the answer's body
+    };
+
     void follow();
     void followLater(Milliseconds pause);
-    void readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected);
+    void readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before);
     void watchStore();
     void followPeer(const FollowPeer& peer);
-    void failed(const FollowSource& source, const std::string& problem);
-    void answered(const FollowSource& source, Milliseconds age, Milliseconds pause = Milliseconds(0));
-    void take(const ViewUpdate& update, const std::string& from);
+    void failed(const FollowSource& source, const std::string& problem, const Transfer& transfer);
+    void answered(const FollowSource& source, Milliseconds age, TimePoint at, Milliseconds pause = Milliseconds(0));
+    Transfer received(const FollowSource& source, Transfer transfer, const WholeResponse& response);
+    void take(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
     void observe(const StoreRecord& record);
     void answerPeer(const WaitingPeer& peer);
     void answerWaitingPeers();
@@ -62,6 +70,7 @@
     GatewayContext& m_context;
     FollowDecision m_decision;
     StoreView m_view;
+    EncodedViews m_encoded; // of the view's current revision
     Observer m_observer;
     LoopTimer m_followTimer;
     LoopTimer m_peerTimer;
