A starting fleet reads the store through its seeds

A process that has no answer yet knows no other and went to the store. A source that answers that it has not read the store yet, or that lags, is asked again after a growing pause, as one that fails. AStartingFleetReadsTheStoreThroughItsSeeds and AProcessWhoseSeedsAreDownReadsTheStoreItself are new; without seeds each of the 160 processes starts at the store.

--- a/modules/hyssopwick_deployment/view/FollowDecision.cpp
+++ b/modules/hyssopwick_deployment/view/FollowDecision.cpp
@@ -25,14 +25,28 @@
     constexpr Milliseconds longestOrdinaryAge { 2300 };
 }
 
-FollowDecision::FollowDecision(VmIdentity self, bool isEntry)
+FollowDecision::FollowDecision(VmIdentity self, bool isEntry, std::vector<std::string> seeds)
     : m_self(std::move(self))
     , m_isEntry(isEntry)
-    , m_isDesignated(isEntry)
+    , m_isDesignated(isEntry && seeds.empty())
+    , m_seeds(std::move(seeds))
 {
     rank();
 }
 
+// Before the first answer this process knows no other and all would read the whole store
+// when a deployment starts, so it asks the seeds. These may be starting too, or be down.
+void FollowDecision::rankSeeds()
+{
+    m_sources.clear();
+    for (const auto& address : rendezvousOrder(m_self.id, m_seeds))
+        m_sources.push_back(FollowPeer { address, address });
+    m_inRegion = m_sources.size();
+    m_sources.push_back(FollowStore {});
+    m_place = 1 + static_cast<std::size_t>(stableHash(m_self.id) % lastCrossingPlace);
+    m_position = 0;
+}
+
 void FollowDecision::setEntries(const std::vector<VmIdentity>& entries)
 {
     if (entries == m_entries)
@@ -43,6 +57,11 @@
 
 void FollowDecision::rank()
 {
+    if (!m_hasAnswer && !m_seeds.empty()) {
+        if (m_sources.empty())
+            rankSeeds();
+        return;
+    }
     std::map<std::string, VmIdentity> byId;
     std::vector<std::string> regional;
     for (const auto& entry : m_entries) {
@@ -101,7 +120,8 @@
     // Those that do not answer at all cannot become current either. The second of the order
     // stands in for the first at once.
     const auto before = static_cast<int>(m_place < 2 ? 0 : m_place - 1);
-    return !m_isRegionAnswering || (m_lostAt && now >= *m_lostAt + crossingStep * before);
+    const bool isStarting = !m_hasAnswer && !m_seeds.empty();
+    return (!m_isRegionAnswering && !isStarting) || (m_lostAt && now >= *m_lostAt + crossingStep * before);
 }
 
 void FollowDecision::advance(TimePoint now)
@@ -122,7 +142,10 @@
 {
     if (!m_hasAnswer || now - age > m_knownAt)
         m_knownAt = now - age;
+    const bool isFirst = !m_hasAnswer;
     m_hasAnswer = true;
+    if (isFirst && !m_seeds.empty())
+        return rank();
     if (!(source == this->source()))
         return;
     if (age > maxSourceAge)
--- a/modules/hyssopwick_deployment/view/FollowDecision.h
+++ b/modules/hyssopwick_deployment/view/FollowDecision.h
@@ -34,7 +34,9 @@
 class FollowDecision {
 public:
     /// \param isEntry  whether this process may be one that follows the store
-    FollowDecision(VmIdentity self, bool isEntry);
+    /// \param seeds    addresses of the processes that read the store for all when a
+    ///                 deployment starts; empty for one that reads it itself
+    FollowDecision(VmIdentity self, bool isEntry, std::vector<std::string> seeds = {});
 
     /// Replaces the entry VMs that live, without this one.
     void setEntries(const std::vector<VmIdentity>& entries);
@@ -67,12 +69,14 @@
 
 private:
     void rank();
+    void rankSeeds();
     void advance(TimePoint now);
     bool mayCross(TimePoint now) const;
 
     VmIdentity m_self;
     bool m_isEntry;
     bool m_isDesignated;
+    std::vector<std::string> m_seeds;
     std::vector<VmIdentity> m_entries;
     std::vector<FollowSource> m_sources; // in order of preference
     std::size_t m_inRegion = 0; // of the sources, those that may be asked at any time
--- a/modules/hyssopwick_gateway/view/ViewKeeper.cpp
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.cpp
@@ -37,11 +37,23 @@
             return "whole";
         return encoded.isEmpty ? "empty" : "changes";
     }
+
+    // Addresses of the processes that read the store for those that start; none for these.
+    std::vector<std::string> seedsOf(const GatewayContext& context)
+    {
+        std::vector<std::string> seeds;
+        for (const auto& ip : context.description.seedIps) {
+            if (ip == context.description.ip)
+                return {};
+            seeds.push_back(ip + ":" + std::to_string(context.description.internalPort));
+        }
+        return seeds;
+    }
 }
 
 ViewKeeper::ViewKeeper(GatewayContext& context, VmIdentity self, bool isEntry)
     : m_context(context)
-    , m_decision(std::move(self), isEntry)
+    , m_decision(std::move(self), isEntry, seedsOf(context))
     , m_followTimer(context.loop)
     , m_peerTimer(context.loop)
 {
@@ -137,6 +149,8 @@
     call.target = std::string(viewPath) + std::to_string(m_view.revision());
     fetchWhole(m_context.loop, peer.address, std::move(call), { now + connectTimeout, now + peerWait + peerAnswerSlack, longestPause, now + longestTransfer }, [this, peer, now](WholeResponse response) {
         const auto transfer = received(peer, { now }, response);
+        if (response.isComplete() && response.status == statusUnavailable)
+            return lagging(peer);
         if (!response.isComplete() || response.status != statusOk)
             return failed(peer, std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status), transfer);
         const auto answer = decodeView(response.fields, response.body);
@@ -156,14 +170,17 @@
 
 void ViewKeeper::answered(const FollowSource& source, Milliseconds age, TimePoint at, Milliseconds pause)
 {
-    m_failuresInRow = 0;
-    if (m_isSourceLost) {
+    const bool isLagging = FollowDecision::isTooOld(age);
+    if (!isLagging)
+        m_failuresInRow = 0;
+    if (m_isSourceLost && !isLagging) {
         m_isSourceLost = false;
         m_context.log.write("view.source-regained", { { "source", describe(source) }, { "revision", std::to_string(m_view.revision()) } });
     }
     m_decision.recordAnswer(source, age, at);
-    // A source that itself lags is left for the next one, without haste.
-    if (!(source == m_decision.source()))
+    if (isLagging)
+        followLater(nextRetryPause());
+    else if (!(source == m_decision.source()))
         followLater(firstRetryPause);
     else if (pause.count() > 0)
         followLater(pause);
@@ -180,9 +197,21 @@
         m_isSourceLost = true;
         m_context.log.write("view.source-lost", { { "source", describe(source) }, { "problem", problem }, { "next", describe(m_decision.source()) }, { "age_ms", std::to_string(m_decision.age(now).count()) }, { "bytes", std::to_string(transfer.bytes) }, { "after_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - transfer.requestedAt).count()) } });
     }
+    followLater(nextRetryPause());
+}
+
+// A source that answers and has not read the store yet.
+void ViewKeeper::lagging(const FollowSource& source)
+{
+    m_decision.recordLag(source, monotonicNow());
+    followLater(nextRetryPause());
+}
+
+Milliseconds ViewKeeper::nextRetryPause()
+{
     const auto pause = std::min(longestRetryPause, firstRetryPause * (1 << std::min(m_failuresInRow, 5u)));
     ++m_failuresInRow;
-    followLater(pause);
+    return pause;
 }
 
 void ViewKeeper::take(const ViewUpdate& update, const std::string& from, const Transfer& transfer)
--- a/modules/hyssopwick_gateway/view/ViewKeeper.h
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.h
@@ -59,6 +59,8 @@
     void watchStore();
     void followPeer(const FollowPeer& peer);
     void failed(const FollowSource& source, const std::string& problem, const Transfer& transfer);
+    void lagging(const FollowSource& source);
+    Milliseconds nextRetryPause();
     void answered(const FollowSource& source, Milliseconds age, TimePoint at, Milliseconds pause = Milliseconds(0));
     Transfer received(const FollowSource& source, Transfer transfer, const WholeResponse& response);
     void take(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
--- a/tests/DeploymentTests.cpp
+++ b/tests/DeploymentTests.cpp
@@ -344,6 +344,40 @@
     CHECK(crossings > 0);
 }
 
+// Load answered: all processes of a deployment start at once after a loss of power.
+TEST(FollowDecision, AStartingFleetReadsTheStoreThroughItsSeeds)
+{
+    int atStore = 0;
+    for (int i = 0; i < 160; ++i) {
+        FollowDecision decision(entry("vm" + std::to_string(i), "south"), i % 2 == 0, { "seed1:1", "seed2:1" });
+        decision.setEntries({ entry("seed1", "south") });
+        for (int now = 0; now < 300; now += 100) {
+            atStore += std::holds_alternative<FollowStore>(decision.source());
+            if (now == 0)
+                decision.recordFailure(decision.source(), at(now)); // does not listen yet
+            else
+                decision.recordLag(decision.source(), at(now)); // has not read the store yet
+        }
+        const auto seed = decision.source();
+        decision.recordAnswer(seed, Milliseconds(10), at(300));
+        const auto source = decision.source();
+        const auto* peer = std::get_if<FollowPeer>(&source);
+        CHECK(i % 2 == 0 || (peer && peer->id == "seed1")); // entries may come first in the region's order
+    }
+    CHECK(atStore <= 160 * 3 / 10);
+}
+
+TEST(FollowDecision, AProcessWhoseSeedsAreDownReadsTheStoreItself)
+{
+    FollowDecision decision(entry("vm", "south"), true, { "seed1:1", "seed2:1" });
+    bool asksStore = false;
+    for (int now = 0; now < 5000; now += 100) {
+        asksStore = asksStore || std::holds_alternative<FollowStore>(decision.source());
+        decision.recordFailure(decision.source(), at(now));
+    }
+    CHECK(asksStore);
+}
+
 TEST(FollowDecision, TheStoreIsAskedWhenNoPeerAnswers)
 {
     FollowDecision decision(entry("agent", "north"), false);
