The gateway processes are owned by runGateway; why agents crash on exit

Cause: main() owned the gateway, and the event loop is local to runGateway(). On return the loop is destroyed first and the gateway after it, so each timer and socket of the gateway takes itself out of lists of a service that was freed. It is on exit, not before, and needs no rollout: an agent that finds neither store nor engine and gets SIGTERM after 2 s shows it under the sanitizers (code before this commit):

The entry's main() has the same order. Whether glibc notices depends on what lies in the freed memory.

This commit only moves the ownership into runGateway(), with the order of destruction as it was, so that there is one place to mend and tests can reach it: GatewayProcess becomes an interface that both gateways implement. The fault is still there.

--- a/modules/hyssopwick_gateway/agent/AgentGateway.h
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.h
@@ -2,6 +2,7 @@
 
 #include "../http/HttpListener.h"
 #include "../runtime/DatagramHub.h"
+#include "../runtime/GatewayProcess.h"
 #include "../view/ViewKeeper.h"
 #include "EngineActivation.h"
 
@@ -11,16 +12,16 @@
 
 /// The process beside a model engine: tells the entries of its load, brings weights to
 /// the VM, passes them on, and orders its own engine, and no other, to load them.
-class AgentGateway {
+class AgentGateway : public GatewayProcess {
 public:
     explicit AgentGateway(GatewayContext& context);
 
-    Outcome<void> start();
+    Outcome<void> start() override;
 
     /// Stops the event loop; an engine needs no agent to finish what it runs.
-    void stop();
+    void stop() override;
 
-    void reload(const ProcessDescription& description);
+    void reload(const ProcessDescription& description) override;
 
 private:
     struct NamedVersion {
--- a/modules/hyssopwick_gateway/entry/EntryGateway.h
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.h
@@ -3,6 +3,7 @@
 #include "../http/HttpListener.h"
 #include "../members/MemberGossip.h"
 #include "../runtime/DatagramHub.h"
+#include "../runtime/GatewayProcess.h"
 #include "../view/ViewKeeper.h"
 #include "CallFlow.h"
 #include "EntryServices.h"
@@ -11,18 +12,17 @@
 
 /// The process on an entry VM: answers callers, their questions for addresses and the
 /// platform's readiness checks, and takes part in spreading the store's view.
-class EntryGateway {
+class EntryGateway : public GatewayProcess {
 public:
     explicit EntryGateway(GatewayContext& context);
 
     /// Starts to listen on all addresses of the settings.
-    Outcome<void> start();
+    Outcome<void> start() override;
 
     /// Stops taking callers, finishes what runs, then stops the event loop.
-    void stop();
+    void stop() override;
 
-    /// Takes over settings that were read anew.
-    void reload(const ProcessDescription& description);
+    void reload(const ProcessDescription& description) override;
 
 private:
     void serveCaller(const ServerExchangePointer& exchange);
--- a/modules/hyssopwick_gateway/runtime/GatewayMain.cpp
+++ b/modules/hyssopwick_gateway/runtime/GatewayMain.cpp
@@ -85,7 +85,7 @@
         std::function<void(const ProcessDescription&)> m_reload;
     };
 
-    void handleSignals(asio::signal_set& signals, SettingsWatcher& settings, const GatewayProcess& process)
+    void handleSignals(asio::signal_set& signals, SettingsWatcher& settings, GatewayProcess& process)
     {
         signals.async_wait([&signals, &settings, &process](boost::system::error_code error, int number) {
             if (error)
@@ -100,9 +100,10 @@
 
 }
 
-int runGateway(const std::string& program, const PlatformPorts& ports, const std::function<GatewayProcess(GatewayContext&)>& create)
+int runGateway(const std::string& program, const PlatformPorts& ports, const GatewayFactory& create)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    std::unique_ptr<GatewayProcess> process;
     EventLoop loop(1);
     StandardOutputLog output;
     LogFlusher flusher(loop, output);
@@ -117,15 +118,15 @@
     MetricsRegistry metrics;
     GatewayContext context { loop, description.value(), ports, log, metrics, incarnation };
     log.write("start", { { "program", program }, { "version", HYSSOPWICK_VERSION }, { "node", name }, { "ip", context.description.ip }, { "failure_domain", context.description.failureDomain } });
-    const auto process = create(context);
-    const auto started = process.start();
+    process = create(context);
+    const auto started = process->start();
     if (!started) {
         log.write("start.failed", { { "program", program }, { "problem", started.error().message } });
         return exitFailure;
     }
     asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
-    SettingsWatcher settings(context, process.reload);
-    handleSignals(signals, settings, process);
+    SettingsWatcher settings(context, [&process](const ProcessDescription& changed) { process->reload(changed); });
+    handleSignals(signals, settings, *process);
     settings.checkPeriodically();
     loop.run();
     log.write("stop", { { "program", program }, { "dropped_lines", std::to_string(output.droppedLines()) } });
