A gateway process is destroyed before its event loop

Cause: the gateway outlived the loop that its timers, sockets and acceptors are registered with.

Mend: runGateway() creates the gateway after the loop, the log and the context, and so destroys it before them. What still lies in the loop then (aborted waits, transfers under way, paced uploads) is destroyed by the loop, whose services are there until all handlers are gone.

Ruled out: handlers running after stop() and reference cycles are not needed for it.

--- a/modules/hyssopwick_gateway/runtime/GatewayMain.cpp
+++ b/modules/hyssopwick_gateway/runtime/GatewayMain.cpp
@@ -103,7 +103,6 @@
 int runGateway(const std::string& program, const PlatformPorts& ports, const GatewayFactory& create)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    std::unique_ptr<GatewayProcess> process;
     EventLoop loop(1);
     StandardOutputLog output;
     LogFlusher flusher(loop, output);
@@ -118,7 +117,8 @@
     MetricsRegistry metrics;
     GatewayContext context { loop, description.value(), ports, log, metrics, incarnation };
     log.write("start", { { "program", program }, { "version", HYSSOPWICK_VERSION }, { "node", name }, { "ip", context.description.ip }, { "failure_domain", context.description.failureDomain } });
-    process = create(context);
+    // Its timers and sockets are taken off the loop when it is destroyed, so it has to go first.
+    const auto process = create(context);
     const auto started = process->start();
     if (!started) {
         log.write("start.failed", { { "program", program }, { "problem", started.error().message } });
