Reads and watches of the store are kept while they arrive

Cause: the same total limit as between peers: 1.5 s for a page of a read and 1.6 s for a watch, after which a large configuration was asked for anew from zero. Change: the limits of the view's answers between peers. What a store's answer says held when its head arrived, for a read of several pages when the first one did; until now its age began at its last byte. Evidence: a scripted store that takes 2 s was asked again after 1.5 s and 1.6 s; both new tests failed before. The same kind of limit is left in the manifest's and chunks' fetches and in the registration.

--- a/modules/hyssopwick_gateway/view/ViewKeeper.cpp
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.cpp
@@ -93,7 +93,7 @@
 void ViewKeeper::readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before)
 {
     const auto now = monotonicNow();
-    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeRead(after), now + connectTimeout, now + readTimeout,
+    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeRead(after), { now + connectTimeout, now + readTimeout, longestPause, now + longestTransfer },
         [this, after, collected, before](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "read");
             const auto transfer = received(FollowStore {}, before, response);
@@ -113,14 +113,14 @@
             collected->isWhole = true;
             m_isRereadNeeded = false;
             take(*collected, "store", transfer);
-            answered(FollowStore {}, Milliseconds(0), monotonicNow());
+            answered(FollowStore {}, Milliseconds(0), transfer.beganAt);
         });
 }
 
 void ViewKeeper::watchStore()
 {
     const auto now = monotonicNow();
-    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeWatch(m_view.revision(), storeWait), now + connectTimeout, now + storeWait + answerSlack,
+    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeWatch(m_view.revision(), storeWait), { now + connectTimeout, now + storeWait + answerSlack, longestPause, now + longestTransfer },
         [this, now](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "watch");
             const auto transfer = received(FollowStore {}, { now }, response);
@@ -138,7 +138,7 @@
             take({ page.value().revision, false, std::move(page.value().records) }, "store", transfer);
             // Each call to the store has its price and each update wakes all followers. A
             // change that comes alone is not delayed.
-            answered(FollowStore {}, Milliseconds(0), monotonicNow(), isChanged ? m_context.description.collectionTime() : Milliseconds(0));
+            answered(FollowStore {}, Milliseconds(0), transfer.beganAt, isChanged ? m_context.description.collectionTime() : Milliseconds(0));
         });
 }
 
@@ -157,13 +157,15 @@
         if (!answer)
             return failed(peer, answer.error().message, transfer);
         take(answer.value().update, peer.id, transfer);
-        answered(peer, answer.value().age, response.beganAt);
+        answered(peer, answer.value().age, transfer.beganAt);
     });
 }
 
 ViewKeeper::Transfer ViewKeeper::received(const FollowSource& source, Transfer transfer, const WholeResponse& response)
 {
     m_context.metrics.count("view_bytes_received_total", std::holds_alternative<FollowStore>(source) ? "store" : "peer", response.body.size());
+    if (transfer.beganAt == TimePoint())
+        transfer.beganAt = response.beganAt;
     transfer.bytes += response.body.size();
     return transfer;
 }
--- a/modules/hyssopwick_gateway/view/ViewKeeper.h
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.h
@@ -50,6 +50,7 @@
     /// How far a request for the view has come.
     struct Transfer {
         TimePoint requestedAt;
+        TimePoint beganAt {}; ///< arrival of the first answer's head; what it says held then
         std::uint64_t bytes = 0; ///< of the answer's body
     };
 
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -30,6 +30,13 @@
     return httpAnswer(nlohmann::json { { "at", 7 }, { "hasMore", false }, { "items", nlohmann::json::array({ item }) } }.dump());
 }
 
+// Returns a store's answer to a watch, with one change at revision 8.
+std::string watchAnswer(const std::string& key, const std::string& value)
+{
+    const nlohmann::json event { { "key", key }, { "value", base64(value) }, { "revision", 8 } };
+    return httpAnswer(nlohmann::json { { "at", 8 }, { "events", nlohmann::json::array({ event }) } }.dump());
+}
+
 // Returns a configuration as its operators write it, with names that do not repeat.
 std::string configurationText(int routes)
 {
@@ -89,16 +96,22 @@
     ViewKeeper keeper;
 };
 
-/// Sends the same answer to each request, in equal pieces that timers pace.
+/// An answer in equal pieces.
+struct PacedAnswer {
+    std::string bytes;
+    std::size_t pieces;
+    Milliseconds delay { 0 }; // of the first piece
+    std::size_t silentAfter = std::numeric_limits<std::size_t>::max(); // pieces; it stays connected then
+};
+
+/// Answers one request after the other, the last answer again and again, in pieces that
+/// timers pace.
 class PacedSource {
 public:
-    /// \param silentAfter  pieces after which it sends nothing more and stays connected
-    PacedSource(EventLoop& loop, std::string answer, std::size_t pieces, Milliseconds pace, std::size_t silentAfter = std::numeric_limits<std::size_t>::max())
+    PacedSource(EventLoop& loop, std::vector<PacedAnswer> answers, Milliseconds pace)
         : m_loop(loop)
-        , m_answer(std::move(answer))
-        , m_pieceBytes(m_answer.size() / pieces + 1)
+        , m_answers(std::move(answers))
         , m_pace(pace)
-        , m_silentAfter(silentAfter)
         , m_acceptor(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
     {
         accept();
@@ -106,7 +119,10 @@
 
     std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
 
-    int requests() const { return m_requests; }
+    std::size_t requests() const { return m_requests; }
+
+    // When the first piece of the last answer was sent.
+    TimePoint beganAt() const { return m_beganAt; }
 
 private:
     struct Connection {
@@ -118,9 +134,11 @@
         TcpSocket socket;
         LoopTimer timer;
         std::string request;
+        PacedAnswer answer;
         std::size_t sent = 0;
         std::size_t pieces = 0;
     };
+    using ConnectionPointer = std::shared_ptr<Connection>;
 
     void accept()
     {
@@ -131,40 +149,46 @@
             asio::async_read_until(connection->socket, asio::dynamic_buffer(connection->request), "\r\n\r\n", [this, connection](boost::system::error_code problem, std::size_t) {
                 if (problem)
                     return;
-                ++m_requests;
-                sendPiece(connection);
+                connection->answer = m_answers[std::min(m_requests++, m_answers.size() - 1)];
+                sendAfter(connection->answer.delay, connection);
             });
             accept();
         });
     }
 
-    void sendPiece(const std::shared_ptr<Connection>& connection)
+    void sendAfter(Milliseconds delay, const ConnectionPointer& connection)
+    {
+        connection->timer.expires_after(delay);
+        connection->timer.async_wait([this, connection](boost::system::error_code) { sendPiece(connection); });
+    }
+
+    void sendPiece(const ConnectionPointer& connection)
     {
-        if (connection->pieces++ == m_silentAfter)
+        const auto& answer = connection->answer;
+        if (connection->pieces == 0)
+            m_beganAt = monotonicNow();
+        if (connection->pieces++ == answer.silentAfter)
             return hold(connection);
-        const auto piece = m_answer.substr(connection->sent, m_pieceBytes);
+        const auto piece = answer.bytes.substr(connection->sent, answer.bytes.size() / answer.pieces + 1);
         boost::system::error_code error;
         asio::write(connection->socket, asio::buffer(piece), error);
         connection->sent += piece.size();
-        if (error || connection->sent == m_answer.size())
-            return;
-        connection->timer.expires_after(m_pace);
-        connection->timer.async_wait([this, connection](boost::system::error_code) { sendPiece(connection); });
+        if (!error && connection->sent < answer.bytes.size())
+            sendAfter(m_pace, connection);
     }
 
     // Stays connected until the other side leaves.
-    void hold(const std::shared_ptr<Connection>& connection)
+    void hold(const ConnectionPointer& connection)
     {
         connection->socket.async_wait(TcpSocket::wait_read, [connection](boost::system::error_code) {});
     }
 
     EventLoop& m_loop;
-    std::string m_answer;
-    std::size_t m_pieceBytes;
+    std::vector<PacedAnswer> m_answers;
     Milliseconds m_pace;
-    std::size_t m_silentAfter;
     asio::ip::tcp::acceptor m_acceptor;
-    int m_requests = 0;
+    std::size_t m_requests = 0;
+    TimePoint m_beganAt;
 };
 
 }
@@ -201,7 +225,7 @@
 TEST(View, AFollowerKeepsAnAnswerThatTakesLongerThanItsWait)
 {
     readStore("op/config", configurationText(1370));
-    PacedSource paced(loop, wholeAnswer(), 20, Milliseconds(100)); // 2 s, the wait is 0.8 s
+    PacedSource paced(loop, { { wholeAnswer(), 20 } }, Milliseconds(100)); // 2 s, the wait is 0.8 s
     ViewProcess follower(loop, "follower", unusedStore.address(), false);
     follower.keeper.setEntries({ { "source", paced.address(), "north", "north-a", "entry" } });
     follower.keeper.start({});
@@ -224,7 +248,7 @@
 TEST(View, AFollowerLeavesASourceThatFallsSilentWithinItsAnswer)
 {
     readStore("op/config", configurationText(1370));
-    PacedSource silent(loop, wholeAnswer(), 20, Milliseconds(10), 5);
+    PacedSource silent(loop, { { wholeAnswer(), 20, Milliseconds(0), 5 } }, Milliseconds(10));
     ViewProcess follower(loop, "follower", unusedStore.address(), false);
     follower.keeper.setEntries({ { "source", silent.address(), "north", "north-a", "entry" } });
     follower.keeper.start({});
@@ -302,8 +326,7 @@
 {
     readStore("op/config", configurationText(1));
     const auto before = source.ask(0);
-    const nlohmann::json event { { "key", "op/version/m" }, { "value", base64("{}") }, { "revision", 8 } };
-    store.answer(httpAnswer(nlohmann::json { { "at", 8 }, { "events", nlohmann::json::array({ event }) } }.dump()));
+    store.answer(watchAnswer("op/version/m", "{}"));
     while (source.keeper.revision() == 7)
         loop.run_one();
     const auto changes = source.ask(7);
@@ -316,6 +339,29 @@
     LONGS_EQUAL(2, decodeView(whole->fields, whole->body).value().update.records.size());
 }
 
+// Regression: as with a peer, whatever had come of the store's answer was dropped.
+TEST(View, AReadOfTheStoreThatTakesLongerThanItsWaitIsKept)
+{
+    PacedSource paced(loop, { { readAnswer("op/config", configurationText(1370)), 20 } }, Milliseconds(100)); // 2 s, the wait is 1.5 s
+    ViewProcess reader(loop, "reader", paced.address(), true);
+    reader.keeper.start({});
+    while (reader.keeper.revision() == 0 && paced.requests() < 2)
+        loop.run_one();
+    LONGS_EQUAL(7, reader.keeper.revision());
+    LONGS_EQUAL(1, paced.requests());
+}
+
+TEST(View, AWatchOfTheStoreThatTakesLongerThanItsWaitIsKept)
+{
+    PacedSource paced(loop, { { readAnswer("a", "1"), 1 }, { watchAnswer("op/config", configurationText(1370)), 20 } }, Milliseconds(100)); // 2 s, the wait is 1.6 s
+    ViewProcess reader(loop, "reader", paced.address(), true);
+    reader.keeper.start({});
+    while (reader.keeper.revision() < 8 && paced.requests() < 3)
+        loop.run_one();
+    LONGS_EQUAL(8, reader.keeper.revision());
+    LONGS_EQUAL(2, paced.requests());
+}
+
 TEST_GROUP(TransferLimits)
 {
     EventLoop loop { 1 };
@@ -333,7 +379,7 @@
 
 TEST(TransferLimits, AnAnswerThatDoesNotBeginIsLeft)
 {
-    PacedSource silent(loop, answer, 10, Milliseconds(10), 0);
+    PacedSource silent(loop, { { answer, 10, Milliseconds(0), 0 } }, Milliseconds(10));
     const auto now = monotonicNow();
     const auto endBy = now + Milliseconds(30000);
     CHECK(ExchangeEnd::Timeout == fetch(silent.address(), { endBy, now + Milliseconds(300), Milliseconds(30000), endBy }).end);
@@ -342,7 +388,7 @@
 
 TEST(TransferLimits, AnAnswerThatStopsIsLeft)
 {
-    PacedSource silent(loop, answer, 10, Milliseconds(10), 3);
+    PacedSource silent(loop, { { answer, 10, Milliseconds(0), 3 } }, Milliseconds(10));
     const auto endBy = monotonicNow() + Milliseconds(30000);
     CHECK(ExchangeEnd::Timeout == fetch(silent.address(), { endBy, monotonicNow() + Milliseconds(100), Milliseconds(300), endBy }).end);
     CHECK(monotonicNow() < endBy);
@@ -350,7 +396,7 @@
 
 TEST(TransferLimits, AnAnswerThatTricklesIsLeftAtTheEnd)
 {
-    PacedSource trickle(loop, answer, 1000, Milliseconds(20)); // 20 s
+    PacedSource trickle(loop, { { answer, 1000 } }, Milliseconds(20)); // 20 s
     const auto now = monotonicNow();
     CHECK(ExchangeEnd::Timeout == fetch(trickle.address(), { now + Milliseconds(500), now + Milliseconds(500), Milliseconds(60000), now + Milliseconds(500) }).end);
 }
