A listener that goes ends its open exchanges

Seen: with the gateway gone before the loop, the loop's end still called into it. Connections with an open exchange live in the loop's handlers; destroying them ended their exchanges, whose onDone (an upload of WeightsSwarm) posts to the context's loop. The context is gone by then. On the stack the sanitizer does not see it; in a trial with the context on the heap:

heap-use-after-free: WeightsSwarm.cpp:353 operator() (onDone of uploadNext) Exchange::done() <- ~ServerConnection() <- ~io_context()

Mend: HttpListener closes its connections when it is destroyed, so that onDone is called while the owner and its context are there. Handlers that the loop destroys later have nothing left to call. Closing does not call onGone, so no call is taken for left.

Test: AListenerThatGoesEndsItsOpenExchanges, without a sanitizer's help; failed before (CHECK(isDone)).

--- a/modules/hyssopwick_gateway/http/HttpListener.cpp
+++ b/modules/hyssopwick_gateway/http/HttpListener.cpp
@@ -33,7 +33,14 @@
     m_state->shared->limits = std::move(limits);
 }
 
-HttpListener::~HttpListener() { stopAccepting(); }
+HttpListener::~HttpListener()
+{
+    stopAccepting();
+    // The loop holds the connections for longer than the owner lives that their exchanges call.
+    const auto connections = m_state->shared->connections;
+    for (auto* connection : connections)
+        connection->close();
+}
 
 Outcome<void> HttpListener::listen(const std::string& address)
 {
--- a/modules/hyssopwick_gateway/http/ServerConnection.h
+++ b/modules/hyssopwick_gateway/http/ServerConnection.h
@@ -39,6 +39,9 @@
     /// Closes the connection now if no request is being read or answered.
     void closeIfIdle();
 
+    /// Closes the connection now and ends the exchange that is open on it.
+    void close();
+
 private:
     class Exchange;
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -59,7 +62,6 @@
     void answerDone();
     void endExchange();
     void closeLingering();
-    void close();
     void armTimer(TimePoint deadline, std::function<void()> handler);
     void disarmTimer();
     std::string headText(unsigned status, const HeaderFields& fields, const std::string& framing) const;
--- a/tests/platform/GatewayStopTests.cpp
+++ b/tests/platform/GatewayStopTests.cpp
@@ -136,3 +136,22 @@
     child.signal(SIGTERM);
     LONGS_EQUAL(0, child.waitForEnd([&loop] { loop.poll(); }));
 }
+
+TEST(GatewayStop, AListenerThatGoesEndsItsOpenExchanges)
+{
+    EventLoop loop(1);
+    ServerExchangePointer exchange;
+    bool isDone = false;
+    const auto serve = [&](const ServerExchangePointer& received) {
+        exchange = received;
+        exchange->onDone([&isDone] { isDone = true; });
+    };
+    auto listener = std::make_unique<HttpListener>(loop, serve, [] { return CallerLimits(); });
+    CHECK(listener->listen(std::string(ownIp) + ":" + std::to_string(internalPort)).has_value());
+    SlowReader caller(loop, internalPort, "/");
+    while (!exchange)
+        loop.run_one();
+    CHECK_FALSE(isDone);
+    listener.reset();
+    CHECK(isDone);
+}
