A source passes a change on with the age of its own news

Cause: waiting followers were answered before the source had recorded its own answer, so the age in a change was that of the knowledge before it: the wait for the change and the way of the answer. Above 1.2 s the followers left the source that had the news. Evidence: a scripted watch that answers after 0.9 s; the new test failed before. Change: the answer is recorded, then the waiting followers are answered.

--- a/modules/hyssopwick_gateway/view/ViewKeeper.cpp
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.cpp
@@ -112,8 +112,8 @@
                 return readStore(collected->records.back().key, collected, transfer);
             collected->isWhole = true;
             m_isRereadNeeded = false;
-            take(*collected, "store", transfer);
-            answered(FollowStore {}, Milliseconds(0), transfer.beganAt);
+            const bool isChanged = take(*collected, "store", transfer);
+            answered(FollowStore {}, Milliseconds(0), transfer.beganAt, isChanged);
         });
 }
 
@@ -134,11 +134,11 @@
             auto page = m_context.ports.store->decodeWatch(response.body);
             if (!page)
                 return failed(FollowStore {}, page.error().message, transfer);
-            const bool isChanged = !page.value().records.empty();
-            take({ page.value().revision, false, std::move(page.value().records) }, "store", transfer);
+            const bool isNews = !page.value().records.empty();
+            const bool isChanged = take({ page.value().revision, false, std::move(page.value().records) }, "store", transfer);
             // Each call to the store has its price and each update wakes all followers. A
             // change that comes alone is not delayed.
-            answered(FollowStore {}, Milliseconds(0), transfer.beganAt, isChanged ? m_context.description.collectionTime() : Milliseconds(0));
+            answered(FollowStore {}, Milliseconds(0), transfer.beganAt, isChanged, isNews ? m_context.description.collectionTime() : Milliseconds(0));
         });
 }
 
@@ -156,8 +156,8 @@
         const auto answer = decodeView(response.fields, response.body);
         if (!answer)
             return failed(peer, answer.error().message, transfer);
-        take(answer.value().update, peer.id, transfer);
-        answered(peer, answer.value().age, transfer.beganAt);
+        const bool isChanged = take(answer.value().update, peer.id, transfer);
+        answered(peer, answer.value().age, transfer.beganAt, isChanged);
     });
 }
 
@@ -170,7 +170,7 @@
     return transfer;
 }
 
-void ViewKeeper::answered(const FollowSource& source, Milliseconds age, TimePoint at, Milliseconds pause)
+void ViewKeeper::answered(const FollowSource& source, Milliseconds age, TimePoint at, bool isChanged, Milliseconds pause)
 {
     const bool isLagging = FollowDecision::isTooOld(age);
     if (!isLagging)
@@ -180,6 +180,9 @@
         m_context.log.write("view.source-regained", { { "source", describe(source) }, { "revision", std::to_string(m_view.revision()) } });
     }
     m_decision.recordAnswer(source, age, at);
+    // Only now, since the answers say how old this process's knowledge is.
+    if (isChanged)
+        answerWaitingPeers();
     if (isLagging)
         followLater(nextRetryPause());
     else if (!(source == m_decision.source()))
@@ -216,7 +219,7 @@
     return pause;
 }
 
-void ViewKeeper::take(const ViewUpdate& update, const std::string& from, const Transfer& transfer)
+bool ViewKeeper::take(const ViewUpdate& update, const std::string& from, const Transfer& transfer)
 {
     const auto ageBefore = age(); // the caller records the answer after this
     const auto revisionBefore = m_view.revision();
@@ -226,11 +229,11 @@
     for (const auto& record : changed)
         observe(record);
     if (changed.empty())
-        return;
+        return false;
     m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isWhole ? "true" : "false" }, { "bytes", std::to_string(transfer.bytes) }, { "age_ms", std::to_string(ageBefore.count()) } });
     if (m_observer.onBatchEnd)
         m_observer.onBatchEnd();
-    answerWaitingPeers();
+    return true;
 }
 
 void ViewKeeper::observe(const StoreRecord& record)
--- a/modules/hyssopwick_gateway/view/ViewKeeper.h
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.h
@@ -62,9 +62,10 @@
     void failed(const FollowSource& source, const std::string& problem, const Transfer& transfer);
     void lagging(const FollowSource& source);
     Milliseconds nextRetryPause();
-    void answered(const FollowSource& source, Milliseconds age, TimePoint at, Milliseconds pause = Milliseconds(0));
+    void answered(const FollowSource& source, Milliseconds age, TimePoint at, bool isChanged, Milliseconds pause = Milliseconds(0));
     Transfer received(const FollowSource& source, Transfer transfer, const WholeResponse& response);
-    void take(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
+    /// Returns whether a record changed.
+    bool take(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
     void observe(const StoreRecord& record);
     void answerPeer(const WaitingPeer& peer);
     void answerWaitingPeers();
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -362,6 +362,24 @@
     LONGS_EQUAL(2, paced.requests());
 }
 
+// Regression: a source told its followers of a change with the age that its knowledge had
+// before the change, and was left by them as one that lags.
+TEST(View, ASourcePassesAChangeOnWithTheAgeOfItsOwnNews)
+{
+    PacedSource paced(loop, { { readAnswer("a", "1"), 1 }, { watchAnswer("a", "2"), 1, Milliseconds(900) } }, Milliseconds(10));
+    ViewProcess reader(loop, "reader", paced.address(), true);
+    reader.keeper.start({});
+    while (reader.keeper.revision() == 0)
+        loop.run_one();
+    auto waiting = reader.ask(7);
+    while (!waiting->isOver || decodeView(waiting->fields, waiting->body).value().update.revision < 8) {
+        if (waiting->isOver)
+            waiting = reader.ask(7); // its wait has passed without a change
+        loop.run_one();
+    }
+    CHECK(decodeView(waiting->fields, waiting->body).value().age <= monotonicNow() - paced.beganAt());
+}
+
 TEST_GROUP(TransferLimits)
 {
     EventLoop loop { 1 };
