Monotonic time goes on while a VM is suspended

Cause, found on review: std::chrono::steady_clock does not count the time in which a VM is suspended, and all bounds were measured with it. An entry that was suspended for 4 s while a version was out kept the old weights in use for 4 s longer, and took its old view for fresh. Change: TimePoint is of a clock that reads CLOCK_BOOTTIME, and the loop's timers run on it.

--- a/modules/hyssopwick_gateway/http/NetworkTypes.h
+++ b/modules/hyssopwick_gateway/http/NetworkTypes.h
@@ -12,7 +12,7 @@
 using TcpSocket = asio::ip::tcp::socket;
 using UdpSocket = asio::ip::udp::socket;
 using EventLoop = asio::io_context;
-using LoopTimer = asio::steady_timer;
+using LoopTimer = asio::basic_waitable_timer<MonotonicClock>;
 
 /// Parses "ip:port". Fails with ErrorCode::InvalidInput.
 Outcome<asio::ip::tcp::endpoint> parseEndpoint(const std::string& address);
