Bounds of versions reach calls that wait, and are told from process to process

A version that an entry learnt late did not reach the calls that waited already: with a caller's limit below the bound no timer ran at all. Every call that waits is looked at when a version is named, by what its engine held at the send when nothing newer is known of it (its registration ended, or it loads). 2. The moment since when a version may have been named was guessed by each process from its own gaps: up to 2.3 s late without a gap, and far too early after an outage of the store, when all engines on old weights would have left service at once. The process that reads the store says it now, and each view tells its followers how long ago it was. Bounds do not count while the store is away, so a gap with failed calls to it is none; one without is a suspension. 3. A call that was still connecting goes on as not sent, so that one which may run only once is not lost; a whole answer whose head has come is left alone. 4. Agents of a small region turn to the store in turns too.

--- a/modules/hyssopwick_deployment/view/FollowDecision.cpp
+++ b/modules/hyssopwick_deployment/view/FollowDecision.cpp
@@ -13,16 +13,17 @@
     // Between two processes of a region that turn to the store or another region: time for an
     // answer, so that the next one follows the one before instead.
     constexpr Milliseconds crossingStep { 400 };
-    // Processes after this place, such as all agents, are spread over as many turns again.
+    // Processes after this place, and all agents, are spread over as many turns again.
     constexpr std::size_t lastCrossingPlace = 10;
     // A follower of the store waits up to 1 s for a change, then asks anew.
     constexpr Milliseconds maxSourceAge { 1200 };
     // A process that fell back to another source looks at its preferred one again.
     constexpr Milliseconds preferredRetryPeriod { 3000 };
     constexpr Milliseconds unknownAge { 3600000 };
-    // Longest age without a gap: a follower of the store waits 1 s, entries and agents behind
-    // it 0.5 s each, and an answer may take 0.3 s.
-    constexpr Milliseconds longestOrdinaryAge { 2300 };
+    // A follower of the store waits 1 s for a change, and an answer may take 0.6 s.
+    constexpr Milliseconds longestOrdinaryAge { 1600 };
+    // A process that was suspended loses the call that waited meanwhile, and no other.
+    constexpr unsigned failuresOfSuspension = 1;
 }
 
 FollowDecision::FollowDecision(VmIdentity self, bool isEntry, std::vector<std::string> seeds)
@@ -78,8 +79,8 @@
     // Agents are spread over the entries of their region.
     const auto self = std::find(order.begin(), order.end(), m_self.id);
     m_place = static_cast<std::size_t>(self - order.begin());
-    if (m_place > lastCrossingPlace)
-        m_place = lastCrossingPlace + static_cast<std::size_t>(stableHash(m_self.id) % lastCrossingPlace);
+    if (!m_isEntry || m_place > lastCrossingPlace)
+        m_place = std::min(m_place, lastCrossingPlace) + static_cast<std::size_t>(stableHash(m_self.id) % lastCrossingPlace);
     auto peers = m_isEntry ? std::vector<std::string>(order.begin(), self) : rendezvousOrder(m_self.id, order);
     peers.resize(std::min(peers.size(), maxRegionalSources));
     std::map<std::string, std::vector<std::string>> elsewhere;
@@ -142,10 +143,13 @@
 {
     if (!m_hasAnswer || now - age > m_knownAt)
         m_knownAt = now - age;
+    m_failures = 0;
     const bool isFirst = !m_hasAnswer;
     m_hasAnswer = true;
-    if (isFirst && !m_seeds.empty())
+    if (isFirst && !m_seeds.empty()) {
+        m_lostAt.reset();
         return rank();
+    }
     if (!(source == this->source()))
         return;
     if (age > maxSourceAge)
@@ -173,6 +177,7 @@
 
 void FollowDecision::recordFailure(const FollowSource& source, TimePoint now)
 {
+    ++m_failures;
     if (!(source == this->source()))
         return;
     if (m_position == 0)
@@ -186,7 +191,8 @@
 TimePoint FollowDecision::changesSince(TimePoint now) const
 {
     const auto knownFor = age(now);
-    return knownFor <= longestOrdinaryAge ? now : now - knownFor;
+    const bool wasStoreAway = m_hasAnswer && m_failures > failuresOfSuspension;
+    return knownFor <= longestOrdinaryAge || wasStoreAway ? now : now - knownFor;
 }
 
 Milliseconds FollowDecision::age(TimePoint now) const
--- a/modules/hyssopwick_deployment/view/FollowDecision.h
+++ b/modules/hyssopwick_deployment/view/FollowDecision.h
@@ -59,9 +59,10 @@
     /// Returns whether \p age is too old for others to follow this process.
     static bool isTooOld(Milliseconds age);
 
-    /// Returns the earliest moment at which a change that is learnt now may have been made: it
-    /// is passed on at once while sources answer in their ordinary time, and may be as old as
-    /// the gap after one. Call before recordAnswer().
+    /// Returns the earliest moment at which a change that the store tells now may have been
+    /// made: just now while it answers in its ordinary time, and at any time in a gap in which
+    /// this process did not run. While the store itself cannot be reached, bounds on its changes
+    /// do not count. Call before recordAnswer().
     TimePoint changesSince(TimePoint now) const;
 
     /// Returns how old the knowledge of the store is; a very long time before the first answer.
@@ -83,6 +84,7 @@
     bool m_isRegionAnswering = false; // though its sources lag
     std::size_t m_place = 0; // of this process in the order in which regions are left
     std::size_t m_position = 0;
+    unsigned m_failures = 0; // of sources since the last answer
     std::optional<TimePoint> m_lostAt; // since when no source in the region is current
     bool m_hasAnswer = false;
     TimePoint m_knownAt; // instant for which the knowledge of the store held
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -70,9 +70,8 @@
     observer.onVersion = [this](const WeightsVersion& version, TimePoint namedAfter) {
         if (!m_service || m_service->models.empty() || version.model != m_service->models.front())
             return;
-        const auto namedAt = namedAfter - m_context.description.collectionTime();
-        if (m_versions.emplace(version.version, NamedVersion { namedAt, true }).second)
-            m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) }, { "at_most_ms_ago", std::to_string(millisecondsBetween(namedAt, monotonicNow())) } });
+        if (m_versions.emplace(version.version, NamedVersion { namedAfter, true }).second)
+            m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) }, { "at_most_ms_ago", std::to_string(millisecondsBetween(namedAfter, monotonicNow())) } });
     };
     observer.onNode = [this](const RegisteredNode& node) { m_entries[node.vm.id] = node.vm; };
     observer.onNodeGone = [this](const std::string& id) { m_entries.erase(id); };
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -235,27 +235,37 @@
         m_services.context().metrics.count("calls_sent_to_older_weights_total");
     m_services.context().log.write("call.sent", { { "request", m_call.requestId }, { "upstream", upstreamId }, { "attempt", std::to_string(m_sentAttempts + 1) }, { "left_ms", milliseconds(forwarding.timeLeft) }, { "resume", m_lastEventId.empty() ? "no" : m_lastEventId }, { "held", std::to_string(m_services.heldVersion(*upstream)) }, { "begin_within_ms", beginBy ? std::to_string(millisecondsBetween(now, *beginBy)) : "any" } });
     m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), std::move(handlers));
-    if (isEngineCall())
-        watchBeginning();
+    m_heldAtSend = m_services.heldVersions(*upstream);
+    watchBeginning();
 }
 
-// A call may wait at an engine for longer than was predicted, and newer weights may be named
-// meanwhile.
-void CallFlow::watchBeginning()
+bool CallFlow::waitsAtEngine() const
+{
+    // The head of a stream may come before its first event, a whole answer's does not.
+    const bool hasBegun = m_firstEventAfterSend >= 0 || (m_hasHead && !m_isStreamAnswer);
+    return m_phase != Phase::Ended && isEngineCall() && m_attempt && !m_upstream.empty() && !hasBegun;
+}
+
+// An engine that is not registered any more or loads may still begin the call on what it held.
+std::optional<TimePoint> CallFlow::beginBy() const
 {
     const auto* upstream = m_services.upstream(m_upstream);
-    const auto until = upstream ? m_services.usableUntil(*upstream) : std::nullopt;
-    // Weights that are named from now on leave at least this time.
-    m_beginBy = until.value_or(monotonicNow() + m_services.noticeOfOldWeights());
-    if (m_beginBy >= m_deadline)
+    const auto held = upstream ? m_services.heldVersions(*upstream) : m_heldAtSend;
+    return m_services.usableUntil(held.empty() ? m_heldAtSend : held);
+}
+
+// A call may wait at an engine for longer than was predicted.
+void CallFlow::watchBeginning()
+{
+    const auto until = waitsAtEngine() ? beginBy() : std::nullopt;
+    if (!until || *until >= m_deadline)
         return;
-    m_beginTimer.expires_at(m_beginBy);
+    m_beginTimer.expires_at(*until);
     m_beginTimer.async_wait([weak = weak_from_this(), attempt = std::weak_ptr<HttpExchange>(m_attempt)](boost::system::error_code error) {
         const auto self = weak.lock();
-        if (error || !self || self->m_upstream.empty() || self->m_attempt != attempt.lock() || self->m_firstEventAfterSend >= 0)
+        if (error || !self || self->m_attempt != attempt.lock() || !self->waitsAtEngine())
             return;
-        const auto* upstream = self->m_services.upstream(self->m_upstream);
-        const auto until = upstream ? self->m_services.usableUntil(*upstream) : std::nullopt;
+        const auto until = self->beginBy();
         if (until && *until <= monotonicNow())
             self->takeBack();
         else
@@ -267,10 +277,13 @@
 void CallFlow::takeBack()
 {
     m_services.context().metrics.count("calls_taken_back_total");
+    const bool isSent = m_attempt->isSent();
     m_attempt->cancel();
     leaveUpstream();
-    ++m_sentAttempts;
-    attemptFailed(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "old-weights");
+    m_sentAttempts += isSent;
+    attemptFailed(!isSent ? AttemptFailure::NotSent : m_eventsForwarded > 0 ? AttemptFailure::StreamBroken
+                                                                            : AttemptFailure::Lost,
+        "old-weights");
 }
 
 void CallFlow::handleHead(const ResponseHead& head)
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -25,6 +25,9 @@
     /// may be resumed goes on elsewhere.
     void upstreamDown(const std::string& address);
 
+    /// Sets anew until when the call may begin where it waits. Call when a version was named.
+    void watchBeginning();
+
     /// Ends the call now, because the process stops.
     void cut();
 
@@ -63,7 +66,8 @@
     void callerLeft();
     void end(const char* outcome, unsigned status);
     void leaveUpstream();
-    void watchBeginning();
+    bool waitsAtEngine() const;
+    std::optional<TimePoint> beginBy() const;
     void takeBack();
     bool mayRunAgain() const;
     bool isEngineCall() const { return m_service && m_service->engine.has_value(); }
@@ -107,7 +111,7 @@
     bool m_isQueued = false;
     double m_predictedFirstEvent = 0; // milliseconds after the send
     TimePoint m_sentAt;
-    TimePoint m_beginBy; // the attempt is taken back unless it has begun
+    std::map<std::string, std::uint64_t> m_heldAtSend; // by the attempt's engine, by model
     std::int64_t m_firstEventAfterSend = -1;
 };
 
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -77,6 +77,10 @@
         for (const auto& [id, call] : calls)
             call->upstreamDown(address);
     });
+    m_services.onVersion([this] {
+        for (const auto& [id, call] : m_calls)
+            call->watchBeginning();
+    });
     ViewKeeper::Observer observer;
     observer.onConfiguration = [this](const DeploymentConfiguration& configuration) { m_services.setConfiguration(configuration); };
     observer.onUpstream = [this](const Upstream& upstream) { m_services.setUpstream(upstream); };
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -66,10 +66,11 @@
 
 void EntryServices::setVersion(const WeightsVersion& version, TimePoint namedAfter)
 {
-    const auto namedAt = namedAfter - m_context.description.collectionTime();
-    if (!m_namedVersions[version.model].emplace(version.version, namedAt).second)
+    if (!m_namedVersions[version.model].emplace(version.version, namedAfter).second)
         return;
-    m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) }, { "at_most_ms_ago", std::to_string(millisecondsBetween(namedAt, monotonicNow())) } });
+    m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) }, { "at_most_ms_ago", std::to_string(millisecondsBetween(namedAfter, monotonicNow())) } });
+    if (m_onVersion)
+        m_onVersion();
 }
 
 const EngineStatus* EntryServices::engineAt(const std::string& address) const
@@ -105,12 +106,14 @@
     return held.empty() ? 0 : held.begin()->second;
 }
 
+std::optional<TimePoint> EntryServices::usableUntil(const Upstream& upstream) const { return usableUntil(heldVersions(upstream)); }
+
 // Calls may not begin on a version once the bound of any later one has passed; naming yet
 // another version does not put that off.
-std::optional<TimePoint> EntryServices::usableUntil(const Upstream& upstream) const
+std::optional<TimePoint> EntryServices::usableUntil(const std::map<std::string, std::uint64_t>& heldVersions) const
 {
     std::optional<TimePoint> until;
-    for (const auto& [model, held] : heldVersions(upstream)) {
+    for (const auto& [model, held] : heldVersions) {
         const auto named = m_namedVersions.find(model);
         if (named == m_namedVersions.end())
             continue;
@@ -253,8 +256,8 @@
     if (const auto expiry = m_registry.nextExpiry())
         next = std::min(next, *expiry);
     for (const auto& [model, versions] : m_namedVersions) {
-        for (const auto& [version, namedAt] : versions) {
-            const auto oldVersionsEnd = namedAt + noticeOfOldWeights();
+        for (const auto& [version, namedAfter] : versions) {
+            const auto oldVersionsEnd = namedAfter + noticeOfOldWeights();
             if (oldVersionsEnd > now)
                 next = std::min(next, oldVersionsEnd);
         }
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -50,12 +50,16 @@
     /// Returns the status of the engine at an address, or nullptr.
     const EngineStatus* engineAt(const std::string& address) const;
 
+    /// Returns the versions that an engine holds, by model, as far as is known here.
+    std::map<std::string, std::uint64_t> heldVersions(const Upstream& upstream) const;
+
     /// Returns the version of its model that an engine holds as far as is known here; 0 for none.
     std::uint64_t heldVersion(const Upstream& upstream) const;
 
     /// Returns until when calls may begin on the weights that an engine holds, or nothing
     /// while no newer ones were named.
     std::optional<TimePoint> usableUntil(const Upstream& upstream) const;
+    std::optional<TimePoint> usableUntil(const std::map<std::string, std::uint64_t>& heldVersions) const;
 
     /// Returns for how long calls may still begin on weights after newer ones were named.
     Milliseconds noticeOfOldWeights() const;
@@ -83,13 +87,14 @@
     void onCrashSighting(std::function<void(const CrashSighting&)> handler) { m_onCrashSighting = std::move(handler); }
     /// Called when an engine turned out to be down, with its address.
     void onEngineDown(std::function<void(const std::string&)> handler) { m_onEngineDown = std::move(handler); }
+    /// Called when a version was named.
+    void onVersion(std::function<void()> handler) { m_onVersion = std::move(handler); }
     /// Called when a pool changed or an engine reported.
     void onCapacity(std::function<void()> handler) { m_onCapacity = std::move(handler); }
 
 private:
     bool isUsableEngine(const Upstream& upstream) const;
     std::string regionOf(const std::string& failureDomain) const;
-    std::map<std::string, std::uint64_t> heldVersions(const Upstream& upstream) const;
     std::size_t answeringEngines(const std::vector<const Upstream*>& registered) const;
     std::optional<TimePoint> enginesExpectedAt(const std::string& service) const;
 
@@ -109,6 +114,7 @@
     std::map<std::string, std::vector<std::pair<Digest, TimePoint>>> m_lostCalls; // by upstream address
     std::function<void(const CrashSighting&)> m_onCrashSighting;
     std::function<void(const std::string&)> m_onEngineDown;
+    std::function<void()> m_onVersion;
     std::function<void()> m_onCapacity;
 };
 
--- a/modules/hyssopwick_gateway/view/ViewKeeper.cpp
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.cpp
@@ -21,6 +21,8 @@
     constexpr Milliseconds firstRetryPause { 50 };
     constexpr Milliseconds longestRetryPause { 1000 };
     constexpr std::string_view viewPath = "/view?after=";
+    // Versions whose naming is passed on; bounds of earlier ones have passed.
+    constexpr std::size_t maxVersionsTold = 8;
 
     std::string describe(const FollowSource& source)
     {
@@ -148,7 +150,7 @@
     HttpCall call;
     call.target = std::string(viewPath) + std::to_string(m_view.revision());
     fetchWhole(m_context.loop, peer.address, std::move(call), { now + connectTimeout, now + peerWait + peerAnswerSlack, longestPause, now + longestTransfer }, [this, peer, now](WholeResponse response) {
-        const auto transfer = received(peer, { now }, response);
+        auto transfer = received(peer, { now }, response);
         if (response.isComplete() && response.status == statusUnavailable)
             return lagging(peer);
         if (!response.isComplete() || response.status != statusOk)
@@ -156,6 +158,7 @@
         const auto answer = decodeView(response.fields, response.body);
         if (!answer)
             return failed(peer, answer.error().message, transfer);
+        transfer.versionAges = answer.value().versionAges;
         const bool isChanged = take(answer.value().update, peer.id, transfer);
         answered(peer, answer.value().age, transfer.beganAt, isChanged);
     });
@@ -227,7 +230,7 @@
     if (m_view.revision() != revisionBefore || !update.records.empty())
         m_encoded.clear();
     for (const auto& record : changed)
-        observe(record);
+        observe(record, transfer);
     if (changed.empty())
         return false;
     m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isWhole ? "true" : "false" }, { "bytes", std::to_string(transfer.bytes) }, { "age_ms", std::to_string(ageBefore.count()) } });
@@ -236,7 +239,27 @@
     return true;
 }
 
-void ViewKeeper::observe(const StoreRecord& record)
+// A peer knows since when a version may have been named, however late it tells.
+TimePoint ViewKeeper::recordNaming(std::uint64_t revision, const Transfer& transfer)
+{
+    const auto told = transfer.versionAges.find(revision);
+    const auto namedAfter = told != transfer.versionAges.end() ? transfer.beganAt - told->second : m_decision.changesSince(transfer.beganAt) - m_context.description.collectionTime();
+    m_versionsNamedAfter[revision] = namedAfter;
+    if (m_versionsNamedAfter.size() > maxVersionsTold)
+        m_versionsNamedAfter.erase(m_versionsNamedAfter.begin());
+    return namedAfter;
+}
+
+VersionAges ViewKeeper::versionAges() const
+{
+    const auto now = monotonicNow();
+    VersionAges ages;
+    for (const auto& [revision, namedAfter] : m_versionsNamedAfter)
+        ages[revision] = Milliseconds(std::max<std::int64_t>(0, millisecondsBetween(namedAfter, now)));
+    return ages;
+}
+
+void ViewKeeper::observe(const StoreRecord& record, const Transfer& transfer)
 {
     const auto [subject, id] = m_context.ports.store->subjectOf(record.key);
     if (record.isDeleted) {
@@ -249,6 +272,7 @@
     struct Visitor {
         ViewKeeper& keeper;
         const StoreRecord& record;
+        const Transfer& transfer;
         StoreSubject subject;
         const std::string& id;
 
@@ -273,7 +297,7 @@
         void operator()(const WeightsVersion& version) const
         {
             if (keeper.m_observer.onVersion)
-                keeper.m_observer.onVersion(version, keeper.m_decision.changesSince(monotonicNow()));
+                keeper.m_observer.onVersion(version, keeper.recordNaming(record.revision, transfer));
         }
         void operator()(const RegisteredNode& node) const
         {
@@ -281,7 +305,7 @@
                 keeper.m_observer.onNode(node);
         }
     };
-    std::visit(Visitor { *this, record, subject, id }, m_context.ports.store->decodeRecord(record));
+    std::visit(Visitor { *this, record, transfer, subject, id }, m_context.ports.store->decodeRecord(record));
 }
 
 bool ViewKeeper::serve(const ServerExchangePointer& exchange)
@@ -317,7 +341,7 @@
     const auto encoded = m_encoded.since(m_view, peer.known);
     m_context.metrics.count("view_answers_total", answerKind(*encoded));
     m_context.metrics.count("view_bytes_sent_total", "", encoded->body.size());
-    peer.exchange->respond(statusOk, encoded->fields(age()), encoded->body);
+    peer.exchange->respond(statusOk, encoded->fields(age(), versionAges()), encoded->body);
 }
 
 void ViewKeeper::answerWaitingPeers()
--- a/modules/hyssopwick_gateway/view/ViewKeeper.h
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.h
@@ -52,6 +52,7 @@
         TimePoint requestedAt;
         TimePoint beganAt {}; ///< arrival of the first answer's head; what it says held then
         std::uint64_t bytes = 0; ///< of the answer's body
+        VersionAges versionAges {}; ///< as a peer knows them
     };
 
     void follow();
@@ -66,7 +67,9 @@
     Transfer received(const FollowSource& source, Transfer transfer, const WholeResponse& response);
     /// Returns whether a record changed.
     bool take(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
-    void observe(const StoreRecord& record);
+    void observe(const StoreRecord& record, const Transfer& transfer);
+    TimePoint recordNaming(std::uint64_t revision, const Transfer& transfer);
+    VersionAges versionAges() const;
     void answerPeer(const WaitingPeer& peer);
     void answerWaitingPeers();
     void expireWaitingPeers();
@@ -74,6 +77,7 @@
     GatewayContext& m_context;
     FollowDecision m_decision;
     StoreView m_view;
+    std::map<std::uint64_t, TimePoint> m_versionsNamedAfter; // by revision
     EncodedViews m_encoded; // of the view's current revision
     Observer m_observer;
     LoopTimer m_followTimer;
--- a/modules/hyssopwick_gateway/view/ViewMessage.cpp
+++ b/modules/hyssopwick_gateway/view/ViewMessage.cpp
@@ -14,17 +14,31 @@
     // Followers know the last revision or the one before; those that start know none. What
     // is kept is memory of an entry VM.
     constexpr std::size_t maxKeptEncodings = 4;
-    constexpr std::size_t maxAgeDigits = 12;
+    constexpr std::size_t maxDigits = 18;
     constexpr const char* ageField = "View-Age-Ms";
+    constexpr const char* versionAgesField = "View-Version-Ages"; // REVISION:MILLISECONDS, ...
     constexpr const char* codingField = "Content-Encoding";
     constexpr const char* deflateCoding = "deflate";
 
-    Outcome<Milliseconds> decodeAge(const HeaderFields& fields)
+    Outcome<std::uint64_t> decodeNumber(const std::string& text)
     {
-        const std::string text(headerValue(fields, ageField));
-        if (text.empty() || text.size() > maxAgeDigits || text.find_first_not_of("0123456789") != std::string::npos)
-            return failure(ErrorCode::InvalidInput, "malformed view: age \"" + text + "\"");
-        return Milliseconds(std::stoll(text));
+        if (text.empty() || text.size() > maxDigits || text.find_first_not_of("0123456789") != std::string::npos)
+            return failure(ErrorCode::InvalidInput, "malformed view: number \"" + text + "\"");
+        return std::stoull(text);
+    }
+
+    Outcome<VersionAges> decodeVersionAges(const std::string& text)
+    {
+        VersionAges ages;
+        for (std::size_t begin = 0; begin < text.size();) {
+            const auto end = std::min(text.find(',', begin), text.size());
+            const auto colon = std::min(text.find(':', begin), end);
+            BOOST_OUTCOME_TRY(revision, decodeNumber(text.substr(begin, colon - begin)));
+            BOOST_OUTCOME_TRY(age, decodeNumber(text.substr(std::min(colon + 1, end), end - std::min(colon + 1, end))));
+            ages[revision] = Milliseconds(age);
+            begin = end + 1;
+        }
+        return ages;
     }
 
     Outcome<ViewUpdate> decodeUpdate(const std::string& bytes)
@@ -43,11 +57,16 @@
     }
 }
 
-HeaderFields EncodedView::fields(Milliseconds age) const
+HeaderFields EncodedView::fields(Milliseconds age, const VersionAges& versionAges) const
 {
     HeaderFields fields { { ageField, std::to_string(age.count()) } };
     if (isCompressed)
         fields.emplace_back(codingField, deflateCoding);
+    std::string ages;
+    for (const auto& [revision, versionAge] : versionAges)
+        ages += (ages.empty() ? "" : ",") + std::to_string(revision) + ":" + std::to_string(versionAge.count());
+    if (!ages.empty())
+        fields.emplace_back(versionAgesField, ages);
     return fields;
 }
 
@@ -72,17 +91,19 @@
 
 Outcome<ReceivedView> decodeView(const HeaderFields& fields, const std::string& body)
 {
-    BOOST_OUTCOME_TRY(age, decodeAge(fields));
+    BOOST_OUTCOME_TRY(ageNumber, decodeNumber(std::string(headerValue(fields, ageField))));
+    const Milliseconds age(ageNumber);
+    BOOST_OUTCOME_TRY(versionAges, decodeVersionAges(std::string(headerValue(fields, versionAgesField))));
     const auto coding = headerValue(fields, codingField);
     if (!coding.empty() && coding != deflateCoding)
         return failure(ErrorCode::InvalidInput, "malformed view: content coding \"" + std::string(coding) + "\"");
     if (coding.empty()) {
         BOOST_OUTCOME_TRY(update, decodeUpdate(body));
-        return ReceivedView { std::move(update), age };
+        return ReceivedView { std::move(update), age, std::move(versionAges) };
     }
     BOOST_OUTCOME_TRY(bytes, decompress(body, maxViewBytes));
     BOOST_OUTCOME_TRY(update, decodeUpdate(bytes));
-    return ReceivedView { std::move(update), age };
+    return ReceivedView { std::move(update), age, std::move(versionAges) };
 }
 
 std::shared_ptr<const EncodedView> EncodedViews::since(const StoreView& view, std::uint64_t known)
--- a/modules/hyssopwick_gateway/view/ViewMessage.h
+++ b/modules/hyssopwick_gateway/view/ViewMessage.h
@@ -4,6 +4,10 @@
 
 namespace hyssopwick {
 
+/// How long ago records of weights versions were written at most, by their revisions. Sent as
+/// times that passed, since clocks of VMs differ.
+using VersionAges = std::map<std::uint64_t, Milliseconds>;
+
 /// An update of the view as it goes over the wire. It holds nothing that changes with
 /// time, so that one is good for all followers that know the same revision.
 struct EncodedView {
@@ -14,13 +18,14 @@
 
     /// Returns the header fields of an answer with this body.
     /// \param age  how old the sender's knowledge of the store is
-    HeaderFields fields(Milliseconds age) const;
+    HeaderFields fields(Milliseconds age, const VersionAges& versionAges = {}) const;
 };
 
 /// An update from a peer, and how old the peer's knowledge was when it answered.
 struct ReceivedView {
     ViewUpdate update;
     Milliseconds age { 0 };
+    VersionAges versionAges;
 };
 
 /// Encodes an update, compressed when it is large.
--- a/tests/platform/VersionBoundTests.cpp
+++ b/tests/platform/VersionBoundTests.cpp
@@ -107,6 +107,7 @@
     while (older.requests().empty() && !exchange->isOver)
         loop.run_one();
     services.setVersion({ "m", 2 }, monotonicNow());
+    flow->watchBeginning();
     newer.answer(streamOfOneEvent);
     addEngine("i-2", newer, 2);
     while (!exchange->isOver)
@@ -122,3 +123,22 @@
     services.refresh();
     LONGS_EQUAL(0, services.engines("models")->size());
 }
+
+// The caller leaves before the bound that follows from the send, as on the users' sites.
+TEST(VersionBound, ACallThatWaitsIsMovedWhenAVersionIsLearntLate)
+{
+    context.description.versionBound = Milliseconds(60000);
+    services.onVersion([this] { flow->watchBeginning(); });
+    addEngine("i-1", older, 1);
+    send();
+    while (older.requests().empty() && !exchange->isOver)
+        loop.run_one();
+    newer.answer(streamOfOneEvent);
+    addEngine("i-2", newer, 2);
+    services.removeUpstream("i-1", false);
+    services.setVersion({ "m", 2 }, monotonicNow() - context.description.versionBound);
+    while (!exchange->isOver)
+        loop.run_one();
+    LONGS_EQUAL(200, exchange->status);
+    LONGS_EQUAL(1, older.m_left);
+}
