--- a/modules/hyssopwick_core/values/TimePoint.h
+++ b/modules/hyssopwick_core/values/TimePoint.h
@@ -13,7 +13,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<MonotonicClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the name is the standard library's
 
     static time_point now() noexcept
     {
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -246,18 +246,10 @@
     return m_phase != Phase::Ended && isEngineCall() && m_attempt && !m_upstream.empty() && !hasBegun;
 }
 
-// An engine that is not registered any more or loads may still begin the call on what it held.
-std::optional<TimePoint> CallFlow::beginBy() const
-{
-    const auto* upstream = m_services.upstream(m_upstream);
-    const auto held = upstream ? m_services.heldVersions(*upstream) : m_heldAtSend;
-    return m_services.usableUntil(held.empty() ? m_heldAtSend : held);
-}
-
 // A call may wait at an engine for longer than was predicted.
 void CallFlow::watchBeginning()
 {
-    const auto until = waitsAtEngine() ? beginBy() : std::nullopt;
+    const auto until = waitsAtEngine() ? m_services.usableUntil(m_upstream, m_heldAtSend) : std::nullopt;
     if (!until || *until >= m_deadline)
         return;
     m_beginTimer.expires_at(*until);
@@ -265,7 +257,7 @@
         const auto self = weak.lock();
         if (error || !self || self->m_attempt != attempt.lock() || !self->waitsAtEngine())
             return;
-        const auto until = self->beginBy();
+        const auto until = self->m_services.usableUntil(self->m_upstream, self->m_heldAtSend);
         if (until && *until <= monotonicNow())
             self->takeBack();
         else
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -67,7 +67,6 @@
     void end(const char* outcome, unsigned status);
     void leaveUpstream();
     bool waitsAtEngine() const;
-    std::optional<TimePoint> beginBy() const;
     void takeBack();
     bool mayRunAgain() const;
     bool isEngineCall() const { return m_service && m_service->engine.has_value(); }
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -108,6 +108,13 @@
 
 std::optional<TimePoint> EntryServices::usableUntil(const Upstream& upstream) const { return usableUntil(heldVersions(upstream)); }
 
+std::optional<TimePoint> EntryServices::usableUntil(const std::string& upstreamId, const std::map<std::string, std::uint64_t>& heldAtSend) const
+{
+    const auto* registered = upstream(upstreamId);
+    const auto held = registered ? heldVersions(*registered) : heldAtSend;
+    return usableUntil(held.empty() ? heldAtSend : held);
+}
+
 // Calls may not begin on a version once the bound of any later one has passed; naming yet
 // another version does not put that off.
 std::optional<TimePoint> EntryServices::usableUntil(const std::map<std::string, std::uint64_t>& heldVersions) const
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -59,7 +59,10 @@
     /// Returns until when calls may begin on the weights that an engine holds, or nothing
     /// while no newer ones were named.
     std::optional<TimePoint> usableUntil(const Upstream& upstream) const;
-    std::optional<TimePoint> usableUntil(const std::map<std::string, std::uint64_t>& heldVersions) const;
+
+    /// Returns the same for a call that waits at an engine. One that is not registered any more,
+    /// or loads, may still begin the call on what it held when the call was sent.
+    std::optional<TimePoint> usableUntil(const std::string& upstreamId, const std::map<std::string, std::uint64_t>& heldAtSend) const;
 
     /// Returns for how long calls may still begin on weights after newer ones were named.
     Milliseconds noticeOfOldWeights() const;
@@ -95,6 +98,7 @@
 private:
     bool isUsableEngine(const Upstream& upstream) const;
     std::string regionOf(const std::string& failureDomain) const;
+    std::optional<TimePoint> usableUntil(const std::map<std::string, std::uint64_t>& heldVersions) const;
     std::size_t answeringEngines(const std::vector<const Upstream*>& registered) const;
     std::optional<TimePoint> enginesExpectedAt(const std::string& service) const;
 
