--- a/modules/hyssopwick_gateway/view/ViewKeeper.cpp
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.cpp
@@ -21,6 +21,8 @@
     constexpr Milliseconds firstRetryPause { 50 };
     constexpr Milliseconds longestRetryPause { 1000 };
     constexpr std::string_view viewPath = "/view?after=";
+    // Versions whose naming is passed on; bounds of earlier ones have passed.
+    constexpr std::size_t maxVersionsTold = 8;
 
     std::string describe(const FollowSource& source)
     {
@@ -93,7 +95,7 @@
 void ViewKeeper::readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before)
 {
     const auto now = monotonicNow();
-    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeRead(after), now + connectTimeout, now + readTimeout,
+    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeRead(after), { now + connectTimeout, now + readTimeout, longestPause, now + longestTransfer },
         [this, after, collected, before](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "read");
             const auto transfer = received(FollowStore {}, before, response);
@@ -112,15 +114,15 @@
                 return readStore(collected->records.back().key, collected, transfer);
             collected->isWhole = true;
             m_isRereadNeeded = false;
-            take(*collected, "store", transfer);
-            answered(FollowStore {}, Milliseconds(0), monotonicNow());
+            const bool isChanged = take(*collected, "store", transfer);
+            answered(FollowStore {}, Milliseconds(0), transfer.beganAt, isChanged);
         });
 }
 
 void ViewKeeper::watchStore()
 {
     const auto now = monotonicNow();
-    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeWatch(m_view.revision(), storeWait), now + connectTimeout, now + storeWait + answerSlack,
+    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeWatch(m_view.revision(), storeWait), { now + connectTimeout, now + storeWait + answerSlack, longestPause, now + longestTransfer },
         [this, now](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "watch");
             const auto transfer = received(FollowStore {}, { now }, response);
@@ -134,11 +136,11 @@
             auto page = m_context.ports.store->decodeWatch(response.body);
             if (!page)
                 return failed(FollowStore {}, page.error().message, transfer);
-            const bool isChanged = !page.value().records.empty();
-            take({ page.value().revision, false, std::move(page.value().records) }, "store", transfer);
+            const bool isNews = !page.value().records.empty();
+            const bool isChanged = take({ page.value().revision, false, std::move(page.value().records) }, "store", transfer);
             // Each call to the store has its price and each update wakes all followers. A
             // change that comes alone is not delayed.
-            answered(FollowStore {}, Milliseconds(0), monotonicNow(), isChanged ? m_context.description.collectionTime() : Milliseconds(0));
+            answered(FollowStore {}, Milliseconds(0), transfer.beganAt, isChanged, isNews ? m_context.description.collectionTime() : Milliseconds(0));
         });
 }
 
@@ -148,7 +150,7 @@
     HttpCall call;
     call.target = std::string(viewPath) + std::to_string(m_view.revision());
     fetchWhole(m_context.loop, peer.address, std::move(call), { now + connectTimeout, now + peerWait + peerAnswerSlack, longestPause, now + longestTransfer }, [this, peer, now](WholeResponse response) {
-        const auto transfer = received(peer, { now }, response);
+        auto transfer = received(peer, { now }, response);
         if (response.isComplete() && response.status == statusUnavailable)
             return lagging(peer);
         if (!response.isComplete() || response.status != statusOk)
@@ -156,19 +158,22 @@
         const auto answer = decodeView(response.fields, response.body);
         if (!answer)
             return failed(peer, answer.error().message, transfer);
-        take(answer.value().update, peer.id, transfer);
-        answered(peer, answer.value().age, response.beganAt);
+        transfer.versionAges = answer.value().versionAges;
+        const bool isChanged = take(answer.value().update, peer.id, transfer);
+        answered(peer, answer.value().age, transfer.beganAt, isChanged);
     });
 }
 
 ViewKeeper::Transfer ViewKeeper::received(const FollowSource& source, Transfer transfer, const WholeResponse& response)
 {
     m_context.metrics.count("view_bytes_received_total", std::holds_alternative<FollowStore>(source) ? "store" : "peer", response.body.size());
+    if (transfer.beganAt == TimePoint())
+        transfer.beganAt = response.beganAt;
     transfer.bytes += response.body.size();
     return transfer;
 }
 
-void ViewKeeper::answered(const FollowSource& source, Milliseconds age, TimePoint at, Milliseconds pause)
+void ViewKeeper::answered(const FollowSource& source, Milliseconds age, TimePoint at, bool isChanged, Milliseconds pause)
 {
     const bool isLagging = FollowDecision::isTooOld(age);
     if (!isLagging)
@@ -178,6 +183,9 @@
         m_context.log.write("view.source-regained", { { "source", describe(source) }, { "revision", std::to_string(m_view.revision()) } });
     }
     m_decision.recordAnswer(source, age, at);
+    // Only now, since the answers say how old this process's knowledge is.
+    if (isChanged)
+        answerWaitingPeers();
     if (isLagging)
         followLater(nextRetryPause());
     else if (!(source == m_decision.source()))
@@ -214,7 +222,7 @@
     return pause;
 }
 
-void ViewKeeper::take(const ViewUpdate& update, const std::string& from, const Transfer& transfer)
+bool ViewKeeper::take(const ViewUpdate& update, const std::string& from, const Transfer& transfer)
 {
     const auto ageBefore = age(); // the caller records the answer after this
     const auto revisionBefore = m_view.revision();
@@ -222,16 +230,36 @@
     if (m_view.revision() != revisionBefore || !update.records.empty())
         m_encoded.clear();
     for (const auto& record : changed)
-        observe(record);
+        observe(record, transfer);
     if (changed.empty())
-        return;
+        return false;
     m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isWhole ? "true" : "false" }, { "bytes", std::to_string(transfer.bytes) }, { "age_ms", std::to_string(ageBefore.count()) } });
     if (m_observer.onBatchEnd)
         m_observer.onBatchEnd();
-    answerWaitingPeers();
+    return true;
+}
+
+// A peer knows since when a version may have been named, however late it tells.
+TimePoint ViewKeeper::recordNaming(std::uint64_t revision, const Transfer& transfer)
+{
+    const auto told = transfer.versionAges.find(revision);
+    const auto namedAfter = told != transfer.versionAges.end() ? transfer.beganAt - told->second : m_decision.changesSince(transfer.beganAt) - m_context.description.collectionTime();
+    m_versionsNamedAfter[revision] = namedAfter;
+    if (m_versionsNamedAfter.size() > maxVersionsTold)
+        m_versionsNamedAfter.erase(m_versionsNamedAfter.begin());
+    return namedAfter;
+}
+
+VersionAges ViewKeeper::versionAges() const
+{
+    const auto now = monotonicNow();
+    VersionAges ages;
+    for (const auto& [revision, namedAfter] : m_versionsNamedAfter)
+        ages[revision] = Milliseconds(std::max<std::int64_t>(0, millisecondsBetween(namedAfter, now)));
+    return ages;
 }
 
-void ViewKeeper::observe(const StoreRecord& record)
+void ViewKeeper::observe(const StoreRecord& record, const Transfer& transfer)
 {
     const auto [subject, id] = m_context.ports.store->subjectOf(record.key);
     if (record.isDeleted) {
@@ -244,6 +272,7 @@
     struct Visitor {
         ViewKeeper& keeper;
         const StoreRecord& record;
+        const Transfer& transfer;
         StoreSubject subject;
         const std::string& id;
 
@@ -268,7 +297,7 @@
         void operator()(const WeightsVersion& version) const
         {
             if (keeper.m_observer.onVersion)
-                keeper.m_observer.onVersion(version, keeper.m_decision.changesSince(monotonicNow()));
+                keeper.m_observer.onVersion(version, keeper.recordNaming(record.revision, transfer));
         }
         void operator()(const RegisteredNode& node) const
         {
@@ -276,7 +305,7 @@
                 keeper.m_observer.onNode(node);
         }
     };
-    std::visit(Visitor { *this, record, subject, id }, m_context.ports.store->decodeRecord(record));
+    std::visit(Visitor { *this, record, transfer, subject, id }, m_context.ports.store->decodeRecord(record));
 }
 
 bool ViewKeeper::serve(const ServerExchangePointer& exchange)
@@ -312,7 +341,7 @@
     const auto encoded = m_encoded.since(m_view, peer.known);
     m_context.metrics.count("view_answers_total", answerKind(*encoded));
     m_context.metrics.count("view_bytes_sent_total", "", encoded->body.size());
-    peer.exchange->respond(statusOk, encoded->fields(age()), encoded->body);
+    peer.exchange->respond(statusOk, encoded->fields(age(), versionAges()), encoded->body);
 }
 
 void ViewKeeper::answerWaitingPeers()
--- a/modules/hyssopwick_gateway/view/ViewKeeper.h
+++ b/modules/hyssopwick_gateway/view/ViewKeeper.h
@@ -50,7 +50,9 @@
     /// How far a request for the view has come.
     struct Transfer {
         TimePoint requestedAt;
+        TimePoint beganAt {}; ///< arrival of the first answer's head; what it says held then
         std::uint64_t bytes = 0; ///< of the answer's body
+        VersionAges versionAges {}; ///< as a peer knows them
     };
 
     void follow();
@@ -61,10 +63,13 @@
     void failed(const FollowSource& source, const std::string& problem, const Transfer& transfer);
     void lagging(const FollowSource& source);
     Milliseconds nextRetryPause();
-    void answered(const FollowSource& source, Milliseconds age, TimePoint at, Milliseconds pause = Milliseconds(0));
+    void answered(const FollowSource& source, Milliseconds age, TimePoint at, bool isChanged, Milliseconds pause = Milliseconds(0));
     Transfer received(const FollowSource& source, Transfer transfer, const WholeResponse& response);
-    void take(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
-    void observe(const StoreRecord& record);
+    /// Returns whether a record changed.
+    bool take(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
+    void observe(const StoreRecord& record, const Transfer& transfer);
+    TimePoint recordNaming(std::uint64_t revision, const Transfer& transfer);
+    VersionAges versionAges() const;
     void answerPeer(const WaitingPeer& peer);
     void answerWaitingPeers();
     void expireWaitingPeers();
@@ -72,6 +77,7 @@
     GatewayContext& m_context;
     FollowDecision m_decision;
     StoreView m_view;
+    std::map<std::uint64_t, TimePoint> m_versionsNamedAfter; // by revision
     EncodedViews m_encoded; // of the view's current revision
     Observer m_observer;
     LoopTimer m_followTimer;
