Tests: circles of followers across regions show as age

Two tests over a whole fleet close that: nobody is current while nobody reaches the store, and all are while one region does. Both pass as the code is.

--- a/tests/DeploymentTests.cpp
+++ b/tests/DeploymentTests.cpp
@@ -1,6 +1,7 @@
 #include "TestSupport.h"
 
 #include <algorithm>
+#include <functional>
 #include <hyssopwick_deployment.h>
 #include <set>
 
@@ -306,6 +307,48 @@
     LONGS_EQUAL(fleet().size(), settled.size());
 }
 
+// Lets a fleet follow for 20 s and returns how old the knowledge of each process is then.
+std::map<std::string, Milliseconds> agesAfterFollowing(const std::vector<VmIdentity>& fleet, const std::function<bool(const VmIdentity&)>& reachesStore)
+{
+    std::map<std::string, FollowDecision> decisions;
+    for (const auto& vm : fleet) {
+        auto others = fleet;
+        others.erase(std::find(others.begin(), others.end(), vm));
+        auto& decision = decisions.emplace(vm.id, FollowDecision(vm, true)).first->second;
+        decision.setEntries(others);
+        decision.recordAnswer(FollowStore {}, Milliseconds(0), at(0));
+    }
+    for (int now = 50; now <= 20000; now += 50) {
+        for (const auto& vm : fleet) {
+            auto& decision = decisions.at(vm.id);
+            const auto source = decision.source();
+            if (const auto* peer = std::get_if<FollowPeer>(&source))
+                decision.recordAnswer(source, decisions.at(peer->id).age(at(now)), at(now));
+            else if (reachesStore(vm))
+                decision.recordAnswer(source, Milliseconds(0), at(now));
+            else
+                decision.recordFailure(source, at(now));
+        }
+    }
+    std::map<std::string, Milliseconds> ages;
+    for (const auto& [id, decision] : decisions)
+        ages[id] = decision.age(at(20000));
+    return ages;
+}
+
+// Circles across regions too: knowledge is never younger than what somebody got from the store.
+TEST(FollowDecision, NobodyIsCurrentWhileNobodyReachesTheStore)
+{
+    for (const auto& [id, age] : agesAfterFollowing(fleet(), [](const VmIdentity&) { return false; }))
+        CHECK(age == Milliseconds(20000));
+}
+
+TEST(FollowDecision, OneRegionThatReachesTheStoreKeepsAllCurrent)
+{
+    for (const auto& [id, age] : agesAfterFollowing(fleet(), [](const VmIdentity& vm) { return vm.region == "north"; }))
+        CHECK(age < Milliseconds(2000));
+}
+
 // Load answered: the store's region is behind a full link, and all of another region lag.
 TEST(FollowDecision, ARegionThatLagsDoesNotCrossToTheStoreAllAtOnce)
 {
