Requests that arrive before the previous answer get theirs

Cause: ServerConnection::watchCaller() returned without a pending handler when the caller's next request was in the buffer, or had arrived and was peeked at; nothing else owned the connection, so it was destroyed with the call in flight. The connection now owns itself while an exchange is open, and reads ahead up to 16 KB, so that a caller that leaves after its next request is noticed too. A stopping listener ends a connection only after the requests that it has read. After the last answer, what still arrives is discarded for a second: closing at once reset the connection and destroyed answers on their way.

--- a/modules/hyssopwick_gateway/http/HttpListener.cpp
+++ b/modules/hyssopwick_gateway/http/HttpListener.cpp
@@ -60,6 +60,13 @@
     return success();
 }
 
+std::uint16_t HttpListener::port() const
+{
+    boost::system::error_code error;
+    const auto endpoint = m_state->listener->acceptor.local_endpoint(error);
+    return error ? std::uint16_t(0) : endpoint.port();
+}
+
 void HttpListener::startClosing()
 {
     m_state->listener->isClosing = true;
--- a/modules/hyssopwick_gateway/http/HttpListener.h
+++ b/modules/hyssopwick_gateway/http/HttpListener.h
@@ -18,6 +18,9 @@
     /// Starts to listen. Fails with ErrorCode::Unavailable when the address is taken.
     Outcome<void> listen(const std::string& address);
 
+    /// Returns the port that it listens on, or 0.
+    std::uint16_t port() const;
+
     /// Closes idle connections, and from now on each other connection after its next answer.
     /// New connections are still accepted.
     void startClosing();
--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -13,6 +13,10 @@
     constexpr Milliseconds lingerTime { 1000 };
     // Limit on reading a body; the caller's own deadline is checked when the request is complete.
     constexpr Milliseconds bodyTimeout { 10000 };
+    // Bytes of the caller's next requests that are read while one is being answered. Beyond
+    // them the connection is left unread until the answer is complete.
+    constexpr std::size_t maxReadAheadBytes = 16384;
+    constexpr std::size_t readBytes = 4096;
 
     std::string hostWithoutPort(boost::beast::string_view host)
     {
@@ -125,6 +129,7 @@
 {
     const auto exchange = std::move(m_exchange);
     m_exchange.reset();
+    const auto self = std::move(m_self); // released last
     if (!exchange)
         return;
     --m_listener->openExchanges;
@@ -262,28 +267,29 @@
     request.receivedAt = monotonicNow();
     m_exchange = std::make_shared<Exchange>(weak_from_this(), std::move(request));
     ++m_listener->openExchanges;
+    // No handler of the socket is pending while a full read-ahead waits for the answer.
+    m_self = shared_from_this();
     watchCaller();
     const auto exchange = m_exchange;
     m_listener->handler(exchange);
 }
 
 // While the request is being handled, a readable socket means that the caller closed its side
-// or already sent the next request.
+// or already sent its next request.
 void ServerConnection::watchCaller()
 {
-    if (m_buffer.size() != 0)
+    if (m_buffer.size() >= maxReadAheadBytes)
         return;
     const auto watched = m_exchange;
     m_socket.async_wait(TcpSocket::wait_read, [self = shared_from_this(), watched](error_code error) {
         if (self->m_isClosed || self->m_exchange != watched)
             return;
         if (!error) {
-            char byte;
             self->m_socket.non_blocking(true, error);
-            const auto size = self->m_socket.receive(asio::buffer(&byte, 1), TcpSocket::message_peek, error);
+            const auto size = self->m_socket.receive(self->m_buffer.prepare(readBytes), 0, error);
             if (!error && size > 0)
-                return;
-            if (error == asio::error::would_block)
+                self->m_buffer.commit(size);
+            if (!error || error == asio::error::would_block)
                 return self->watchCaller();
         }
         self->handleCallerLeft();
@@ -318,10 +324,16 @@
     return text + "\r\n";
 }
 
-void ServerConnection::sendWhole(unsigned status, HeaderFields fields, std::string body)
+// Whether this answer is the last on its connection. Requests that were already read get theirs first.
+void ServerConnection::decideConnectionEnd()
 {
-    if (m_listener->isClosing)
+    if (m_listener->isClosing && m_buffer.size() == 0)
         m_isKeptAlive = false;
+}
+
+void ServerConnection::sendWhole(unsigned status, HeaderFields fields, std::string body)
+{
+    decideConnectionEnd();
     auto text = headText(status, fields, "Content-Length: " + std::to_string(body.size()) + "\r\n");
     if (!m_isHeadMethod)
         text += body;
@@ -330,8 +342,7 @@
 
 void ServerConnection::sendStreamHead(unsigned status, const HeaderFields& fields)
 {
-    if (m_listener->isClosing)
-        m_isKeptAlive = false;
+    decideConnectionEnd();
     enqueue(headText(status, fields, "Transfer-Encoding: chunked\r\n"), false);
 }
 
@@ -386,13 +397,25 @@
     error_code ignored;
     m_socket.shutdown(TcpSocket::shutdown_send, ignored);
     armTimer(monotonicNow() + lingerTime, [this] { close(); });
-    m_socket.async_wait(TcpSocket::wait_read, [self = shared_from_this()](error_code) { self->close(); });
+    discardInput();
+}
+
+void ServerConnection::discardInput()
+{
+    m_buffer.clear();
+    m_socket.async_read_some(m_buffer.prepare(readBytes), [self = shared_from_this()](error_code error, std::size_t) {
+        if (error)
+            return self->close();
+        if (!self->m_isClosed)
+            self->discardInput();
+    });
 }
 
 void ServerConnection::close()
 {
     if (m_isClosed)
         return;
+    const auto self = weak_from_this().lock(); // endExchange() may release the last owner
     m_isClosed = true;
     error_code ignored;
     m_timer.cancel(ignored);
--- a/modules/hyssopwick_gateway/http/ServerConnection.h
+++ b/modules/hyssopwick_gateway/http/ServerConnection.h
@@ -55,6 +55,7 @@
     void watchCaller();
     void handleCallerLeft();
     void reject(unsigned status, const char* reason);
+    void decideConnectionEnd();
     void sendWhole(unsigned status, HeaderFields fields, std::string body);
     void sendStreamHead(unsigned status, const HeaderFields& fields);
     void enqueue(std::string data, bool isLast);
@@ -62,6 +63,7 @@
     void answerDone();
     void endExchange();
     void closeLingering();
+    void discardInput();
     void armTimer(TimePoint deadline, std::function<void()> handler);
     void disarmTimer();
     std::string headText(unsigned status, const HeaderFields& fields, const std::string& framing) const;
@@ -72,6 +74,7 @@
     boost::beast::flat_buffer m_buffer;
     boost::optional<Parser> m_parser;
     std::shared_ptr<Exchange> m_exchange;
+    std::shared_ptr<ServerConnection> m_self; // while an exchange is open
     std::deque<std::string> m_unsent;
     std::string m_sending;
     unsigned m_timerGeneration = 0;
