--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -47,6 +47,9 @@
 echo "time to N replicas staged:  v1 $(largest v1) ms, v2 $(largest v2) ms (one VM restarted during v2)"
 echo "origin and key-value calls: $(tail -1 "$run/platform.json")"
 echo "                            (one copy is 64 MiB; v2 shares half of its chunks with v1, so 1.5 copies is the minimum)"
-for account in $accounts; do echo "caller $account: $(cat "$run/caller-$account.json")"; done
+plain() { tr -d '{}"' | sed 's/:/ /g; s/,/, /g'; }
+for account in $accounts; do echo "caller $account: $(plain <"$run/caller-$account.json")"; done
 echo "refusals at entry VMs:      $(cat "$run"/logs/entry-*.log | sed -n 's/.*event=request.refused .*reason=\([a-z-]*\) .*/\1/p' | sort | uniq -c | tr -s ' \n' ' ')"
+echo "undecided: the logs do not show whether the promise was kept in that case, for example because a process was killed before it wrote its line."
+echo "outcome-unknown: a booking was handed to an upstream and its answer was lost, so the caller is told that it may have run and is not run again."
 [ $verdict -eq 0 ] && say "every promise that the logs decide was kept" || fail "a promise was broken (see above)"
