--- a/modules/hyssopwick_deployment/hyssopwick_deployment.h
+++ b/modules/hyssopwick_deployment/hyssopwick_deployment.h
@@ -19,5 +19,7 @@
 #include "ports/StoreCodec.h"
 #include "routes/RouteTable.h"
 #include "routes/UpstreamRegistry.h"
+#include "view/RestoredRecords.h"
+#include "view/StorePosition.h"
 #include "view/StoreView.h"
 #include "view/ViewSourceDecision.h"
--- a/modules/hyssopwick_deployment/model/Call.h
+++ b/modules/hyssopwick_deployment/model/Call.h
@@ -46,10 +46,12 @@
     bool isNotRun = false; ///< the upstream guarantees that it did not and will not run the call
     bool isWrongUpstream = false; ///< refused because the call expected another upstream
     bool hasReceipt = false; ///< carries the upstream's signature, which is not verified here
-    std::optional<Milliseconds> retryAfter;
+    bool isLeaving = false; ///< the upstream said that it leaves
+    std::optional<Milliseconds> retryAfter; ///< within which the upstream wants no further call
+    bool hasUnreadableRetryAfter = false;
     std::uint64_t weightsVersion = 0; ///< that produced the answer; 0 when not stated
 
-    auto tied() const { return std::tie(requestId, isNotRun, isWrongUpstream, hasReceipt, retryAfter, weightsVersion); }
+    auto tied() const { return std::tie(requestId, isNotRun, isWrongUpstream, hasReceipt, isLeaving, retryAfter, hasUnreadableRetryAfter, weightsVersion); }
     bool operator==(const AnswerDescription& other) const { return tied() == other.tied(); }
     bool operator!=(const AnswerDescription& other) const { return !(*this == other); }
 };
--- a/modules/hyssopwick_deployment/model/ProcessDescription.h
+++ b/modules/hyssopwick_deployment/model/ProcessDescription.h
@@ -27,6 +27,7 @@
     std::string engineService;
 
     double linkBytesPerSecond = 1e6; ///< of this VM's link
+    std::size_t memoryBytes = std::size_t(128) << 20; ///< that this process may use
 
     Milliseconds drainBound { 2000 }; ///< after it a leaving upstream must get no new calls
     Milliseconds stopBound { 8000 }; ///< from SIGTERM to SIGKILL
@@ -49,7 +50,7 @@
     auto tied() const
     {
         return std::tie(node, ip, region, failureDomain, regionOfFailureDomain, callerAddress, readyAddress, directoryAddress, internalPort,
-            metricsPort, seedIps, storeAddress, engineAddress, engineService, linkBytesPerSecond, drainBound, stopBound, versionBound,
+            metricsPort, seedIps, storeAddress, engineAddress, engineService, linkBytesPerSecond, memoryBytes, drainBound, stopBound, versionBound,
             configurationBound, addressLifetime, retryRatio, retrySlack, retryWindow);
     }
     bool operator==(const ProcessDescription& other) const { return tied() == other.tied(); }
--- a/modules/hyssopwick_deployment/ports/EngineCodec.h
+++ b/modules/hyssopwick_deployment/ports/EngineCodec.h
@@ -33,7 +33,8 @@
     virtual ~EngineCodec() = default;
 
     virtual HttpCall encodeReportCall() const = 0;
-    virtual Outcome<EngineReport> decodeReport(const std::string& body) const = 0;
+    /// Decodes a report, and from the answer's header fields whether the engine leaves.
+    virtual Outcome<EngineReport> decodeReport(const HeaderFields& fields, const std::string& body) const = 0;
 
     virtual HttpCall encodeOrder(const LoadOrder& order) const = 0;
     virtual OrderResult decodeOrderAnswer(unsigned status) const = 0;
--- a/modules/hyssopwick_deployment/ports/StoreCodec.h
+++ b/modules/hyssopwick_deployment/ports/StoreCodec.h
@@ -6,6 +6,7 @@
 #include "../view/StoreView.h"
 #include "HttpParts.h"
 
+#include <optional>
 #include <variant>
 
 namespace hyssopwick {
@@ -53,6 +54,9 @@
 public:
     virtual ~StoreCodec() = default;
 
+    /// Returns the store's era, stated by each of its answers, or nothing if this one states none.
+    virtual std::optional<std::uint64_t> decodeEra(const HeaderFields& fields) const = 0;
+
     /// Reads a page of all records. \param after  last key of the previous page; "" for the first page
     virtual HttpCall encodeRead(const std::string& after) const = 0;
     virtual Outcome<StorePage> decodeRead(const std::string& body) const = 0;
--- a/modules/hyssopwick_deployment/view/StoreView.cpp
+++ b/modules/hyssopwick_deployment/view/StoreView.cpp
@@ -22,12 +22,15 @@
 std::vector<StoreRecord> StoreView::apply(const ViewUpdate& update)
 {
     std::vector<StoreRecord> changed;
-    if (update.revision < m_revision)
+    const bool isNewEra = update.era > m_position.era;
+    if (update.position() < m_position || (isNewEra && !update.isSnapshot && m_position.revision != 0))
         return changed;
-    m_revision = update.revision;
+    if (isNewEra)
+        enterEra(update.era);
+    m_position.revision = update.revision;
     for (const auto& record : update.records) {
         const auto known = m_records.find(record.key);
-        if (known != m_records.end() && known->second.revision >= record.revision)
+        if (known != m_records.end() && (isNewEra ? known->second == record : known->second.revision >= record.revision))
             continue;
         if (record.isDeleted) {
             // A follower may have the record from another source even if this view never had it.
@@ -46,7 +49,7 @@
         for (const auto& record : update.records)
             present.insert(record.key);
         for (auto known = m_records.begin(); known != m_records.end();) {
-            if (present.count(known->first) != 0 || known->second.revision > update.revision) {
+            if (present.count(known->first) != 0 || (!isNewEra && known->second.revision > update.revision)) {
                 ++known;
                 continue;
             }
@@ -63,18 +66,27 @@
     return changed;
 }
 
-ViewUpdate StoreView::updateSince(std::uint64_t known) const
+// The revisions of the changes so far mean nothing in the new era.
+void StoreView::enterEra(std::uint64_t era)
+{
+    m_position.era = era;
+    m_changes.clear();
+    m_changesCompleteAfter = 0;
+}
+
+ViewUpdate StoreView::updateSince(const StorePosition& known) const
 {
     ViewUpdate update;
-    update.revision = m_revision;
-    if (known < m_changesCompleteAfter || known == 0) {
+    update.revision = m_position.revision;
+    update.era = m_position.era;
+    if (known.era != m_position.era || known.revision < m_changesCompleteAfter || known.revision == 0) {
         update.isSnapshot = true;
         for (const auto& [key, record] : m_records)
             update.records.push_back(record);
         return update;
     }
     std::set<std::string> keys;
-    for (auto change = m_changes.rbegin(); change != m_changes.rend() && change->revision > known; ++change) {
+    for (auto change = m_changes.rbegin(); change != m_changes.rend() && change->revision > known.revision; ++change) {
         if (!keys.insert(change->key).second)
             continue;
         const auto record = m_records.find(change->key);
--- a/modules/hyssopwick_deployment/view/StoreView.h
+++ b/modules/hyssopwick_deployment/view/StoreView.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <cstdint>
+#include "StorePosition.h"
+
 #include <deque>
 #include <hyssopwick_core.h>
 #include <map>
@@ -26,25 +27,31 @@
     std::uint64_t revision = 0; ///< of the store, up to which this is complete
     bool isSnapshot = false; ///< all records, replacing those that the receiver has
     std::vector<StoreRecord> records;
+    std::uint64_t era = 0; ///< of the store, to which all revisions belong
+
+    StorePosition position() const { return { era, revision }; }
 
-    auto tied() const { return std::tie(revision, isSnapshot, records); }
+    auto tied() const { return std::tie(revision, isSnapshot, records, era); }
     bool operator==(const ViewUpdate& other) const { return tied() == other.tied(); }
     bool operator!=(const ViewUpdate& other) const { return !(*this == other); }
 };
 
-/// A process's copy of the store's records. Updates older than the known state are
-/// ignored. Pure: no clock, no I/O.
+/// A process's copy of the store's records, all of one era. Updates older than the known state
+/// are ignored; a later era is entered with a snapshot only. Pure: no clock, no I/O.
 class StoreView {
 public:
-    /// Applies an update and returns the records that it changed.
+    /// Applies an update and returns the records that it changed. A snapshot of a later era
+    /// changes every record whose value or revision differs, whichever revision is higher.
     std::vector<StoreRecord> apply(const ViewUpdate& update);
 
-    /// Returns the changes after revision \p known, or a snapshot when these are no
-    /// longer stored.
-    ViewUpdate updateSince(std::uint64_t known) const;
+    /// Returns the changes after \p known, or a snapshot when these are no longer stored or
+    /// \p known belongs to an earlier era.
+    ViewUpdate updateSince(const StorePosition& known) const;
+
+    /// Returns up to where in the store's history this view is complete; revision 0 before the first update.
+    const StorePosition& position() const { return m_position; }
 
-    /// Returns the store's revision up to which this view is complete; 0 before the first update.
-    std::uint64_t revision() const { return m_revision; }
+    std::uint64_t revision() const { return m_position.revision; }
 
     const std::map<std::string, StoreRecord>& records() const { return m_records; }
 
@@ -55,9 +62,10 @@
         std::uint64_t recordRevision;
     };
 
+    void enterEra(std::uint64_t era);
     void recordChange(const StoreRecord& record, std::uint64_t revision);
 
-    std::uint64_t m_revision = 0;
+    StorePosition m_position;
     std::uint64_t m_changesCompleteAfter = 0; // all changes after this revision are stored
     std::map<std::string, StoreRecord> m_records;
     std::deque<Change> m_changes;
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -65,8 +65,8 @@
                 m_origin = service;
         }
     };
-    observer.onUpstream = [this](const Upstream& upstream) { m_registry.set(upstream); };
-    observer.onUpstreamGone = [this](const std::string& id, bool isReadable) { m_registry.remove(id, isReadable, monotonicNow()); };
+    observer.onUpstream = [this](const Upstream& upstream, RegistrationSource source) { m_registry.set(upstream, source, monotonicNow()); };
+    observer.onUpstreamGone = [this](const std::string& id, RegistrationEnd end) { m_registry.remove(id, end, monotonicNow()); };
     observer.onVersion = [this](const WeightsVersion& version, TimePoint earliestPublication) {
         if (!m_service || m_service->models.empty() || version.model != m_service->models.front())
             return;
@@ -161,7 +161,7 @@
     update.readyIn = readyIn();
     const bool isNew = !(update.report == m_lastUpdate.report) || update.isAnswering != m_lastUpdate.isAnswering || update.availability != m_lastUpdate.availability;
     const auto callCount = [](const EngineReport& report) { return int(report.runningCalls) + int(report.waitingCalls); };
-    const bool isSignificant = std::abs(callCount(update.report) - callCount(m_lastUpdate.report)) >= significantCallChange || update.report.loadedVersions != m_lastUpdate.report.loadedVersions || update.isAnswering != m_lastUpdate.isAnswering || update.availability != m_lastUpdate.availability;
+    const bool isSignificant = std::abs(callCount(update.report) - callCount(m_lastUpdate.report)) >= significantCallChange || update.report.loadedVersions != m_lastUpdate.report.loadedVersions || update.report.isLeaving != m_lastUpdate.report.isLeaving || update.isAnswering != m_lastUpdate.isAnswering || update.availability != m_lastUpdate.availability;
     const auto due = m_lastUpdateAt + (isNew ? updatePeriod : updateKeepalive);
     if (!isUrgent && !isSignificant && now < due)
         return;
@@ -383,6 +383,7 @@
         void operator()(const PingRequest&) const { }
         void operator()(const EngineUpdate&) const { }
         void operator()(const CrashObservation&) const { }
+        void operator()(const LeavingObservation&) const { }
         void operator()(const UpdateSubscription&) const
         {
             const bool isNew = agent.m_subscribers.count(sender) == 0;
--- a/modules/hyssopwick_gateway/agent/EngineClient.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineClient.cpp
@@ -6,6 +6,8 @@
     // The engine is on the same VM: it answers at once or not at all.
     constexpr Milliseconds connectTimeout { 100 };
     constexpr Milliseconds answerTimeout { 300 };
+    // A chunk is the longest answer.
+    constexpr std::uint64_t maxAnswerBytes = std::uint64_t(4) << 20;
 
     Error errorOf(const WholeResponse& response, const char* what)
     {
@@ -20,37 +22,43 @@
 {
 }
 
-void EngineClient::fetch(HttpCall call, std::function<void(WholeResponse)> handler)
+void EngineClient::fetch(HttpCall call, std::function<void(WholeResponse)> handler, std::shared_ptr<KeptConnections> kept)
 {
     const auto now = monotonicNow();
-    fetchWhole(m_context.loop, m_context.description.engineAddress, std::move(call), now + connectTimeout, now + answerTimeout, std::move(handler));
+    fetchWhole(m_context.loop, m_context.description.engineAddress, std::move(call), TransferLimits { now + connectTimeout, now + answerTimeout, Milliseconds(0), now + answerTimeout, maxAnswerBytes }, std::move(handler), std::move(kept));
 }
 
 void EngineClient::fetchReport(std::function<void(Outcome<EngineReport>)> handler)
 {
-    fetch(m_context.ports.engines->encodeReportCall(), [this, handler = std::move(handler)](const WholeResponse& response) {
-        if (!response.isComplete() || response.status != statusOk)
-            return handler(boost::outcome_v2::failure(errorOf(response, "engine's report")));
-        handler(m_context.ports.engines->decodeReport(response.body));
-    });
+    fetch(
+        m_context.ports.engines->encodeReportCall(), [this, handler = std::move(handler)](const WholeResponse& response) {
+            if (!response.isComplete() || response.status != statusOk)
+                return handler(boost::outcome_v2::failure(errorOf(response, "engine's report")));
+            handler(m_context.ports.engines->decodeReport(response.fields, response.body));
+        },
+        m_kept);
 }
 
 void EngineClient::readStaged(const std::string& model, unsigned chunk, std::function<void(Outcome<std::string>)> handler)
 {
-    fetch(m_context.ports.engines->encodeStageRead(model, chunk), [handler = std::move(handler)](WholeResponse response) {
-        if (!response.isComplete() || response.status != statusOk)
-            return handler(boost::outcome_v2::failure(errorOf(response, "staged chunk")));
-        handler(std::move(response.body));
-    });
+    fetch(
+        m_context.ports.engines->encodeStageRead(model, chunk), [handler = std::move(handler)](WholeResponse response) {
+            if (!response.isComplete() || response.status != statusOk)
+                return handler(boost::outcome_v2::failure(errorOf(response, "staged chunk")));
+            handler(std::move(response.body));
+        },
+        m_kept);
 }
 
 void EngineClient::writeStaged(const std::string& model, unsigned chunk, std::string bytes, std::function<void(Outcome<void>)> handler)
 {
-    fetch(m_context.ports.engines->encodeStageWrite(model, chunk, std::move(bytes)), [handler = std::move(handler)](const WholeResponse& response) {
-        if (!response.isComplete() || response.status < statusOk || response.status >= statusMultipleChoices)
-            return handler(boost::outcome_v2::failure(errorOf(response, "staging a chunk")));
-        handler(success());
-    });
+    fetch(
+        m_context.ports.engines->encodeStageWrite(model, chunk, std::move(bytes)), [handler = std::move(handler)](const WholeResponse& response) {
+            if (!response.isComplete() || response.status < statusOk || response.status >= statusMultipleChoices)
+                return handler(boost::outcome_v2::failure(errorOf(response, "staging a chunk")));
+            handler(success());
+        },
+        m_kept);
 }
 
 void EngineClient::order(const LoadOrder& order, std::function<void(OrderResult)> handler)
--- a/modules/hyssopwick_gateway/agent/EngineClient.h
+++ b/modules/hyssopwick_gateway/agent/EngineClient.h
@@ -21,9 +21,10 @@
     void order(const LoadOrder& order, std::function<void(OrderResult)> handler);
 
 private:
-    void fetch(HttpCall call, std::function<void(WholeResponse)> handler);
+    void fetch(HttpCall call, std::function<void(WholeResponse)> handler, std::shared_ptr<KeptConnections> kept = nullptr);
 
     GatewayContext& m_context;
+    std::shared_ptr<KeptConnections> m_kept = std::make_shared<KeptConnections>(); // for requests that may be repeated
 };
 
 }
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
@@ -189,7 +189,7 @@
 void WeightsSwarm::perform(const FetchFromOrigin& action)
 {
     const auto now = monotonicNow();
-    fetchWhole(m_context.loop, m_service.originAddress, m_context.ports.engines->encodeChunkCall(m_weights, action.chunk), now + originConnectTimeout, action.deadline, [self = shared_from_this(), chunk = action.chunk](WholeResponse response) {
+    fetchWhole(m_context.loop, m_service.originAddress, m_context.ports.engines->encodeChunkCall(m_weights, action.chunk), TransferLimits { now + originConnectTimeout, action.deadline, Milliseconds(0), action.deadline, m_manifest->chunkBytes }, [self = shared_from_this(), chunk = action.chunk](WholeResponse response) {
         if (self->m_isStopped)
             return;
         if (response.isComplete() && response.status == statusOk) {
@@ -208,7 +208,7 @@
 {
     HttpCall call { "GET", "/weights/chunk/" + pathOf(m_weights) + "/" + std::to_string(action.chunk), {}, "" };
     const auto now = monotonicNow();
-    fetchWhole(m_context.loop, addressOf(action.member), std::move(call), now + connectTimeout, action.deadline, [self = shared_from_this(), action](WholeResponse response) {
+    fetchWhole(m_context.loop, addressOf(action.member), std::move(call), TransferLimits { now + connectTimeout, action.deadline, Milliseconds(0), action.deadline, m_manifest->chunkBytes }, [self = shared_from_this(), action](WholeResponse response) {
         if (self->m_isStopped)
             return;
         if (response.isComplete() && response.status == statusOk) {
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -20,6 +20,9 @@
     // four times as long (a fault that the platform specifies), and the call may have to wait.
     constexpr double stoppingSafetyFactor = 5;
     constexpr int plainCallSafetyFactor = 10;
+    // Longer answers and events than any upstream sends are taken for bytes without end.
+    constexpr std::uint64_t maxAnswerBytes = std::uint64_t(4) << 20;
+    constexpr std::size_t maxEventBytes = std::size_t(256) << 10;
     // Time for the answer's last bytes to reach a caller before its deadline.
     constexpr Milliseconds answerMargin { 5 };
 
@@ -134,6 +137,9 @@
         if (const auto choice = m_services.plainPool(m_service->name).choose(m_triedUpstreams, now))
             return send(*choice, m_connectRounds);
     }
+    // The upstreams that refused this call or others want none for a time.
+    if (const auto rest = m_service ? m_services.restOfAll(m_service->name) : std::nullopt; rest && m_sentAttempts == 0)
+        return refuse(RefusalReason::UpstreamBusy, statusUnavailable, *rest);
     // No upstream accepted a connection: another round, with a longer timeout.
     if (!m_triedUpstreams.empty() && m_sentAttempts == 0 && m_connectRounds < lastConnectRound) {
         m_triedUpstreams.clear();
@@ -145,9 +151,10 @@
         });
         return;
     }
-    if (m_sentAttempts > 0 && !mayRunAgain())
+    if (m_sentAttempts > 0 && !mayRunAgain() && !m_answer.isNotRun)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
-    refuse(RefusalReason::NoUpstream, statusUnavailable, overloadRetryAfter);
+    const auto rest = m_service ? m_services.restOfAll(m_service->name) : std::nullopt;
+    refuse(RefusalReason::NoUpstream, statusUnavailable, rest.value_or(overloadRetryAfter));
 }
 
 void CallFlow::enqueue()
@@ -202,7 +209,7 @@
     m_upstreamAddress = upstream->address;
     m_triedUpstreams.insert(upstreamId);
     m_hasHead = false;
-    m_body.clear();
+    releaseBody();
     m_splitter = {};
     CallForwarding forwarding;
     forwarding.timeLeft = std::max(Milliseconds(1), Milliseconds(millisecondsBetween(now, m_deadline)) - answerMargin);
@@ -234,7 +241,7 @@
     if (beginBy)
         m_services.context().metrics.count("calls_sent_to_older_weights_total");
     m_services.context().log.write("call.sent", { { "request", m_call.requestId }, { "upstream", upstreamId }, { "attempt", std::to_string(m_sentAttempts + 1) }, { "left_ms", millisecondsText(forwarding.timeLeft) }, { "resume", m_lastEventId.empty() ? "no" : m_lastEventId }, { "held", std::to_string(m_services.loadedVersion(*upstream)) }, { "begin_within_ms", beginBy ? std::to_string(millisecondsBetween(now, *beginBy)) : "any" } });
-    m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), std::move(handlers));
+    m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), TransferLimits { now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), Milliseconds(0), TimePoint::max(), maxAnswerBytes }, std::move(handlers));
     m_loadedVersionsAtSend = m_services.loadedVersions(*upstream);
     armBeginTimer();
 }
@@ -284,20 +291,60 @@
     m_hasHead = true;
     m_answer = m_services.context().ports.calls->decodeAnswer(head.status, head.fields);
     m_isStreamAnswer = m_route->kind == CallKind::Stream && head.status == statusOk;
+    if (!m_answer.requestId.empty() && m_answer.requestId != m_call.requestId)
+        return cutAnswer("other-request");
+    if (m_answer.isLeaving && !m_answer.isWrongUpstream)
+        m_services.recordLeaving(m_upstream);
+    if (head.status == statusUnavailable)
+        recordRest();
+}
+
+// Only an upstream's 503 asks for a rest.
+void CallFlow::recordRest()
+{
+    if (m_answer.hasUnreadableRetryAfter) {
+        m_services.context().metrics.count("retry_after_unreadable_total");
+        m_services.context().log.write("upstream.retry-after-unreadable", { { "request", m_call.requestId }, { "upstream", m_upstream } });
+    }
+    if (m_answer.retryAfter && m_answer.retryAfter->count() > 0)
+        m_services.recordRest(m_upstream, *m_answer.retryAfter);
+}
+
+// Ends an attempt whose answer cannot be used, without reading the rest of it.
+void CallFlow::cutAnswer(const char* reason)
+{
+    m_services.context().metrics.count("answers_cut_total", reason);
+    if (m_attempt)
+        m_attempt->cancel();
+    if (!isEngineCall() && m_service)
+        m_services.plainPool(m_service->name).recordResult(m_upstream, false, monotonicNow());
+    releaseUpstream();
+    ++m_sentAttempts;
+    handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, reason);
+}
+
+void CallFlow::releaseBody()
+{
+    m_services.addHeldAnswerBytes(-static_cast<std::ptrdiff_t>(m_body.size()));
+    m_body.clear();
+    m_body.shrink_to_fit();
 }
 
 void CallFlow::handleBody(std::string_view bytes)
 {
-    const bool isAnswerToThisCall = m_answer.requestId.empty() || m_answer.requestId == m_call.requestId;
-    if (m_isStreamAnswer && isAnswerToThisCall)
-        forwardEvents(bytes);
-    else
-        m_body.append(bytes);
+    if (m_isStreamAnswer)
+        return forwardEvents(bytes);
+    if (m_services.heldAnswerBytes() + bytes.size() > m_services.maxHeldAnswerBytes())
+        return cutAnswer("no-memory");
+    m_body.append(bytes);
+    m_services.addHeldAnswerBytes(static_cast<std::ptrdiff_t>(bytes.size()));
 }
 
 void CallFlow::forwardEvents(std::string_view bytes)
 {
     auto events = m_splitter.feed(bytes);
+    if (m_splitter.partialEvent().size() > maxEventBytes)
+        return cutAnswer("event-too-large");
     if (events.empty())
         return;
     std::string text;
@@ -352,8 +399,6 @@
     ++m_sentAttempts;
     if (end != ExchangeEnd::Complete)
         return handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, exchangeEndName(end));
-    if (!m_answer.requestId.empty() && m_answer.requestId != m_call.requestId)
-        return handleAttemptFailure(AttemptFailure::Lost, "other-request");
     if (m_answer.isNotRun)
         return handleAttemptFailure(AttemptFailure::Refused, m_answer.isWrongUpstream ? "other-upstream" : "upstream-busy");
     if (m_isStreamAnswer) {
@@ -394,7 +439,7 @@
     if (m_eventsForwarded > 0)
         return abortStream("broken");
     if (failure == AttemptFailure::Refused)
-        return refuse(RefusalReason::UpstreamBusy, statusUnavailable, m_answer.retryAfter.value_or(overloadRetryAfter));
+        return refuse(RefusalReason::UpstreamBusy, statusUnavailable, m_services.restOfAll(m_service->name).value_or(overloadRetryAfter));
     refuse(isRetrySafe && isRetryAllowed ? RefusalReason::RetryBudgetSpent : RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
 }
 
@@ -406,7 +451,7 @@
     const bool isNotRunStatus = status == statusUnavailable || status == statusTooManyRequests || status == statusRequestTimeout || status == statusMisdirected;
     if (isNotRunStatus)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
-    m_exchange->respond(status, m_services.context().ports.calls->encodeAnswer(m_head.fields), std::move(m_body));
+    m_exchange->respond(status, m_services.context().ports.calls->encodeAnswer(m_head.fields), m_body);
     m_services.suspicion().recordFinished(m_fingerprint);
     end("served", status);
 }
@@ -483,6 +528,7 @@
         return;
     leaveQueue();
     releaseUpstream();
+    releaseBody();
     m_phase = Phase::Ended;
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -59,7 +59,9 @@
     void handleEnd(ExchangeEnd end);
     void forwardEvents(std::string_view bytes);
     void handleAttemptFailure(AttemptFailure failure, const char* reason);
-    void answerNotRun(bool isWrongUpstream);
+    void recordRest();
+    void cutAnswer(const char* reason);
+    void releaseBody();
     void forwardWholeAnswer();
     void refuse(RefusalReason reason, unsigned status, Milliseconds retryAfter);
     void abortStream(const char* outcome);
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -15,6 +15,8 @@
     constexpr Milliseconds registrationLifetime { 30000 };
     constexpr Milliseconds registrationRenewal { 10000 };
     constexpr Milliseconds registrationRetry { 500 };
+    // Time over which all VMs register again after the store came back from an older copy.
+    constexpr Milliseconds registrationSpread { 1000 };
     constexpr Milliseconds storeTimeout { 1500 };
     constexpr Milliseconds connectTimeout { 400 };
     // Time left before the bound on stopping when calls are aborted.
@@ -72,6 +74,10 @@
         for (const auto& peer : m_gossip.livePeers())
             m_peerSocket.send(peer.address, observation);
     });
+    m_services.onLeaving([this](const LeavingObservation& observation) {
+        for (const auto& peer : m_gossip.livePeers())
+            m_peerSocket.send(peer.address, observation);
+    });
     m_services.onEngineDown([this](const std::string& address) {
         const auto calls = m_calls;
         for (const auto& [id, call] : calls)
@@ -83,8 +89,9 @@
     });
     ViewReplicator::Observer observer;
     observer.onConfiguration = [this](const DeploymentConfiguration& configuration) { m_services.setConfiguration(configuration); };
-    observer.onUpstream = [this](const Upstream& upstream) { m_services.setUpstream(upstream); };
-    observer.onUpstreamGone = [this](const std::string& id, bool isReadable) { m_services.removeUpstream(id, isReadable); };
+    observer.onUpstream = [this](const Upstream& upstream, RegistrationSource source) { m_services.setUpstream(upstream, source); };
+    observer.onUpstreamGone = [this](const std::string& id, RegistrationEnd end) { m_services.removeUpstream(id, end); };
+    observer.onEra = [this](std::uint64_t era) { restoreRegistration(era); };
     observer.onVersion = [this](const WeightsVersion& version, TimePoint earliestPublication) { m_services.addVersion(version, earliestPublication); };
     observer.onNode = [this](const RegisteredNode& node) { m_gossip.addRegisteredNode(node); };
     observer.onBatchEnd = [this] {
@@ -214,6 +221,7 @@
             if (!digest.isEmpty())
                 entry.m_services.suspicion().recordCrash({ digest }, false, monotonicNow());
         }
+        void operator()(const LeavingObservation& observation) const { entry.m_services.recordLeaving(observation); }
         void operator()(const UpdateSubscription&) const { }
         void operator()(const ActivationUpdate&) const { }
         void operator()(const ChunksUpdate&) const { }
@@ -266,10 +274,12 @@
             return scheduleRegistration(registrationRetry);
         }
         m_lease = lease.value();
+        m_leaseEra = m_context.ports.store->decodeEra(response.fields);
         const auto now = monotonicNow();
         fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeRegistration({ m_gossip.self(), m_context.incarnation }, m_lease), now + connectTimeout, now + storeTimeout, [this](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "register");
-            if (response.isComplete() && response.status == statusOk) {
+            const bool isOtherEra = m_context.ports.store->decodeEra(response.fields) != m_leaseEra;
+            if (response.isComplete() && response.status == statusOk && !isOtherEra) {
                 m_context.log.write("registration.done", { { "lease", std::to_string(m_lease) } });
                 return scheduleRegistration(registrationRenewal);
             }
@@ -280,6 +290,16 @@
     });
 }
 
+// A store that came back from an older copy may have lost this VM's lease, and may grant its
+// id again to another one. The VMs register again one after the other, to spread the load.
+void EntryGateway::restoreRegistration(std::uint64_t era)
+{
+    if (m_leaseEra == era || m_isStopping)
+        return;
+    m_lease = 0;
+    scheduleRegistration(Milliseconds(static_cast<std::int64_t>(stableHash(m_context.description.node) % registrationSpread.count())));
+}
+
 void EntryGateway::scheduleRegistration(Milliseconds delay)
 {
     m_registrationTimer.expires_after(delay);
@@ -298,10 +318,11 @@
     const auto now = monotonicNow();
     fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeLeaseRenewal(m_lease), now + connectTimeout, now + storeTimeout, [this](WholeResponse response) {
         m_context.metrics.count("store_calls_total", "renew");
-        if (response.isComplete() && response.status == statusOk)
+        const bool isOtherEra = response.isComplete() && m_context.ports.store->decodeEra(response.fields) != m_leaseEra;
+        if (response.isComplete() && response.status == statusOk && !isOtherEra)
             return scheduleRegistration(registrationRenewal);
         m_context.log.write("registration.renewal-failed", { { "status", std::to_string(response.status) }, { "problem", exchangeEndName(response.end) } });
-        if (response.isComplete() && response.status == statusNotFound)
+        if (isOtherEra || (response.isComplete() && response.status == statusNotFound))
             m_lease = 0;
         scheduleRegistration(registrationRetry);
     });
@@ -325,7 +346,8 @@
     m_context.log.write("entry.stopping", { { "calls", std::to_string(m_calls.size()) } });
     m_gossip.setServing(false);
     m_callers.startClosing();
-    if (m_lease != 0)
+    // After a change of era the lease's id may be that of another VM.
+    if (m_lease != 0 && m_leaseEra.value_or(m_view.position().era) == m_view.position().era)
         fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeLeaseEnd(m_lease), now + connectTimeout, now + storeTimeout, [](const WholeResponse&) {});
     finishStopping();
 }
--- a/modules/hyssopwick_gateway/entry/EntryGateway.h
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.h
@@ -40,6 +40,7 @@
     void registerInStore();
     void renewRegistration();
     void scheduleRegistration(Milliseconds delay);
+    void restoreRegistration(std::uint64_t era);
     void finishStopping();
     std::vector<std::string> callerAddresses(const AddressQuery& query) const;
 
@@ -60,6 +61,7 @@
     std::set<std::string> m_queuesToAdvance;
     std::map<std::uint64_t, std::shared_ptr<CallFlow>> m_calls;
     std::uint64_t m_lease = 0;
+    std::optional<std::uint64_t> m_leaseEra; // of the store when it granted the lease
     bool m_isReady = false;
     bool m_isStopping = false;
     TimePoint m_stopBy;
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -22,6 +22,22 @@
     // A crash shows first as a lost connection and, within this time, as an engine that does not answer or has restarted.
     constexpr Milliseconds crashWindow { 2000 };
 
+    // Longer waits are not believed, so that a malformed answer cannot take an upstream out of service.
+    constexpr Milliseconds maxRest { 30000 };
+
+    const char* registrationEndName(RegistrationEnd end)
+    {
+        switch (end) {
+        case RegistrationEnd::Ended:
+            return "registration-ended";
+        case RegistrationEnd::Unreadable:
+            return "unreadable";
+        case RegistrationEnd::NotRestored:
+            return "not-restored";
+        }
+        return "registration-ended";
+    }
+
     const char* availabilityName(EngineAvailability availability)
     {
         switch (availability) {
@@ -51,17 +67,76 @@
     m_context.log.write("configuration.in-force", { { "version", std::to_string(configuration.version) }, { "routes", std::to_string(configuration.routes.size()) }, { "accounts", std::to_string(configuration.accounts.size()) } });
 }
 
-void EntryServices::setUpstream(const Upstream& upstream)
+void EntryServices::setUpstream(const Upstream& upstream, RegistrationSource source)
 {
-    if (!m_registry.set(upstream))
+    if (!m_registry.set(upstream, source, monotonicNow()))
         return;
     m_context.log.write("upstream.registered", { { "upstream", upstream.id }, { "service", upstream.service }, { "address", upstream.address }, { "state", upstream.state == UpstreamState::Ready ? "ready" : "draining" }, { "held", upstream.loadedVersions.empty() ? "none" : std::to_string(upstream.loadedVersions.begin()->second) } });
 }
 
-void EntryServices::removeUpstream(const std::string& id, bool isReadable)
+void EntryServices::removeUpstream(const std::string& id, RegistrationEnd end)
+{
+    m_registry.remove(id, end, monotonicNow());
+    m_context.log.write("upstream.unregistered", { { "upstream", id }, { "reason", registrationEndName(end) } });
+}
+
+bool EntryServices::markLeaving(const std::string& id, UnixMilliseconds startedAt, const char* source)
+{
+    if (!m_registry.recordLeaving(id, startedAt, monotonicNow()))
+        return false;
+    m_context.metrics.count("upstreams_leaving_total", source);
+    m_context.log.write("upstream.leaving", { { "upstream", id }, { "source", source }, { "started_at", std::to_string(startedAt) } });
+    return true;
+}
+
+void EntryServices::recordLeaving(const std::string& id)
+{
+    const auto* leaving = upstream(id);
+    const LeavingObservation observation { id, leaving ? leaving->startedAt : 0 };
+    if (!markLeaving(id, observation.startedAt, "answer"))
+        return;
+    if (m_onLeaving)
+        m_onLeaving(observation);
+    refresh();
+}
+
+void EntryServices::recordLeaving(const LeavingObservation& observation)
+{
+    if (markLeaving(observation.upstream, observation.startedAt, "peer"))
+        refresh();
+}
+
+void EntryServices::recordRest(const std::string& id, Milliseconds time)
+{
+    const auto bounded = std::min(time, maxRest);
+    if (bounded != time)
+        m_context.metrics.count("rests_bounded_total");
+    const auto until = monotonicNow() + bounded;
+    auto& restingUntil = m_restingUntil[id];
+    restingUntil = std::max(restingUntil, until);
+    m_context.log.write("upstream.resting", { { "upstream", id }, { "for_ms", std::to_string(bounded.count()) }, { "asked_ms", std::to_string(time.count()) } });
+    refresh();
+}
+
+bool EntryServices::isResting(const std::string& id, TimePoint now) const
 {
-    m_registry.remove(id, isReadable, monotonicNow());
-    m_context.log.write("upstream.unregistered", { { "upstream", id }, { "reason", isReadable ? "registration-ended" : "unreadable" } });
+    const auto resting = m_restingUntil.find(id);
+    return resting != m_restingUntil.end() && now < resting->second;
+}
+
+std::optional<Milliseconds> EntryServices::restOfAll(const std::string& service) const
+{
+    const auto now = monotonicNow();
+    std::optional<TimePoint> until;
+    for (const auto* upstream : m_registry.usable(service)) {
+        if (!isResting(upstream->id, now))
+            return std::nullopt;
+        const auto end = m_restingUntil.at(upstream->id);
+        until = std::min(until.value_or(end), end);
+    }
+    if (!until)
+        return std::nullopt;
+    return Milliseconds(millisecondsBetween(now, *until) + 1);
 }
 
 void EntryServices::addVersion(const WeightsVersion& version, TimePoint earliestPublication)
@@ -146,6 +221,7 @@
 {
     if (!m_routes)
         return;
+    const auto now = monotonicNow();
     for (const auto& [name, service] : m_routes->configuration().services) {
         if (service.engine) {
             auto& pool = m_enginePools.try_emplace(name, m_random.next()).first->second;
@@ -155,7 +231,7 @@
             std::set<std::string> remote;
             const auto registered = m_registry.usable(name);
             for (const auto* upstream : registered) {
-                if (!isUsableEngine(*upstream))
+                if (isResting(upstream->id, now) || !isUsableEngine(*upstream))
                     continue;
                 usable.insert(upstream->id);
                 if (regionOf(upstream->failureDomain) != m_context.description.region)
@@ -173,8 +249,10 @@
             }
         } else if (service.originAddress.empty()) {
             std::map<std::string, unsigned> slots;
-            for (const auto* upstream : m_registry.usable(name))
-                slots[upstream->id] = upstream->slots;
+            for (const auto* upstream : m_registry.usable(name)) {
+                if (!isResting(upstream->id, now))
+                    slots[upstream->id] = upstream->slots;
+            }
             plainPool(name).setUpstreams(slots);
         }
     }
@@ -190,11 +268,16 @@
     }));
 }
 
-// The earliest of the times at which engines without weights are expected to serve.
+// The earliest of the times at which engines that rest or have no weights are expected to serve.
 std::optional<TimePoint> EntryServices::enginesExpectedAt(const std::string& service) const
 {
     std::optional<TimePoint> soonest;
+    const auto now = monotonicNow();
     for (const auto* upstream : m_registry.usable(service)) {
+        if (isResting(upstream->id, now)) {
+            const auto restEnd = m_restingUntil.at(upstream->id);
+            soonest = std::min(soonest.value_or(restEnd), restEnd);
+        }
         const auto* status = engineAt(upstream->address);
         if (!status || !status->update.readyIn)
             continue;
@@ -213,7 +296,15 @@
         || known->second.update.report.loadedVersions != update.report.loadedVersions || known->second.update.report.startedAt != update.report.startedAt;
     const bool isRestart = known != m_engineStatus.end() && known->second.update.report.startedAt != update.report.startedAt;
     m_engineStatus[update.engineAddress] = { update, monotonicNow() };
-    if (isStateChange) {
+    bool isNewlyLeaving = false;
+    if (update.report.isLeaving) {
+        std::vector<std::string> leaving;
+        for (const auto* upstream : m_registry.usableAt(update.engineAddress))
+            leaving.push_back(upstream->id);
+        for (const auto& id : leaving)
+            isNewlyLeaving = markLeaving(id, update.report.startedAt, "report") || isNewlyLeaving;
+    }
+    if (isStateChange || isNewlyLeaving) {
         if (!update.readyIn)
             m_context.log.write("engine.state", { { "engine", update.engineAddress }, { "answering", update.isAnswering ? "true" : "false" }, { "availability", availabilityName(update.availability) }, { "held", update.report.loadedVersions.empty() ? "none" : std::to_string(update.report.loadedVersions.begin()->second) } });
         refresh();
@@ -256,10 +347,19 @@
     const auto now = monotonicNow();
     for (auto lost = m_lostCalls.begin(); lost != m_lostCalls.end();)
         lost = lost->second.back().second + crashWindow < now ? m_lostCalls.erase(lost) : std::next(lost);
+    auto firstRestEnd = TimePoint::max();
+    for (auto resting = m_restingUntil.begin(); resting != m_restingUntil.end();) {
+        if (resting->second <= now) {
+            resting = m_restingUntil.erase(resting);
+            continue;
+        }
+        firstRestEnd = std::min(firstRestEnd, resting->second);
+        ++resting;
+    }
     if (m_registry.expire(now))
         m_context.log.write("upstream.grace-ended", {});
     refresh();
-    auto next = now + maxMaintenanceDelay;
+    auto next = std::min(firstRestEnd, now + maxMaintenanceDelay);
     if (const auto expiry = m_registry.nextExpiry())
         next = std::min(next, *expiry);
     for (const auto& [model, versions] : m_publishedVersions) {
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -20,12 +20,30 @@
     explicit EntryServices(GatewayContext& context);
 
     void setConfiguration(const DeploymentConfiguration& configuration);
-    void setUpstream(const Upstream& upstream);
-    void removeUpstream(const std::string& id, bool isReadable);
+    void setUpstream(const Upstream& upstream, RegistrationSource source = RegistrationSource::Owner);
+    void removeUpstream(const std::string& id, RegistrationEnd end);
     /// \param earliestPublication  the earliest time at which the version may have been published
     void addVersion(const WeightsVersion& version, TimePoint earliestPublication);
     void recordEngineUpdate(const EngineUpdate& update);
 
+    /// Records that an upstream said in an answer to this process that it leaves, and passes it on.
+    void recordLeaving(const std::string& id);
+    /// Records what another process observed.
+    void recordLeaving(const LeavingObservation& observation);
+
+    /// Records that an upstream that refused a call wants no further ones for a time.
+    void recordRest(const std::string& id, Milliseconds time);
+
+    /// Returns for how long all upstreams of a service want no calls, or nothing if one takes
+    /// calls or none is registered.
+    std::optional<Milliseconds> restOfAll(const std::string& service) const;
+
+    /// Returns how many bytes of answers calls may hold until they are complete, in this process.
+    std::size_t maxHeldAnswerBytes() const { return m_context.description.memoryBytes / answerMemoryDivisor; }
+    /// Adds to the bytes of incomplete answers that calls hold; a negative change releases them.
+    void addHeldAnswerBytes(std::ptrdiff_t change) { m_heldAnswerBytes = static_cast<std::size_t>(static_cast<std::ptrdiff_t>(m_heldAnswerBytes) + change); }
+    std::size_t heldAnswerBytes() const { return m_heldAnswerBytes; }
+
     /// Recomputes which upstreams may be chosen. Call after each batch of changes.
     void refresh();
 
@@ -90,12 +108,19 @@
     void onCrashObservation(std::function<void(const CrashObservation&)> handler) { m_onCrashObservation = std::move(handler); }
     /// Called when an engine was found to be down, with its address.
     void onEngineDown(std::function<void(const std::string&)> handler) { m_onEngineDown = std::move(handler); }
+    /// Called when an upstream said to this process that it leaves.
+    void onLeaving(std::function<void(const LeavingObservation&)> handler) { m_onLeaving = std::move(handler); }
     /// Called when a version was published.
     void onVersion(std::function<void()> handler) { m_onVersion = std::move(handler); }
     /// Called when a pool changed or an engine update arrived.
     void onCapacity(std::function<void()> handler) { m_onCapacity = std::move(handler); }
 
 private:
+    // Other answers, connections and tables need the rest of the process's memory.
+    static constexpr std::size_t answerMemoryDivisor = 4;
+
+    bool markLeaving(const std::string& id, UnixMilliseconds startedAt, const char* source);
+    bool isResting(const std::string& id, TimePoint now) const;
     bool isUsableEngine(const Upstream& upstream) const;
     std::string regionOf(const std::string& failureDomain) const;
     std::optional<TimePoint> usableUntil(const std::map<std::string, std::uint64_t>& loadedVersions) const;
@@ -118,6 +143,9 @@
     std::map<std::string, std::vector<std::pair<Digest, TimePoint>>> m_lostCalls; // by upstream address
     std::function<void(const CrashObservation&)> m_onCrashObservation;
     std::function<void(const std::string&)> m_onEngineDown;
+    std::map<std::string, TimePoint> m_restingUntil; // by upstream id
+    std::size_t m_heldAnswerBytes = 0;
+    std::function<void(const LeavingObservation&)> m_onLeaving;
     std::function<void()> m_onVersion;
     std::function<void()> m_onCapacity;
 };
--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/optional.hpp>
 
 namespace hyssopwick {
 
@@ -12,8 +13,10 @@
 namespace {
     constexpr std::size_t readBufferBytes = 8192;
     constexpr std::uint32_t maxResponseHeaderBytes = 32768;
-    // Bodies are handled piece by piece; this only rejects absurd lengths.
-    constexpr std::uint64_t maxResponseBodyBytes = std::uint64_t(1) << 30;
+    // Bytes that were read and are no complete header field or chunk header yet; more than a
+    // whole header takes.
+    constexpr std::size_t maxBufferedBytes = 65536;
+    constexpr unsigned firstFinalStatus = 200;
     constexpr unsigned httpVersion = 11;
 }
 
@@ -37,12 +40,14 @@
 }
 
 struct HttpExchange::State {
-    explicit State(EventLoop& loop)
-        : socket(loop)
+    explicit State(EventLoop& eventLoop)
+        : loop(eventLoop)
+        , socket(loop)
         , timer(loop)
     {
     }
 
+    EventLoop& loop;
     TcpSocket socket;
     LoopTimer timer;
     unsigned timerGeneration = 0;
@@ -52,9 +57,12 @@
     TransferLimits limits;
     TimePoint deadline; // of the next piece of the answer
     http::request<http::string_body> request;
-    boost::beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
+    boost::beast::flat_buffer buffer { maxBufferedBytes };
+    boost::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, readBufferBytes> chunk;
+    std::shared_ptr<KeptConnections> kept;
+    bool isReused = false; // the connection was kept
+    bool hasAnswerByte = false;
     bool isSent = false;
     bool isEnded = false;
 };
@@ -68,12 +76,13 @@
 
 HttpExchangePointer HttpExchange::start(EventLoop& loop, const std::string& address, HttpCall call, TimePoint connectBy, TimePoint deadline, ExchangeHandlers handlers)
 {
-    return start(loop, address, std::move(call), { connectBy, deadline, Milliseconds(0), deadline }, std::move(handlers));
+    return start(loop, address, std::move(call), TransferLimits { connectBy, deadline, Milliseconds(0), deadline }, std::move(handlers));
 }
 
-HttpExchangePointer HttpExchange::start(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, ExchangeHandlers handlers)
+HttpExchangePointer HttpExchange::start(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, ExchangeHandlers handlers, std::shared_ptr<KeptConnections> kept)
 {
     const std::shared_ptr<HttpExchange> exchange(new HttpExchange(loop));
+    exchange->m_state->kept = std::move(kept);
     exchange->m_state->address = address;
     exchange->m_state->call = std::move(call);
     exchange->m_state->handlers = std::move(handlers);
@@ -133,6 +142,18 @@
         asio::post(state.socket.get_executor(), [self = shared_from_this()] { self->end(ExchangeEnd::NotSent); });
         return;
     }
+    if (auto socket = state.kept ? state.kept->take() : std::nullopt) {
+        state.socket = std::move(*socket);
+        state.isReused = true;
+        return sendRequest();
+    }
+    connect();
+}
+
+void HttpExchange::connect()
+{
+    auto& state = *m_state;
+    const auto endpoint = parseEndpoint(state.address);
     const auto generation = ++state.timerGeneration;
     state.timer.expires_at(std::min(state.limits.connectBy, state.deadline));
     state.timer.async_wait([self = shared_from_this(), generation](error_code error) {
@@ -148,6 +169,21 @@
     });
 }
 
+// A server may have closed a kept connection before the request arrived.
+bool HttpExchange::retryOnNewConnection()
+{
+    auto& state = *m_state;
+    if (!state.isReused || state.hasAnswerByte)
+        return false;
+    state.isReused = false;
+    state.call = { std::string(state.request.method_string()), std::string(state.request.target()), state.call.fields, std::move(state.request.body()) };
+    state.request = {};
+    state.buffer.clear();
+    state.socket = TcpSocket(state.loop);
+    connect();
+    return true;
+}
+
 void HttpExchange::sendRequest()
 {
     auto& state = *m_state;
@@ -162,11 +198,14 @@
     state.request.body() = std::move(state.call.body);
     if (!state.request.body().empty() || state.request.method() == http::verb::post || state.request.method() == http::verb::put)
         state.request.content_length(state.request.body().size());
-    state.request.set(http::field::connection, "close");
+    if (!state.kept)
+        state.request.set(http::field::connection, "close");
     state.isSent = true;
     armDeadlineTimer();
     // A server may answer before it has read a long body, so reading starts at once.
-    http::async_write(state.socket, state.request, [self = shared_from_this()](error_code, std::size_t) {
+    http::async_write(state.socket, state.request, [self = shared_from_this(), keepsBody = state.isReused](error_code, std::size_t) {
+        if (keepsBody)
+            return;
         self->m_state->request.body().clear();
         self->m_state->request.body().shrink_to_fit();
     });
@@ -176,25 +215,33 @@
 void HttpExchange::readHead()
 {
     auto& state = *m_state;
-    state.parser.header_limit(maxResponseHeaderBytes);
-    state.parser.body_limit(maxResponseBodyBytes);
-    state.parser.skip(state.request.method() == http::verb::head);
-    http::async_read_header(state.socket, state.buffer, state.parser, [self = shared_from_this()](error_code error, std::size_t) {
+    state.parser.emplace();
+    state.parser->header_limit(maxResponseHeaderBytes);
+    state.parser->body_limit(state.limits.maxBodyBytes);
+    state.parser->skip(state.request.method() == http::verb::head);
+    http::async_read_header(state.socket, state.buffer, *state.parser, [self = shared_from_this()](error_code error, std::size_t size) {
         auto& state = *self->m_state;
         if (state.isEnded)
             return;
+        state.hasAnswerByte = size > 0 || state.buffer.size() > 0;
         if (error) {
+            if (self->retryOnNewConnection())
+                return;
             const bool isProtocolError = error.category() == make_error_code(http::error::bad_method).category();
             const bool isTruncated = error == http::error::end_of_stream || error == http::error::partial_message;
             return self->end(isProtocolError && !isTruncated ? ExchangeEnd::Malformed : ExchangeEnd::Lost);
         }
         self->extendDeadline();
         ResponseHead head;
-        head.status = state.parser.get().result_int();
-        for (const auto& field : state.parser.get())
+        head.status = state.parser->get().result_int();
+        for (const auto& field : state.parser->get())
             head.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
-        if (state.handlers.onHead)
-            state.handlers.onHead(head);
+        // No interim answer was asked for (RFC 7231, section 6.2).
+        if (head.status < firstFinalStatus)
+            return self->end(ExchangeEnd::Malformed);
+        // The handler may cancel the exchange, which releases the handlers.
+        if (const auto onHead = std::move(state.handlers.onHead))
+            onHead(head);
         self->readBody();
     });
 }
@@ -204,21 +251,24 @@
     auto& state = *m_state;
     if (state.isEnded)
         return;
-    if (state.parser.is_done())
+    if (state.parser->is_done())
         return end(ExchangeEnd::Complete);
-    state.parser.get().body().data = state.chunk.data();
-    state.parser.get().body().size = state.chunk.size();
-    http::async_read_some(state.socket, state.buffer, state.parser, [self = shared_from_this()](error_code error, std::size_t) {
+    state.parser->get().body().data = state.chunk.data();
+    state.parser->get().body().size = state.chunk.size();
+    http::async_read_some(state.socket, state.buffer, *state.parser, [self = shared_from_this()](error_code error, std::size_t) {
         auto& state = *self->m_state;
         if (state.isEnded)
             return;
-        const auto size = state.chunk.size() - state.parser.get().body().size;
+        const auto size = state.chunk.size() - state.parser->get().body().size;
         if (size > 0)
             self->extendDeadline();
-        if (size > 0 && state.handlers.onBody)
-            state.handlers.onBody({ state.chunk.data(), size });
-        if (state.isEnded)
-            return;
+        if (size > 0 && state.handlers.onBody) {
+            auto onBody = std::move(state.handlers.onBody); // as for onHead
+            onBody({ state.chunk.data(), size });
+            if (state.isEnded)
+                return;
+            state.handlers.onBody = std::move(onBody);
+        }
         if (error && error != http::error::need_buffer) {
             const bool isProtocolError = error.category() == make_error_code(http::error::bad_method).category();
             return self->end(isProtocolError && error != http::error::partial_message ? ExchangeEnd::Malformed : ExchangeEnd::Lost);
@@ -235,7 +285,10 @@
     state.isEnded = true;
     error_code ignored;
     state.timer.cancel(ignored);
-    state.socket.close(ignored);
+    if (end == ExchangeEnd::Complete && state.kept && state.parser->keep_alive() && state.buffer.size() == 0)
+        state.kept->keep(std::move(state.socket));
+    else
+        state.socket.close(ignored);
     const auto handlers = std::move(state.handlers);
     state.handlers = {};
     if (handlers.onEnd)
@@ -244,10 +297,10 @@
 
 HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, TimePoint connectBy, TimePoint deadline, std::function<void(WholeResponse)> handler)
 {
-    return fetchWhole(loop, address, std::move(call), { connectBy, deadline, Milliseconds(0), deadline }, std::move(handler));
+    return fetchWhole(loop, address, std::move(call), TransferLimits { connectBy, deadline, Milliseconds(0), deadline }, std::move(handler));
 }
 
-HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, std::function<void(WholeResponse)> handler)
+HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, std::function<void(WholeResponse)> handler, std::shared_ptr<KeptConnections> kept)
 {
     const auto response = std::make_shared<WholeResponse>();
     ExchangeHandlers handlers;
@@ -261,7 +314,7 @@
         response->end = end;
         handler(std::move(*response));
     };
-    return HttpExchange::start(loop, address, std::move(call), limits, std::move(handlers));
+    return HttpExchange::start(loop, address, std::move(call), limits, std::move(handlers), std::move(kept));
 }
 
 }
--- a/modules/hyssopwick_gateway/http/HttpExchange.h
+++ b/modules/hyssopwick_gateway/http/HttpExchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "NetworkTypes.h"
+#include "KeptConnections.h"
 
 #include <functional>
 #include <memory>
@@ -33,22 +33,29 @@
     std::function<void(ExchangeEnd)> onEnd; ///< called once, unless the exchange is cancelled
 };
 
-/// When to abandon an exchange. An answer of unknown size is abandoned when it stalls, not when
+/// When to abandon an exchange, and how much it may receive. A server in trouble may send
+/// bytes without end. An answer of unknown size is abandoned when it stalls, not when
 /// it takes long, since a new request would begin it from zero.
 struct TransferLimits {
     TimePoint connectBy;
     TimePoint beginBy; ///< the answer has to begin before this time
     Milliseconds stallTimeout { 0 }; ///< maximum time between its pieces, once it has begun
     TimePoint endBy; ///< applies to an answer that still makes progress, too
+    std::uint64_t maxBodyBytes = defaultMaxBodyBytes; ///< a longer body is malformed
+
+    /// Far more than a report, an order's answer or a manifest has.
+    static constexpr std::uint64_t defaultMaxBodyBytes = std::uint64_t(1) << 20;
 };
 
-/// One request to a server and its answer, on a separate connection. Such a connection cannot
-/// carry the late answer to an earlier request, and the server does not close it as idle at
-/// the moment when a request that may run only once is sent.
+/// One request to a server and its answer, on a separate connection unless kept ones are
+/// given. A separate connection cannot carry the late answer to an earlier request, and the
+/// server does not close it as idle at the moment when a request that may run only once is sent.
 class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
 public:
     /// Sends \p call to \p address.
-    static std::shared_ptr<HttpExchange> start(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, ExchangeHandlers handlers);
+    /// \param kept  connections to that address, for a call that may run more than once; a call
+    ///              on one of them that gets no byte of an answer is sent once more on a new one
+    static std::shared_ptr<HttpExchange> start(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, ExchangeHandlers handlers, std::shared_ptr<KeptConnections> kept = nullptr);
 
     /// Sends \p call to \p address.
     /// \param connectBy  when to abandon connecting
@@ -68,6 +75,8 @@
 
     explicit HttpExchange(EventLoop& loop);
     void run();
+    void connect();
+    bool retryOnNewConnection();
     void sendRequest();
     void readHead();
     void readBody();
@@ -94,7 +103,8 @@
 
 /// Sends a request and reads the whole answer.
 /// \param handler  called once, unless the exchange is cancelled
-HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, std::function<void(WholeResponse)> handler);
+/// \param kept  as for HttpExchange::start()
+HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, std::function<void(WholeResponse)> handler, std::shared_ptr<KeptConnections> kept = nullptr);
 
 /// Sends a request and reads the whole answer.
 /// \param handler  called once, unless the exchange is cancelled
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
@@ -54,7 +54,7 @@
             const auto& report = message.report;
             return { message.upstream, message.engineAddress, message.isAnswering, static_cast<int>(message.availability), report.orderSequence, report.isOrderRunning,
                 report.waitingCalls, report.runningCalls, report.usedTokens, report.tokenCapacity, report.slowdownFactor, report.startedAt, Json(report.loadedVersions),
-                message.readyIn ? message.readyIn->count() : std::int64_t(-1), std::llround(report.pendingPromptTokens) };
+                message.readyIn ? message.readyIn->count() : std::int64_t(-1), std::llround(report.pendingPromptTokens), report.isLeaving };
         }
         Json operator()(const UpdateSubscription& message) const
         {
@@ -66,6 +66,7 @@
         {
             return { message.node, message.model, message.wanted, message.loaded, message.isReady, message.isLoading };
         }
+        Json operator()(const LeavingObservation& message) const { return { message.upstream, message.startedAt }; }
         Json operator()(const ChunksUpdate& message) const { return { message.node, message.model, message.version, message.held, message.wantsAnswer }; }
     };
 
@@ -92,6 +93,7 @@
         if (const auto readyIn = json.at(14).get<std::int64_t>(); readyIn >= 0)
             update.readyIn = Milliseconds(readyIn);
         json.at(15).get_to(report.pendingPromptTokens);
+        json.at(16).get_to(report.isLeaving);
         return update;
     }
 
@@ -117,6 +119,8 @@
         case 7:
             return ChunksUpdate { json.at(1).get<std::string>(), json.at(2).get<std::string>(), json.at(3).get<std::uint64_t>(),
                 json.at(4).get<std::string>(), json.at(5).get<bool>() };
+        case 8:
+            return LeavingObservation { json.at(1).get<std::string>(), json.at(2).get<UnixMilliseconds>() };
         default:
             throw std::invalid_argument("unknown message type");
         }
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.h
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.h
@@ -73,7 +73,13 @@
     bool wantsAnswer = false; ///< with the receiver's chunks
 };
 
-using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineUpdate, UpdateSubscription, CrashObservation, ActivationUpdate, ChunksUpdate>;
+/// An upstream that said in an answer that it leaves.
+struct LeavingObservation {
+    std::string upstream;
+    UnixMilliseconds startedAt = 0; ///< of the start that leaves; 0 when unknown
+};
+
+using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineUpdate, UpdateSubscription, CrashObservation, ActivationUpdate, ChunksUpdate, LeavingObservation>;
 
 /// Encodes a message as CBOR (RFC 8949).
 std::string encodePeerMessage(const PeerMessage& message);
--- a/modules/hyssopwick_gateway/view/ViewMessage.cpp
+++ b/modules/hyssopwick_gateway/view/ViewMessage.cpp
@@ -48,6 +48,7 @@
             ViewUpdate update;
             json.at(0).get_to(update.revision);
             json.at(1).get_to(update.isSnapshot);
+            json.at(3).get_to(update.era);
             for (const auto& record : json.at(2).get_ref<const nlohmann::json::array_t&>())
                 update.records.push_back({ record.at(0), record.at(1), record.at(2), record.at(3) });
             return update;
@@ -78,7 +79,7 @@
     auto records = nlohmann::json::array();
     for (const auto& record : update.records)
         records.push_back({ record.key, record.value, record.revision, record.isDeleted });
-    nlohmann::json::to_cbor(nlohmann::json::array({ update.revision, update.isSnapshot, std::move(records) }), encoded.body);
+    nlohmann::json::to_cbor(nlohmann::json::array({ update.revision, update.isSnapshot, std::move(records), update.era }), encoded.body);
     if (encoded.body.size() < minCompressedBytes)
         return encoded;
     // Without memory to compress it, the update is sent uncompressed.
@@ -106,14 +107,14 @@
     return ReceivedView { std::move(update), age, std::move(versionAges) };
 }
 
-std::shared_ptr<const EncodedView> EncodedViewCache::updateSince(const StoreView& view, std::uint64_t known)
+std::shared_ptr<const EncodedView> EncodedViewCache::updateSince(const StoreView& view, const StorePosition& known)
 {
-    const auto cached = m_byRevision.find(known);
-    if (cached != m_byRevision.end())
+    const auto cached = m_byPosition.find(known);
+    if (cached != m_byPosition.end())
         return cached->second;
     const auto encoded = std::make_shared<const EncodedView>(encodeView(view.updateSince(known)));
-    if (m_byRevision.size() < maxCachedEncodings)
-        m_byRevision.emplace(known, encoded);
+    if (m_byPosition.size() < maxCachedEncodings)
+        m_byPosition.emplace(known, encoded);
     return encoded;
 }
 
--- a/modules/hyssopwick_gateway/view/ViewMessage.h
+++ b/modules/hyssopwick_gateway/view/ViewMessage.h
@@ -35,18 +35,18 @@
 /// from a build with another format.
 Outcome<ReceivedView> decodeView(const HeaderFields& fields, const std::string& body);
 
-/// Caches the encoded updates to the current revision, one for each revision that followers
+/// Caches the encoded updates to the current position, one for each position that followers
 /// know.
 class EncodedViewCache {
 public:
-    /// Returns the encoded update for a follower at revision \p known.
-    std::shared_ptr<const EncodedView> updateSince(const StoreView& view, std::uint64_t known);
+    /// Returns the encoded update for a follower at \p known.
+    std::shared_ptr<const EncodedView> updateSince(const StoreView& view, const StorePosition& known);
 
     /// Removes all entries. Call whenever the view changes.
-    void clear() { m_byRevision.clear(); }
+    void clear() { m_byPosition.clear(); }
 
 private:
-    std::map<std::uint64_t, std::shared_ptr<const EncodedView>> m_byRevision;
+    std::map<StorePosition, std::shared_ptr<const EncodedView>> m_byPosition;
 };
 
 }
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -16,11 +16,15 @@
     // A slow transfer is abandoned after this time, the longest bound on the propagation of a
     // change (8 s).
     constexpr Milliseconds maxTransferTime { 8000 };
+    // Several times a configuration at the store's limit on values, encoded.
+    constexpr std::uint64_t maxViewAnswerBytes = std::uint64_t(16) << 20;
     constexpr Milliseconds connectTimeout { 400 };
     constexpr Milliseconds readTimeout { 1500 };
     constexpr Milliseconds firstRetryDelay { 50 };
     constexpr Milliseconds maxRetryDelay { 1000 };
     constexpr std::string_view viewPath = "/view?after=";
+    constexpr std::string_view eraParameter = "&era=";
+    constexpr std::size_t maxDigits = 18;
     // Versions whose ages are sent to peers; the bounds of earlier ones have passed.
     constexpr std::size_t maxReportedVersions = 8;
 
@@ -40,6 +44,24 @@
         return encoded.isEmpty ? "empty" : "changes";
     }
 
+    std::optional<std::uint64_t> numberIn(std::string_view text)
+    {
+        if (text.empty() || text.size() > maxDigits || text.find_first_not_of("0123456789") != std::string_view::npos)
+            return std::nullopt;
+        return std::stoull(std::string(text));
+    }
+
+    // Decodes the position after viewPath in a request for the view.
+    std::optional<StorePosition> decodePosition(std::string_view text)
+    {
+        const auto separator = text.find(eraParameter);
+        const auto revision = numberIn(text.substr(0, separator));
+        const auto era = separator == std::string_view::npos ? std::optional<std::uint64_t>(0) : numberIn(text.substr(separator + eraParameter.size()));
+        if (!revision || !era)
+            return std::nullopt;
+        return StorePosition { *era, *revision };
+    }
+
     // Addresses of the seeds, from which starting processes read the view; empty in a seed.
     std::vector<std::string> seedsOf(const GatewayContext& context)
     {
@@ -58,6 +80,7 @@
     , m_decision(std::move(self), isEntry, seedsOf(context))
     , m_followTimer(context.loop)
     , m_peerTimer(context.loop)
+    , m_restorationTimer(context.loop)
 {
 }
 
@@ -95,12 +118,16 @@
 void ViewReplicator::readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before)
 {
     const auto now = monotonicNow();
-    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeRead(after), { now + connectTimeout, now + readTimeout, stallTimeout, now + maxTransferTime },
+    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeRead(after), TransferLimits { now + connectTimeout, now + readTimeout, stallTimeout, now + maxTransferTime, maxViewAnswerBytes },
         [this, after, collected, before](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "read");
             const auto transfer = recordTransfer(StoreSource {}, before, response);
             if (!response.isComplete() || response.status != statusOk)
                 return handleFailure(StoreSource {}, "read: " + std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status), transfer);
+            const auto era = currentEra(response);
+            if (!era || (!after.empty() && *era != collected->era))
+                return handleFailure(StoreSource {}, "read: of another era", transfer);
+            collected->era = *era;
             auto page = m_context.ports.store->decodeRead(response.body);
             if (!page)
                 return handleFailure(StoreSource {}, page.error().message, transfer);
@@ -122,7 +149,7 @@
 void ViewReplicator::watchStore()
 {
     const auto now = monotonicNow();
-    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeWatch(m_view.revision(), storeWait), { now + connectTimeout, now + storeWait + storeRoundTripTime, stallTimeout, now + maxTransferTime },
+    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeWatch(m_view.revision(), storeWait), TransferLimits { now + connectTimeout, now + storeWait + storeRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes },
         [this, now](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "watch");
             const auto transfer = recordTransfer(StoreSource {}, { now }, response);
@@ -133,11 +160,19 @@
             }
             if (!response.isComplete() || response.status != statusOk)
                 return handleFailure(StoreSource {}, "watch: " + std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status), transfer);
+            const auto era = currentEra(response);
+            if (!era)
+                return handleFailure(StoreSource {}, "watch: of an earlier era", transfer);
+            if (*era != m_view.position().era) {
+                // The answer's changes continue a history that this view does not have.
+                m_isFullReadNeeded = true;
+                return scheduleFollow(firstRetryDelay);
+            }
             auto page = m_context.ports.store->decodeWatch(response.body);
             if (!page)
                 return handleFailure(StoreSource {}, page.error().message, transfer);
             const bool hasChanges = !page.value().records.empty();
-            const bool isChanged = apply({ page.value().revision, false, std::move(page.value().records) }, "store", transfer);
+            const bool isChanged = apply({ page.value().revision, false, std::move(page.value().records), *era }, "store", transfer);
             // Each call loads the store and each update wakes all followers, so further changes are
             // collected for a while. A change that comes alone is not delayed.
             handleAnswer(StoreSource {}, Milliseconds(0), transfer.beganAt, isChanged, hasChanges ? m_context.description.changeBatchPeriod() : Milliseconds(0));
@@ -148,8 +183,8 @@
 {
     const auto now = monotonicNow();
     HttpCall call;
-    call.target = std::string(viewPath) + std::to_string(m_view.revision());
-    fetchWhole(m_context.loop, peer.address, std::move(call), { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime }, [this, peer, now](WholeResponse response) {
+    call.target = std::string(viewPath) + std::to_string(m_view.revision()) + std::string(eraParameter) + std::to_string(m_view.position().era);
+    fetchWhole(m_context.loop, peer.address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, peer, now](WholeResponse response) {
         auto transfer = recordTransfer(peer, { now }, response);
         if (response.isComplete() && response.status == statusUnavailable)
             return handleLag(peer);
@@ -158,6 +193,8 @@
         const auto answer = decodeView(response.fields, response.body);
         if (!answer)
             return handleFailure(peer, answer.error().message, transfer);
+        if (answer.value().update.era < m_view.position().era)
+            return handleLag(peer);
         transfer.versionAges = answer.value().versionAges;
         const bool isChanged = apply(answer.value().update, peer.id, transfer);
         handleAnswer(peer, answer.value().age, transfer.beganAt, isChanged);
@@ -196,6 +233,13 @@
         follow();
 }
 
+std::optional<std::uint64_t> ViewReplicator::currentEra(const WholeResponse& response) const
+{
+    const auto known = m_view.position().era;
+    const auto era = m_context.ports.store->decodeEra(response.fields).value_or(known);
+    return era < known ? std::nullopt : std::optional<std::uint64_t>(era);
+}
+
 void ViewReplicator::handleFailure(const ViewSource& source, const std::string& problem, const Transfer& transfer)
 {
     const auto now = monotonicNow();
@@ -225,14 +269,32 @@
 bool ViewReplicator::apply(const ViewUpdate& update, const std::string& from, const Transfer& transfer)
 {
     const auto ageBefore = age(); // the caller records the answer after this
-    const auto revisionBefore = m_view.revision();
+    const auto before = m_view.position();
     const auto changed = m_view.apply(update);
-    if (m_view.revision() != revisionBefore || !update.records.empty())
+    if (m_view.position() != before || !update.records.empty())
         m_encoded.clear();
-    for (const auto& record : changed)
-        notifyObserver(record, transfer);
+    const bool isNewEra = m_view.position().era != before.era;
+    const bool isRestored = isNewEra && before.revision != 0;
+    if (isNewEra) {
+        m_context.log.write("store.era-changed", { { "from", std::to_string(before.era) }, { "to", std::to_string(update.era) }, { "revision_before", std::to_string(before.revision) }, { "revision", std::to_string(update.revision) }, { "changed", std::to_string(changed.size()) } });
+        m_context.metrics.count("store_era_changes_total");
+        m_earliestPublications.clear();
+        m_restored.recordReturn(transfer.beganAt);
+        if (m_observer.onEra)
+            m_observer.onEra(update.era);
+    }
+    for (const auto& record : changed) {
+        if (isRestored && record.isDeleted) {
+            m_restored.recordMissing(record.key, transfer.beganAt);
+            continue;
+        }
+        m_restored.recordPresent(record.key);
+        notifyObserver(record, transfer, isRestored ? RegistrationSource::RestoredCopy : RegistrationSource::Owner);
+    }
+    if (isRestored)
+        expireRestoration();
     if (changed.empty())
-        return false;
+        return isNewEra;
     m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isSnapshot ? "true" : "false" }, { "bytes", std::to_string(transfer.bytes) }, { "age_ms", std::to_string(ageBefore.count()) } });
     if (m_observer.onBatchEnd)
         m_observer.onBatchEnd();
@@ -241,10 +303,13 @@
 
 // A peer reports the version's maximum age, which stays right however late its answer comes.
 // Without that, the version is no older than the last time the view was known to be current.
-TimePoint ViewReplicator::recordPublication(std::uint64_t revision, const Transfer& transfer)
+TimePoint ViewReplicator::recordPublication(const WeightsVersion& version, std::uint64_t revision, const Transfer& transfer)
 {
     const auto reported = transfer.versionAges.find(revision);
-    const auto earliestPublication = reported != transfer.versionAges.end() ? transfer.beganAt - reported->second : m_decision.earliestChangeTime(transfer.beganAt) - m_context.description.changeBatchPeriod();
+    auto earliestPublication = reported != transfer.versionAges.end() ? transfer.beganAt - reported->second : m_decision.earliestChangeTime(transfer.beganAt) - m_context.description.changeBatchPeriod();
+    // A version that is written again after the store's return from an older copy was published before it.
+    const auto known = m_publications.emplace(std::make_pair(version.model, version.version), earliestPublication).first;
+    earliestPublication = std::min(earliestPublication, known->second);
     m_earliestPublications[revision] = earliestPublication;
     if (m_earliestPublications.size() > maxReportedVersions)
         m_earliestPublications.erase(m_earliestPublications.begin());
@@ -260,20 +325,46 @@
     return ages;
 }
 
-void ViewReplicator::notifyObserver(const StoreRecord& record, const Transfer& transfer)
+// Removes the records whose owners did not write them again after the store's return.
+void ViewReplicator::expireRestoration()
 {
-    const auto [kind, id] = m_context.ports.store->decodeKey(record.key);
-    if (record.isDeleted) {
-        if (kind == StoreRecordKind::Upstream && m_observer.onUpstreamGone)
-            m_observer.onUpstreamGone(id, true);
-        if (kind == StoreRecordKind::Node && m_observer.onNodeGone)
-            m_observer.onNodeGone(id);
-        return;
+    const auto expired = m_restored.expire(monotonicNow());
+    for (const auto& key : expired)
+        notifyRemoval(key, RegistrationEnd::NotRestored);
+    if (!expired.empty()) {
+        m_context.log.write("store.records-not-restored", { { "records", std::to_string(expired.size()) }, { "revision", std::to_string(m_view.revision()) } });
+        if (m_observer.onBatchEnd)
+            m_observer.onBatchEnd();
     }
+    const auto next = m_restored.nextExpiry();
+    if (!next)
+        return;
+    m_restorationTimer.expires_at(*next);
+    m_restorationTimer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            expireRestoration();
+    });
+}
+
+void ViewReplicator::notifyRemoval(const std::string& key, RegistrationEnd end)
+{
+    const auto [kind, id] = m_context.ports.store->decodeKey(key);
+    if (kind == StoreRecordKind::Upstream && m_observer.onUpstreamGone)
+        m_observer.onUpstreamGone(id, end);
+    if (kind == StoreRecordKind::Node && m_observer.onNodeGone)
+        m_observer.onNodeGone(id);
+}
+
+void ViewReplicator::notifyObserver(const StoreRecord& record, const Transfer& transfer, RegistrationSource source)
+{
+    if (record.isDeleted)
+        return notifyRemoval(record.key, RegistrationEnd::Ended);
+    const auto [kind, id] = m_context.ports.store->decodeKey(record.key);
     struct Visitor {
         ViewReplicator& replicator;
         const StoreRecord& record;
         const Transfer& transfer;
+        RegistrationSource source;
         StoreRecordKind kind;
         const std::string& id;
 
@@ -283,7 +374,7 @@
             replicator.m_context.metrics.count("store_records_skipped_total");
             replicator.m_context.log.write("view.record-skipped", { { "key", record.key }, { "problem", unreadable.problem }, { "revision", std::to_string(record.revision) } });
             if (kind == StoreRecordKind::Upstream && replicator.m_observer.onUpstreamGone)
-                replicator.m_observer.onUpstreamGone(id, false);
+                replicator.m_observer.onUpstreamGone(id, RegistrationEnd::Unreadable);
         }
         void operator()(const DeploymentConfiguration& configuration) const
         {
@@ -293,12 +384,12 @@
         void operator()(const Upstream& upstream) const
         {
             if (replicator.m_observer.onUpstream)
-                replicator.m_observer.onUpstream(upstream);
+                replicator.m_observer.onUpstream(upstream, source);
         }
         void operator()(const WeightsVersion& version) const
         {
             if (replicator.m_observer.onVersion)
-                replicator.m_observer.onVersion(version, replicator.recordPublication(record.revision, transfer));
+                replicator.m_observer.onVersion(version, replicator.recordPublication(version, record.revision, transfer));
         }
         void operator()(const RegisteredNode& node) const
         {
@@ -306,7 +397,7 @@
                 replicator.m_observer.onNode(node);
         }
     };
-    std::visit(Visitor { *this, record, transfer, kind, id }, m_context.ports.store->decodeRecord(record));
+    std::visit(Visitor { *this, record, transfer, source, kind, id }, m_context.ports.store->decodeRecord(record));
 }
 
 bool ViewReplicator::serve(const ServerExchangePointer& exchange)
@@ -314,19 +405,22 @@
     const auto& target = exchange->request().target;
     if (target.compare(0, viewPath.size(), viewPath) != 0)
         return false;
-    const auto number = target.substr(viewPath.size());
-    if (number.empty() || number.find_first_not_of("0123456789") != std::string::npos || number.size() > 18) {
-        exchange->respond(statusBadRequest, {}, "malformed revision\n");
+    const auto known = decodePosition(std::string_view(target).substr(viewPath.size()));
+    if (!known) {
+        exchange->respond(statusBadRequest, {}, "malformed position\n");
         return true;
     }
-    const std::uint64_t known = std::stoull(number);
     if (m_view.revision() == 0) {
         exchange->respond(statusUnavailable, {}, "the store was not read yet\n");
         return true;
     }
-    const WaitingPeer peer { exchange, known, monotonicNow() + peerWait };
+    if (known->era > m_view.position().era) {
+        exchange->respond(statusUnavailable, {}, "this view is of an earlier era\n");
+        return true;
+    }
+    const WaitingPeer peer { exchange, *known, monotonicNow() + peerWait };
     // If this process's own source lags, it answers at once, so that the peer can choose another.
-    if (known < m_view.revision() || ViewSourceDecision::isTooOld(age())) {
+    if (*known < m_view.position() || ViewSourceDecision::isTooOld(age())) {
         answerPeer(peer);
         return true;
     }
@@ -348,7 +442,7 @@
 void ViewReplicator::answerWaitingPeers()
 {
     for (auto peer = m_waitingPeers.begin(); peer != m_waitingPeers.end();) {
-        if (peer->known >= m_view.revision()) {
+        if (!(peer->known < m_view.position())) {
             ++peer;
             continue;
         }
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -16,12 +16,13 @@
     /// Called with the decoded contents of changed records.
     struct Observer {
         std::function<void(const DeploymentConfiguration&)> onConfiguration;
-        std::function<void(const Upstream&)> onUpstream;
-        std::function<void(const std::string& id, bool isReadable)> onUpstreamGone;
+        std::function<void(const Upstream&, RegistrationSource source)> onUpstream;
+        std::function<void(const std::string& id, RegistrationEnd end)> onUpstreamGone;
         /// \p earliestPublication is the earliest time at which the version may have been published.
         std::function<void(const WeightsVersion&, TimePoint earliestPublication)> onVersion;
         std::function<void(const RegisteredNode&)> onNode;
         std::function<void(const std::string& id)> onNodeGone;
+        std::function<void(std::uint64_t era)> onEra; ///< before the changes of the first update of an era
         std::function<void()> onBatchEnd; ///< after all changes of one update
     };
 
@@ -40,10 +41,12 @@
 
     std::uint64_t revision() const { return m_view.revision(); }
 
+    const StorePosition& position() const { return m_view.position(); }
+
 private:
     struct WaitingPeer {
         ServerExchangePointer exchange;
-        std::uint64_t known;
+        StorePosition known;
         TimePoint deadline;
     };
 
@@ -60,6 +63,8 @@
     void readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before);
     void watchStore();
     void followPeer(const PeerSource& peer);
+    /// Returns the era of an answer of the store, and nothing if it is of an earlier era than the view.
+    std::optional<std::uint64_t> currentEra(const WholeResponse& response) const;
     void handleFailure(const ViewSource& source, const std::string& problem, const Transfer& transfer);
     void handleLag(const ViewSource& source);
     Milliseconds nextRetryDelay();
@@ -67,8 +72,10 @@
     Transfer recordTransfer(const ViewSource& source, Transfer transfer, const WholeResponse& response);
     /// Returns whether a record changed.
     bool apply(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
-    void notifyObserver(const StoreRecord& record, const Transfer& transfer);
-    TimePoint recordPublication(std::uint64_t revision, const Transfer& transfer);
+    void notifyObserver(const StoreRecord& record, const Transfer& transfer, RegistrationSource source = RegistrationSource::Owner);
+    void notifyRemoval(const std::string& key, RegistrationEnd end);
+    void expireRestoration();
+    TimePoint recordPublication(const WeightsVersion& version, std::uint64_t revision, const Transfer& transfer);
     VersionAges versionAges() const;
     void answerPeer(const WaitingPeer& peer);
     void answerWaitingPeers();
@@ -78,10 +85,13 @@
     ViewSourceDecision m_decision;
     StoreView m_view;
     std::map<std::uint64_t, TimePoint> m_earliestPublications; // by revision
+    std::map<std::pair<std::string, std::uint64_t>, TimePoint> m_publications; // the same by model and version, across eras
+    RestoredRecords m_restored;
     EncodedViewCache m_encoded; // of the view's current revision
     Observer m_observer;
     LoopTimer m_followTimer;
     LoopTimer m_peerTimer;
+    LoopTimer m_restorationTimer;
     std::list<WaitingPeer> m_waitingPeers;
     unsigned m_consecutiveFailures = 0;
     bool m_isFullReadNeeded = true;
--- a/modules/hyssopwick_requests/streams/EventStreamSplitter.cpp
+++ b/modules/hyssopwick_requests/streams/EventStreamSplitter.cpp
@@ -7,9 +7,9 @@
     constexpr std::string_view idField = "id:";
 
     // Returns the position after the blank line that ends the first event, or npos.
-    std::size_t endOfEvent(const std::string& buffer)
+    // lineStart is where to begin, and where the last incomplete line begins afterwards.
+    std::size_t endOfEvent(const std::string& buffer, std::size_t& lineStart)
     {
-        std::size_t lineStart = 0;
         while (lineStart < buffer.size()) {
             const auto lineEnd = buffer.find('\n', lineStart);
             if (lineEnd == std::string::npos)
@@ -48,11 +48,12 @@
     m_buffer.append(bytes);
     std::vector<Event> events;
     for (;;) {
-        const auto end = endOfEvent(m_buffer);
+        const auto end = endOfEvent(m_buffer, m_lineStart);
         if (end == std::string::npos)
             return events;
         auto text = m_buffer.substr(0, end);
         m_buffer.erase(0, end);
+        m_lineStart = 0;
         auto id = idOf(text);
         events.push_back({ std::move(text), std::move(id) });
     }
--- a/modules/hyssopwick_requests/streams/EventStreamSplitter.h
+++ b/modules/hyssopwick_requests/streams/EventStreamSplitter.h
@@ -27,6 +27,7 @@
 
 private:
     std::string m_buffer;
+    std::size_t m_lineStart = 0; // of the incomplete line; the lines before it were examined
 };
 
 }
--- a/tests/DeploymentTests.cpp
+++ b/tests/DeploymentTests.cpp
@@ -76,7 +76,7 @@
     CHECK_FALSE(registry.set(upstream("i-1", "10.0.0.1:1")));
     CHECK(revision == registry.revision());
     // A renewal within the grace period is a change: the upstream is usable beyond it again.
-    registry.remove("i-1", true, at(0));
+    registry.remove("i-1", RegistrationEnd::Ended, at(0));
     CHECK(registry.set(upstream("i-1", "10.0.0.1:1")));
     registry.expire(at(5000));
     LONGS_EQUAL(1, registry.usableAt("10.0.0.1:1").size());
@@ -87,7 +87,7 @@
 {
     UpstreamRegistry registry(Milliseconds(1000));
     registry.set(upstream("i-1", "10.0.0.1:80"));
-    registry.remove("i-1", true, at(0));
+    registry.remove("i-1", RegistrationEnd::Ended, at(0));
     LONGS_EQUAL(1, registry.usable("models").size());
     CHECK(*registry.nextExpiry() == at(1000));
     CHECK_FALSE(registry.expire(at(999)));
@@ -99,12 +99,12 @@
 {
     UpstreamRegistry registry(Milliseconds(1000));
     registry.set(upstream("i-1", "10.0.0.1:80"));
-    registry.remove("i-1", false, at(0));
+    registry.remove("i-1", RegistrationEnd::Unreadable, at(0));
     LONGS_EQUAL(0, registry.usable("models").size());
     auto leaving = upstream("i-2", "10.0.0.2:80");
     leaving.state = UpstreamState::Draining;
     registry.set(leaving);
-    registry.remove("i-2", true, at(0));
+    registry.remove("i-2", RegistrationEnd::Ended, at(0));
     CHECK(!registry.find("i-2"));
 }
 
@@ -112,7 +112,7 @@
 {
     UpstreamRegistry registry(Milliseconds(1000));
     registry.set(upstream("i-1", "10.0.0.1:80"));
-    registry.remove("i-1", true, at(0));
+    registry.remove("i-1", RegistrationEnd::Ended, at(0));
     registry.set(upstream("i-2", "10.0.0.1:80"));
     LONGS_EQUAL(1, registry.usable("models").size());
     STRCMP_EQUAL("i-2", registry.usable("models").front()->id.c_str());
@@ -179,13 +179,13 @@
             sourceRevisions[index] = revision;
             const auto& askedSource = sources[random.below(2)];
             if (askedSource.revision() > 0)
-                follower.apply(askedSource.updateSince(follower.revision()));
+                follower.apply(askedSource.updateSince(follower.position()));
         }
         ViewUpdate last { ++revision, true, {} };
         for (const auto& [name, item] : store)
             last.records.push_back(item);
         sources[0].apply(last);
-        follower.apply(sources[0].updateSince(follower.revision()));
+        follower.apply(sources[0].updateSince(follower.position()));
         LONGS_EQUAL(store.size(), follower.records().size());
         for (const auto& [name, item] : store)
             STRCMP_EQUAL(item.value.c_str(), follower.records().at(name).value.c_str());
--- a/tests/platform/CallFlowSupport.h
+++ b/tests/platform/CallFlowSupport.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "../TestSupport.h"
+
+#include <PlatformAdapter.h>
 #include <hyssopwick_gateway.h>
 
 namespace hyssopwick {
@@ -18,6 +21,8 @@
     // Adds the bytes of an answer, after which the connection is closed, or reset.
     void answer(const std::string& bytes, bool isReset = false) { m_answers.emplace_back(bytes, isReset); }
 
+    void clearAnswers() { m_answers.clear(); }
+
     const std::vector<std::string>& requests() const { return m_requests; }
 
 private:
@@ -135,4 +140,109 @@
     std::function<void()> m_onCallerLeft;
 };
 
+inline const std::string okHead = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s1\r\n";
+inline const std::string notExecuted = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// Returns one chunk of a body in chunked transfer coding.
+inline std::string chunk(const std::string& text)
+{
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+
+/// Fixture with one route to two upstreams of a plain service.
+struct CallFlowGroup : public Utest {
+    EventLoop loop { 1 };
+    std::vector<std::string> lines;
+    EventLog log { "test", [this](const std::string& line) { lines.push_back(line); } };
+    MetricsRegistry metrics;
+    ProcessDescription description = [] {
+        ProcessDescription result;
+        result.node = "entry";
+        result.ip = "127.0.0.1";
+        result.region = "north";
+        result.failureDomain = "north-a";
+        result.internalPort = 1;
+        return result;
+    }();
+    GatewayContext context { loop, description, platform::platformPorts(), log, metrics, 1 };
+    EntryServices services { context };
+    ScriptedUpstream first { loop };
+    ScriptedUpstream second { loop };
+    DeploymentConfiguration configuration;
+    std::string tokenCounts; // header value: tokens of the prompt and maximum tokens of the answer; not sent when empty
+    std::shared_ptr<CallFlow> flow;
+    std::shared_ptr<RecordedExchange> exchange;
+
+    void setup() override
+    {
+        configuration.version = 1;
+        ServiceDescription service;
+        service.name = "plain";
+        configuration.services["plain"] = service;
+        configuration.accounts = { { "carrier", { "secret-key" }, std::nullopt } };
+    }
+
+    void route(CallKind kind, unsigned maxUpstreams, bool isResumable)
+    {
+        CallRoute route;
+        route.name = "route";
+        route.host = "a.example";
+        route.pathPrefix = "/x/";
+        route.kind = kind;
+        route.maxUpstreams = maxUpstreams;
+        route.isResumable = isResumable;
+        route.answerTimeout = Milliseconds(2000);
+        route.targets = { { "plain", 1 } };
+        configuration.routes = { route };
+        services.setConfiguration(configuration);
+        int number = 0;
+        for (const auto* upstream : { &first, &second }) {
+            Upstream registered;
+            registered.id = "i-" + std::to_string(++number);
+            registered.service = "plain";
+            registered.address = upstream->address();
+            registered.failureDomain = "north-a";
+            services.setUpstream(registered);
+        }
+        services.refresh();
+    }
+
+    void send(const std::string& key = "secret-key")
+    {
+        ServerRequest request;
+        request.method = "POST";
+        request.target = "/x/book?b=2&a=1&a=3";
+        request.host = "a.example";
+        request.fields = { { "Host", "a.example" }, { "Request-Id", "r1" }, { "Deadline-Ms", "1500" }, { "Tenant", "forged" }, { "Connection", "x-hop" }, { "X-Hop", "1" }, { "X-Kept", "1" } };
+        if (!tokenCounts.empty())
+            request.fields.emplace_back("Token-Counts", tokenCounts);
+        if (!key.empty())
+            request.fields.emplace_back("Authorization", "Bearer " + key);
+        request.body = "body";
+        request.receivedAt = monotonicNow();
+        exchange = std::make_shared<RecordedExchange>(std::move(request));
+        flow = std::make_shared<CallFlow>(
+            services, exchange, [](const std::string&) {}, [](CallFlow*) {});
+        flow->start();
+    }
+
+    // Runs the loop until the caller has its answer, at the latest after the route's answerTimeout.
+    void finish()
+    {
+        while (!exchange->hasEnded)
+            loop.run_one();
+    }
+
+    std::size_t requestCount() const { return first.requests().size() + second.requests().size(); }
+
+    // Adds an answer to both upstreams, since either may be asked first.
+    void answerBoth(const std::string& bytes, bool isReset = false)
+    {
+        first.answer(bytes, isReset);
+        second.answer(bytes, isReset);
+    }
+};
+
 }
--- a/tests/platform/VersionBoundTests.cpp
+++ b/tests/platform/VersionBoundTests.cpp
@@ -136,7 +136,7 @@
         loop.run_one();
     newer.answer(streamWithOneEvent);
     addEngine("i-2", newer, 2);
-    services.removeUpstream("i-1", false);
+    services.removeUpstream("i-1", RegistrationEnd::Unreadable);
     services.addVersion({ "m", 2 }, monotonicNow() - context.description.versionBound);
     while (!exchange->hasEnded)
         loop.run_one();
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -1,28 +1,16 @@
 #include "../TestSupport.h"
-#include "CallFlowSupport.h"
+#include "ViewSupport.h"
 
-#include <PlatformAdapter.h>
 #include <http/Compression.h>
 #include <hyssopwick_gateway.h>
 #include <limits>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 #include <optional>
 
 using namespace hyssopwick;
 
 namespace {
 
-std::string base64(const std::string& bytes)
-{
-    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()), reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(size));
-    return text;
-}
-
-std::string httpAnswer(const std::string& body) { return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body; }
-
 // Returns a store's answer to a read, with one record at revision 7.
 std::string readAnswer(const std::string& key, const std::string& value)
 {
@@ -61,41 +49,6 @@
     return configuration.dump();
 }
 
-/// The view of one process, with its context.
-struct ViewProcess {
-    ViewProcess(EventLoop& loop, const std::string& id, const std::string& storeAddress, bool isEntry)
-        : context { loop, describe(storeAddress), platform::platformPorts(), log, metrics, 1 }
-        , replicator(context, { id, "127.0.0.1:1", "north", "north-a", isEntry ? "entry" : "agent" }, isEntry)
-    {
-    }
-
-    static ProcessDescription describe(const std::string& storeAddress)
-    {
-        ProcessDescription description;
-        description.ip = "127.0.0.1";
-        description.region = "north";
-        description.failureDomain = "north-a";
-        description.storeAddress = storeAddress;
-        return description;
-    }
-
-    // Requests the view as a peer does.
-    std::shared_ptr<RecordedExchange> requestView(std::uint64_t known)
-    {
-        ServerRequest request;
-        request.method = "GET";
-        request.target = "/view?after=" + std::to_string(known);
-        const auto exchange = std::make_shared<RecordedExchange>(std::move(request));
-        CHECK(replicator.serve(exchange));
-        return exchange;
-    }
-
-    EventLog log { "test", [](const std::string&) {} };
-    MetricsRegistry metrics;
-    GatewayContext context;
-    ViewReplicator replicator;
-};
-
 /// An answer sent in equal pieces.
 struct PacedAnswer {
     std::string bytes;
@@ -316,14 +269,14 @@
     EncodedViewCache encoded;
     view.apply({ 10, true, { { "a", "1", 5, false } } });
     view.apply({ 11, false, { { "a", "2", 11, false } } });
-    const auto first = encoded.updateSince(view, 10);
-    CHECK(first == encoded.updateSince(view, 10));
-    CHECK_FALSE(first == encoded.updateSince(view, 0));
+    const auto first = encoded.updateSince(view, { 0, 10 });
+    CHECK(first == encoded.updateSince(view, { 0, 10 }));
+    CHECK_FALSE(first == encoded.updateSince(view, {}));
     view.apply({ 12, false, { { "a", "3", 12, false } } });
     encoded.clear();
-    const auto decoded = decodeView(encoded.updateSince(view, 10)->fields(Milliseconds(0)), encoded.updateSince(view, 10)->body);
+    const auto decoded = decodeView(encoded.updateSince(view, { 0, 10 })->fields(Milliseconds(0)), encoded.updateSince(view, { 0, 10 })->body);
     CHECK(decoded.has_value());
-    CHECK(decoded.value().update == view.updateSince(10));
+    CHECK(decoded.value().update == view.updateSince({ 0, 10 }));
 }
 
 // A change must invalidate the cache of encoded updates.
