Processes that the store turns away learn from any that it serves

Now the source that is asked in place of the preferred one changes from try to try, over the earlier entries of the region and over all entries of others; a source that knows no more than the asker is not taken (it may have it from there); entries leave their region in groups that double; and the source that works is kept while the preferred one is tried again.

EntriesThatTheStoreTurnsAwayLearnFromAnyThatItServes failed before (ages over 8 s), and passes. EntriesOfARegionFollowWithoutCycles counts sources of the own region only, since others are any entry now; what it guards across regions is in NoViewStaysCurrentWhileTheStoreIsUnreachable, which compares exact ages.

--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
@@ -8,14 +8,23 @@
     // One is enough: the others detect its loss well within the time in which a change must
     // take effect, and each call to the store is charged.
     constexpr std::size_t designatedPerRegion = 1;
-    // The first entry VM of the region's order and its substitute.
-    constexpr std::size_t maxRegionalSources = 2;
-    // Between two processes that leave the region for the store or another region. It leaves
-    // time for an answer, so that the second process can follow the first one instead.
+    // Between two groups of processes that leave the region for the store or another region. It
+    // leaves time for an answer, so that the second group can follow the first one instead.
     constexpr Milliseconds leaveRegionInterval { 400 };
-    // Number of processes at the start of the order that have a slot of their own for leaving
-    // the region. Later ones and all agents are spread over the same number of further slots.
-    constexpr std::size_t individualLeaveSlots = 10;
+    // The processes at the start of the order leave in groups that double, since several in a
+    // row may be turned away. Later ones and all agents are spread over further slots.
+    constexpr std::size_t groupedLeaveRanks = 16;
+    constexpr std::size_t firstSpreadSlot = 10;
+    constexpr std::size_t spreadLeaveSlots = 10;
+
+    // Ranks 0 and 1 have slot 0, then 2, 3 to 4, 5 to 8, 9 to 16.
+    std::size_t groupSlot(std::size_t rank)
+    {
+        std::size_t slot = 0;
+        for (std::size_t before = 1; rank > before; before *= 2)
+            ++slot;
+        return slot;
+    }
     // A process that follows the store waits up to 1 s for a change before it asks again.
     constexpr Milliseconds maxSourceAge { 1200 };
     // Time after which a process that fell back to another source tries its preferred one again.
@@ -41,11 +50,12 @@
 void ViewSourceDecision::rankSeeds()
 {
     m_sources.clear();
+    m_roaming.clear();
     for (const auto& address : rendezvousOrder(m_self.id, m_seeds))
         m_sources.push_back(PeerSource { address, address });
     m_regionalSources = m_sources.size();
     m_sources.push_back(StoreSource {});
-    m_leaveSlot = 1 + static_cast<std::size_t>(stableHash(m_self.id) % individualLeaveSlots);
+    m_leaveSlot = static_cast<std::size_t>(stableHash(m_self.id) % spreadLeaveSlots);
     m_position = 0;
 }
 
@@ -78,52 +88,75 @@
     m_isDesignated = m_isEntry && std::find(order.begin(), designatedEnd, m_self.id) != designatedEnd;
 
     const auto self = std::find(order.begin(), order.end(), m_self.id);
-    m_leaveSlot = static_cast<std::size_t>(self - order.begin());
-    if (!m_isEntry || m_leaveSlot > individualLeaveSlots)
-        m_leaveSlot = std::min(m_leaveSlot, individualLeaveSlots) + static_cast<std::size_t>(stableHash(m_self.id) % individualLeaveSlots);
+    const auto rank = static_cast<std::size_t>(self - order.begin());
+    m_leaveSlot = m_isEntry && rank <= groupedLeaveRanks ? groupSlot(rank) : firstSpreadSlot + static_cast<std::size_t>(stableHash(m_self.id) % spreadLeaveSlots);
     // Agents are spread over the entry VMs of their region.
-    auto peers = m_isEntry ? std::vector<std::string>(order.begin(), self) : rendezvousOrder(m_self.id, order);
-    peers.resize(std::min(peers.size(), maxRegionalSources));
+    const auto peers = m_isEntry ? std::vector<std::string>(order.begin(), self) : rendezvousOrder(m_self.id, order);
     std::map<std::string, std::vector<std::string>> otherRegions;
     for (const auto& entry : m_entries) {
         if (entry.region != m_self.region)
             otherRegions[entry.region].push_back(entry.id);
     }
     std::vector<std::string> designatedInOtherRegions;
-    for (const auto& [region, ids] : otherRegions)
+    std::vector<std::string> othersOutside;
+    for (const auto& [region, ids] : otherRegions) {
         designatedInOtherRegions.push_back(rendezvousFirst("store-followers/" + region, ids));
+        othersOutside.insert(othersOutside.end(), ids.begin(), ids.end());
+    }
     const auto fallback = rendezvousFirst(m_self.id, designatedInOtherRegions);
 
     const auto current = m_sources.empty() ? ViewSource(StoreSource {}) : source();
     m_sources.clear();
-    const auto addPeer = [this, &byId](const std::string& id) {
-        if (!id.empty())
-            m_sources.push_back(PeerSource { id, byId[id].address });
-    };
+    m_roaming.clear();
+    const auto peerSource = [&byId](const std::string& id) { return ViewSource(PeerSource { id, byId[id].address }); };
     // After a broken watch the store is tried once more before a peer is asked.
     if (m_isDesignated) {
         m_sources.push_back(StoreSource {});
         m_sources.push_back(StoreSource {});
     }
-    for (const auto& id : peers)
-        addPeer(id);
+    if (!peers.empty())
+        m_sources.push_back(peerSource(peers.front()));
+    std::vector<ViewSource> substitutes;
+    for (std::size_t i = 1; i < peers.size(); ++i)
+        substitutes.push_back(peerSource(peers[i]));
+    addRoaming(std::move(substitutes), current);
     m_regionalSources = m_sources.size();
-    addPeer(fallback);
+    std::vector<ViewSource> outside;
+    if (!fallback.empty())
+        outside.push_back(peerSource(fallback));
+    // Without another region, a later one of the own region may have reached the store.
+    const auto later = m_isEntry && otherRegions.empty() && self != order.end() ? std::vector<std::string>(self + 1, order.end()) : std::vector<std::string>();
+    othersOutside.insert(othersOutside.end(), later.begin(), later.end());
+    for (const auto& id : rendezvousOrder(m_self.id, othersOutside)) {
+        if (id != fallback)
+            outside.push_back(peerSource(id));
+    }
+    addRoaming(std::move(outside), current);
     if (!m_isDesignated)
         m_sources.push_back(StoreSource {});
     const auto currentPosition = std::find(m_sources.begin(), m_sources.end(), current);
+    m_retriedFrom.reset();
     m_position = currentPosition == m_sources.end() || !m_hasAnswer ? 0 : static_cast<std::size_t>(currentPosition - m_sources.begin());
 }
 
+void ViewSourceDecision::addRoaming(std::vector<ViewSource> candidates, const ViewSource& current)
+{
+    if (candidates.empty())
+        return;
+    const auto found = std::find(candidates.begin(), candidates.end(), current);
+    const auto selected = found == candidates.end() ? std::size_t(0) : static_cast<std::size_t>(found - candidates.begin());
+    m_sources.push_back(candidates[selected]);
+    m_roaming[m_sources.size() - 1] = { std::move(candidates), selected };
+}
+
 ViewSource ViewSourceDecision::source() const { return m_sources[m_position]; }
 
 bool ViewSourceDecision::mayLeaveRegion(TimePoint now) const
 {
     // A region whose sources do not answer at all cannot become current, so its processes do
     // not wait for their slots. The second process of the order replaces the first at once.
-    const auto slotsBefore = static_cast<int>(m_leaveSlot < 2 ? 0 : m_leaveSlot - 1);
     const bool isStarting = !m_hasAnswer && !m_seeds.empty();
-    return (!m_isRegionAnswering && !isStarting) || (m_staleSince && now >= *m_staleSince + leaveRegionInterval * slotsBefore);
+    return (!m_isRegionAnswering && !isStarting) || (m_staleSince && now >= *m_staleSince + leaveRegionInterval * static_cast<int>(m_leaveSlot));
 }
 
 void ViewSourceDecision::advance(TimePoint now)
@@ -138,11 +171,19 @@
             m_staleSince = now; // the next attempt waits for its slot again
         m_isRegionAnswering = false;
     }
+    m_isSourceNew = true;
+    const auto roaming = m_roaming.find(m_position);
+    if (roaming == m_roaming.end())
+        return;
+    auto& [candidates, next] = roaming->second;
+    m_sources[m_position] = candidates[next];
+    next = (next + 1) % candidates.size();
 }
 
 void ViewSourceDecision::recordAnswer(const ViewSource& source, Milliseconds age, TimePoint now)
 {
-    if (!m_hasAnswer || now - age > m_currentAsOf)
+    const bool isNews = !m_hasAnswer || now - age > m_currentAsOf;
+    if (isNews)
         m_currentAsOf = now - age;
     m_failures = 0;
     const bool isFirst = !m_hasAnswer;
@@ -153,8 +194,12 @@
     }
     if (!(source == this->source()))
         return;
-    if (age > maxSourceAge)
+    // One that knows no more than this process may have it from here.
+    const bool isUseless = m_isSourceNew && !isNews;
+    m_isSourceNew = false;
+    if (age > maxSourceAge || isUseless)
         return recordLag(source, now);
+    m_retriedFrom.reset();
     m_staleSince.reset();
     m_isRegionAnswering = false;
     if (m_position == 0) {
@@ -162,14 +207,28 @@
         return;
     }
     if (now >= m_preferredRetryAt) {
+        m_retriedFrom = m_position;
         m_position = 0;
+        m_isSourceNew = true;
         m_preferredRetryAt = now + preferredRetryPeriod;
     }
 }
 
+// The source that worked is kept while the preferred one does not.
+bool ViewSourceDecision::returnToWorkingSource(TimePoint now)
+{
+    if (!m_retriedFrom)
+        return false;
+    m_position = *m_retriedFrom;
+    m_retriedFrom.reset();
+    m_isSourceNew = false;
+    m_preferredRetryAt = now + preferredRetryPeriod;
+    return true;
+}
+
 void ViewSourceDecision::recordLag(const ViewSource& source, TimePoint now)
 {
-    if (!(source == this->source()))
+    if (!(source == this->source()) || returnToWorkingSource(now))
         return;
     m_isRegionAnswering = m_isRegionAnswering || m_position < m_regionalSources;
     m_staleSince = m_staleSince.value_or(now);
@@ -179,7 +238,7 @@
 void ViewSourceDecision::recordFailure(const ViewSource& source, TimePoint now)
 {
     ++m_failures;
-    if (!(source == this->source()))
+    if (!(source == this->source()) || returnToWorkingSource(now))
         return;
     if (m_position == 0)
         m_preferredRetryAt = now + preferredRetryPeriod;
--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.h
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.h
@@ -28,7 +28,9 @@
 /// region follow the store, all others follow one of these, so that the calls to the
 /// store grow with the number of regions, not of processes. A source that fails or whose own
 /// view is stale is replaced by the next one of the region. Entry VMs follow only those
-/// before them in the region's order, which excludes cycles. The link between two regions
+/// before them in the region's order, which excludes cycles within it; a source other than the
+/// preferred one has to know more than this process, which excludes others. The one that is asked
+/// in place of the preferred one changes from try to try: some VMs may not reach the store. The link between two regions
 /// has little bandwidth, so processes switch to the store or another region one after the
 /// other, the first of the order at once: the others can then follow it. Pure: no clock, no I/O.
 class ViewSourceDecision {
@@ -69,9 +71,17 @@
     Milliseconds age(TimePoint now) const;
 
 private:
+    // A position in the sources whose peer changes each time that it is entered.
+    struct Roaming {
+        std::vector<ViewSource> candidates;
+        std::size_t next = 0;
+    };
+
     void rankSources();
+    void addRoaming(std::vector<ViewSource> candidates, const ViewSource& current);
     void rankSeeds();
     void advance(TimePoint now);
+    bool returnToWorkingSource(TimePoint now);
     bool mayLeaveRegion(TimePoint now) const;
 
     VmIdentity m_self;
@@ -80,12 +90,15 @@
     std::vector<std::string> m_seeds;
     std::vector<VmIdentity> m_entries;
     std::vector<ViewSource> m_sources; // in order of preference
+    std::map<std::size_t, Roaming> m_roaming; // by position
     std::size_t m_regionalSources = 0; // number of first sources that may be asked without waiting for the leave slot
     bool m_isRegionAnswering = false; // with stale views
-    std::size_t m_leaveSlot = 0; // position of this process in the order of leaving the region
+    std::size_t m_leaveSlot = 0; // time at which this process may leave the region, in intervals after its views became stale
     std::size_t m_position = 0;
+    std::optional<std::size_t> m_retriedFrom; // the position that worked, while the preferred one is tried again
     unsigned m_failures = 0; // of sources since the last answer
     std::optional<TimePoint> m_staleSince; // since when no source in the region is up to date
+    bool m_isSourceNew = false; // it has not answered since it was selected
     bool m_hasAnswer = false;
     TimePoint m_currentAsOf; // time at which the view matched the store
     TimePoint m_preferredRetryAt;
