Late calls are judged by busy engines

The prediction for the last slot of an engine replaces it. Predicted waits get a margin of 1.1 (was 1.35): the larger one kept calls waiting that an engine could have begun in time.

The model knows callers that return once, and a loss of power.

--- a/fakes/hyssopwick_fakes/LoadSimulation.cpp
+++ b/fakes/hyssopwick_fakes/LoadSimulation.cpp
@@ -15,7 +15,9 @@
         std::size_t entry = 0;
         CallSize size;
         TimePoint arrivedAt;
+        TimePoint deadline;
         TimePoint sentAt;
+        bool hasReturned = false;
         double predictedMilliseconds = 0;
         int engine = -1;
         bool hasFirstEvent = false;
@@ -75,7 +77,10 @@
                 for (auto& entry : m_entries)
                     entry->pool.setEngines({ m_engineNames.begin(), m_engineNames.end() });
             }
+            if (m_settings.outageUntil > m_settings.outageFrom)
+                applyOutage(now);
             addArrivals(now);
+            addReturns(now);
             for (std::size_t i = 0; i < m_engines.size(); ++i) {
                 for (const auto& event : m_engines[i].advance(now))
                     handleEvent(event);
@@ -114,20 +119,59 @@
                 // Prompt sizes are uniform; answer sizes have a long tail (exponential, capped).
                 call.size.promptTokens = m_settings.speed.typicalPromptTokens * (0.4 + 1.2 * m_random.unit());
                 call.size.answerTokens = m_settings.speed.typicalAnswerTokens * std::min(maxAnswerRatio, -std::log(1 - m_random.unit()));
+                call.deadline = now + m_settings.deadline;
                 ++m_result.calls;
                 auto& entry = *m_entries[call.entry];
-                const auto firstEventDeadline = now + m_settings.objective;
                 if (m_settings.usesQueue) {
-                    entry.queue.add({ id, { call.size.promptTokens, m_settings.speed.typicalAnswerTokens }, 0, firstEventDeadline, now + m_settings.deadline, {}, false }, now);
+                    enqueue(id, now);
                 } else if (const auto choice = entry.pool.choose(call.size, {}, now)) {
                     entry.pool.recordSend(choice->upstream, id, call.size, now);
                     send(id, choice->upstream, choice->prediction, now);
                 } else {
-                    refuse(id, now);
+                    refuse(id, Milliseconds(0), now);
                 }
             }
         }
 
+        void enqueue(std::uint64_t id, TimePoint now)
+        {
+            const auto& call = m_calls.at(id);
+            m_entries[call.entry]->queue.add({ id, { call.size.promptTokens, m_settings.speed.typicalAnswerTokens }, 0, call.arrivedAt + m_settings.objective, call.deadline, {}, false }, now);
+        }
+
+        void addReturns(TimePoint now)
+        {
+            while (!m_returns.empty() && m_returns.begin()->first <= now) {
+                const auto id = m_returns.begin()->second;
+                m_returns.erase(m_returns.begin());
+                if (m_calls.count(id) != 0)
+                    enqueue(id, now);
+            }
+        }
+
+        // The engines end their calls and serve again, empty, after the outage.
+        void applyOutage(TimePoint now)
+        {
+            const bool begins = now == m_start + m_settings.outageFrom;
+            const bool ends = now == m_start + m_settings.outageUntil;
+            if (!begins && !ends)
+                return;
+            for (auto& entry : m_entries) {
+                entry->pool.setEngines(begins ? std::set<std::string>() : std::set<std::string>(m_engineNames.begin(), m_engineNames.end()));
+                entry->queue.setExpectedEngines(m_start + m_settings.outageUntil, m_settings.engines);
+            }
+            for (auto call = m_calls.begin(); begins && call != m_calls.end();) {
+                if (call->second.engine < 0) {
+                    ++call;
+                    continue;
+                }
+                m_engines[static_cast<std::size_t>(call->second.engine)].cancel(call->first);
+                m_entries[call->second.entry]->pool.recordEnd(call->first, now);
+                ++m_result.broken;
+                call = m_calls.erase(call);
+            }
+        }
+
         void advanceQueue(std::size_t index, TimePoint now)
         {
             auto& entry = *m_entries[index];
@@ -135,7 +179,7 @@
             for (const auto& sent : decisions.sent)
                 send(sent.call, sent.upstream, sent.prediction, now);
             for (const auto id : decisions.refused)
-                refuse(id, now);
+                refuse(id, decisions.retryAfter, now);
         }
 
         void send(std::uint64_t id, const std::string& upstream, const EnginePrediction& prediction, TimePoint now)
@@ -147,9 +191,18 @@
             m_engines[static_cast<std::size_t>(call.engine)].send(id, call.size, now);
         }
 
-        void refuse(std::uint64_t id, TimePoint now)
+        void refuse(std::uint64_t id, Milliseconds retryAfter, TimePoint now)
         {
+            auto& call = m_calls.at(id);
+            if (m_settings.callersReturn && !call.hasReturned) {
+                call.hasReturned = true;
+                ++m_result.returned;
+                constexpr int maxShareOfTime = 3;
+                m_returns.emplace(now + std::min<TimePoint::duration>(retryAfter, (call.deadline - now) / maxShareOfTime), id);
+                return;
+            }
             ++m_result.refused;
+            m_result.refusedAgain += call.hasReturned;
             m_result.refusedAfterWaiting += now - m_calls.at(id).arrivedAt > m_settings.objective / 8;
             m_calls.erase(id);
         }
@@ -176,7 +229,7 @@
         void expireCalls(TimePoint now)
         {
             for (auto call = m_calls.begin(); call != m_calls.end();) {
-                if (call->second.arrivedAt + m_settings.deadline > now)
+                if (call->second.deadline > now)
                     break; // in order of arrival
                 auto& entry = *m_entries[call->second.entry];
                 entry.queue.remove(call->first);
@@ -199,6 +252,7 @@
         std::vector<int> m_reportedCalls;
         std::vector<PrefillEstimate> m_prefillEstimates;
         std::map<std::uint64_t, SimulatedCall> m_calls;
+        std::multimap<TimePoint, std::uint64_t> m_returns; // ids of refused calls, by the time of their callers' return
         std::vector<double> m_predictionErrors;
         std::uint64_t m_lastId = 0;
         double m_dueArrivals = 0;
--- a/fakes/hyssopwick_fakes/LoadSimulation.h
+++ b/fakes/hyssopwick_fakes/LoadSimulation.h
@@ -20,6 +20,9 @@
     Milliseconds burstUntil { 0 };
     double burstFactor = 1;
     Milliseconds enginesFrom { 0 }; ///< when the engines start serving
+    Milliseconds outageFrom { 0 }; ///< start of a loss of power of all engines, whose calls end
+    Milliseconds outageUntil { 0 };
+    bool callersReturn = false; ///< a refused caller returns once, after a third of its time at the latest
     bool usesQueue = true; ///< false: calls go to the chosen engine immediately
 };
 
@@ -31,6 +34,9 @@
     unsigned refused = 0;
     unsigned refusedAfterWaiting = 0; ///< part of refused: after more than an eighth of the objective
     unsigned timedOut = 0; ///< not answered by the deadline
+    unsigned broken = 0; ///< ended by the loss of power
+    unsigned returned = 0; ///< callers that returned after a refusal
+    unsigned refusedAgain = 0; ///< part of refused: callers that had returned
     double medianPredictionError = 0; ///< |predicted - observed| / observed time to the first event
 
     double shareInTime() const { return double(inTime) / calls; }
--- a/modules/hyssopwick_requests/admission/CallQueue.cpp
+++ b/modules/hyssopwick_requests/admission/CallQueue.cpp
@@ -11,9 +11,9 @@
     // A late call may go to an engine whose predicted first event takes at most this many
     // times as long as on an idle engine; a higher factor would delay calls that are in time.
     constexpr double maxIdleSlowdown = 1.4;
-    // Predicted waits can be too short by this factor. Without the margin, half of the calls
-    // whose prediction just meets the deadline would be late.
-    constexpr double waitSafetyFactor = 1.35;
+    // Predicted waits can be too short by this factor. A larger one keeps calls waiting that an
+    // engine could have begun in time.
+    constexpr double waitSafetyFactor = 1.1;
     // Predicted end times can be too short by this factor.
     constexpr double endSafetyFactor = 1.3;
     // A late call is accepted only if it is expected to take at most this share of the time left.
@@ -32,9 +32,9 @@
 {
 }
 
-void CallQueue::setEntryCount(std::size_t entries)
+void CallQueue::setEntryCount(double entries)
 {
-    m_entryCount = std::max<std::size_t>(1, entries);
+    m_entryCount = std::max(1.0, entries);
     m_engines.setEntryCount(m_entryCount);
 }
 
@@ -62,7 +62,7 @@
 double CallQueue::ownCallRate() const
 {
     const double rate = m_engines.isEmpty() ? double(m_expectedEngineCount) * m_engines.callsPerMillisecondPerEngine() : m_engines.callsPerMillisecond();
-    return rate / double(m_entryCount);
+    return rate / m_entryCount;
 }
 
 double CallQueue::lateCallRate(TimePoint now, double rate) const
@@ -73,7 +73,7 @@
 // Includes the engines that are briefly out of service to load weights.
 double CallQueue::ownCallRateAfterReloads() const
 {
-    return std::max(ownCallRate(), double(m_expectedEngineCount) * m_engines.callsPerMillisecondPerEngine() / double(m_entryCount));
+    return std::max(ownCallRate(), double(m_expectedEngineCount) * m_engines.callsPerMillisecondPerEngine() / m_entryCount);
 }
 
 double CallQueue::millisecondsUntilEngines(TimePoint now) const
@@ -96,8 +96,9 @@
     const double rate = lateCallRate(now, ownCallRateAfterReloads());
     if (isNoEngineExpected || rate <= 0)
         return false;
+    // Late calls run while the engines are full.
     const double wait = millisecondsUntilEngines(now) + double(m_lateAhead) / rate;
-    return wait + m_engines.predictIdle(call.size).endMilliseconds * endSafetyFactor < double(millisecondsBetween(now, call.deadline)) * usableTimeShare;
+    return wait + m_engines.predictBusy(call.size).endMilliseconds * endSafetyFactor < double(millisecondsBetween(now, call.deadline)) * usableTimeShare;
 }
 
 bool CallQueue::takeLateCredit(TimePoint now)
--- a/modules/hyssopwick_requests/admission/CallQueue.h
+++ b/modules/hyssopwick_requests/admission/CallQueue.h
@@ -47,8 +47,8 @@
 public:
     explicit CallQueue(EnginePool& engines);
 
-    /// Sets how many entry VMs share the engines.
-    void setEntryCount(std::size_t entries);
+    /// Sets how many entry VMs share one engine, on average.
+    void setEntryCount(double entries);
 
     /// \param at     when an engine is expected to serve, if none serves now
     /// \param count  engines that serve now or will soon
@@ -89,7 +89,7 @@
     bool takeLateCredit(TimePoint now);
 
     EnginePool& m_engines;
-    std::size_t m_entryCount = 1;
+    double m_entryCount = 1;
     std::optional<TimePoint> m_expectedEnginesAt;
     std::size_t m_expectedEngineCount = 0;
     std::map<std::uint64_t, WaitingCall> m_calls; // by id, in order of arrival
--- a/modules/hyssopwick_requests/placing/EnginePool.cpp
+++ b/modules/hyssopwick_requests/placing/EnginePool.cpp
@@ -53,7 +53,7 @@
     found->second.reportedAt = reportedAt;
     found->second.hasReport = true;
     found->second.endedSinceReport = 0;
-    found->second.sendAllowance = std::floor(spareCalls(found->second, reportedAt) / double(m_entryCount) + m_random.unit());
+    found->second.sendAllowance = std::floor(spareCalls(found->second, reportedAt) / m_entryCount + m_random.unit());
 }
 
 // How many typical calls the engine can take before their first events take too long.
@@ -133,7 +133,7 @@
         // Assumes that each other entry sends as much as this one, evenly over all engines.
         const auto since = std::lower_bound(m_recentSendTimes.begin(), m_recentSendTimes.end(), engine.reportedAt);
         const double ownSends = double(m_recentSendTimes.end() - since);
-        const double others = ownSends * double(m_entryCount - 1) / double(std::max<std::size_t>(1, m_engines.size()));
+        const double others = ownSends * (m_entryCount - 1) / double(std::max<std::size_t>(1, m_engines.size()));
         load.waiting += others;
         load.pendingPromptTokens += others * m_speed.typicalPromptTokens;
     }
@@ -186,6 +186,8 @@
 
 EnginePrediction EnginePool::predictIdle(const CallSize& size) const { return predictWith({}, 1, size); }
 
+EnginePrediction EnginePool::predictBusy(const CallSize& size) const { return predictWith({ double(m_speed.slots) - 1, 0, 0 }, 1, size); }
+
 std::vector<std::string> EnginePool::sampleEngines(const std::set<std::string>& excluded, bool isContended)
 {
     std::vector<std::string> candidates;
--- a/modules/hyssopwick_requests/placing/EnginePool.h
+++ b/modules/hyssopwick_requests/placing/EnginePool.h
@@ -65,14 +65,17 @@
     /// Predicts a call on an engine without other calls.
     EnginePrediction predictIdle(const CallSize& size) const;
 
+    /// Predicts a call that takes the last slot of an engine.
+    EnginePrediction predictBusy(const CallSize& size) const;
+
     /// Returns how many typical calls all engines together can complete per millisecond.
     double callsPerMillisecond() const;
 
     /// Returns how many typical calls one healthy engine can complete per millisecond.
     double callsPerMillisecondPerEngine() const { return 1 / slotIntervalMilliseconds(m_speed.slots); }
 
-    /// Sets how many entry VMs send to these engines.
-    void setEntryCount(std::size_t entries) { m_entryCount = entries; }
+    /// Sets how many entry VMs send to one engine, on average.
+    void setEntryCount(double entries) { m_entryCount = entries; }
 
     /// Chooses, from a few random engines, the one with the earliest predicted first event.
     /// Engines in other regions and those that reload soon get a penalty; those that reload
@@ -124,7 +127,7 @@
     std::map<std::string, TimePoint> m_reloadingSoon;
     std::set<std::string> m_remoteEngines;
     std::map<std::uint64_t, SentCall> m_calls;
-    std::size_t m_entryCount = 1;
+    double m_entryCount = 1;
     std::deque<TimePoint> m_recentSendTimes; // of this entry, to any engine
 };
 
