What a process hears and sends does not grow with the fleet

Entries use 32 engines at most, half of their own region, by arcs of a ring that all compute alike, and subscribe to these; activations are arranged in groups of about 24 of a region; held chunks go to neighbours and two VMs of each other region, and to other regions only from the first holders. Fleets of up to 32 engines work as before.

--- a/modules/hyssopwick_distribution/hyssopwick_distribution.h
+++ b/modules/hyssopwick_distribution/hyssopwick_distribution.h
@@ -5,6 +5,7 @@
 // activation of a new version. All decisions are pure.
 #pragma once
 
+#include "rollout/ActivationGroup.h"
 #include "rollout/ActivationSchedule.h"
 #include "rollout/PlacementDecision.h"
 #include "rollout/RolloutDecision.h"
--- a/modules/hyssopwick_distribution/swarm/PullDecision.cpp
+++ b/modules/hyssopwick_distribution/swarm/PullDecision.cpp
@@ -17,6 +17,11 @@
     constexpr Milliseconds announcePeriod { 20 };
     // How often all members are notified while any member still lacks chunks.
     constexpr Milliseconds announceAllPeriod { 500 };
+    // In larger fleets a VM informs its neighbours and a few others, not all members.
+    constexpr std::size_t maxWholeFleet = 32;
+    constexpr std::size_t contactsPerOtherRegion = 2;
+    // VMs of a region that tell other regions of a chunk: those that fetch it first.
+    constexpr std::size_t crossRegionHolders = 2;
     constexpr Milliseconds busyDelay { 15 };
     constexpr Milliseconds failureDelay { 300 };
     constexpr Milliseconds maxFailureDelay { 5000 };
@@ -135,6 +140,9 @@
         --m_pendingFetches;
     }
     m_held.insert(chunk);
+    const bool isFirstHolder = state.isFromOrigin || state.regionRank < crossRegionHolders;
+    if (isLargeFleet() && !isFirstHolder)
+        return;
     for (const auto& id : fetchersInOtherRegions(chunk)) {
         if (!m_members.at(id).held.contains(chunk))
             m_remoteMembersToNotify.insert(id);
@@ -178,14 +186,9 @@
     m_originFailedAt = now;
 }
 
-bool PullDecision::isHeldInRegion(std::uint32_t chunk) const
-{
-    return std::any_of(m_members.begin(), m_members.end(), [&](const auto& entry) { return entry.second.member.region == m_settings.self.region && entry.second.held.contains(chunk); });
-}
-
 bool PullDecision::isHeldAnywhere(std::uint32_t chunk) const
 {
-    return std::any_of(m_members.begin(), m_members.end(), [&](const auto& entry) { return entry.second.held.contains(chunk); });
+    return std::any_of(m_members.begin(), m_members.end(), [&](const auto& entry) { return entry.second.hasAnnounced && entry.second.held.contains(chunk); });
 }
 
 // The origin's link transfers the chunks one after another, each in its time slot. The
@@ -267,7 +270,9 @@
 {
     std::vector<std::size_t> holders(m_chunks.size());
     for (const auto& [id, state] : m_members) {
-        for (std::uint32_t chunk = 0; chunk < m_chunks.size() && state.member.region == m_settings.self.region; ++chunk)
+        if (!state.hasAnnounced || state.member.region != m_settings.self.region)
+            continue;
+        for (std::uint32_t chunk = 0; chunk < m_chunks.size(); ++chunk)
             holders[chunk] += state.held.contains(chunk);
     }
     return holders;
@@ -321,7 +326,7 @@
     std::size_t count = 0;
     for (const auto& [id, state] : m_members) {
         // Reservoir sampling: each suitable member is picked with equal probability.
-        if (now >= state.nextRequestAt && isSuitable(state) && m_random.below(++count) == 0)
+        if (state.hasAnnounced && now >= state.nextRequestAt && isSuitable(state) && m_random.below(++count) == 0)
             picked = &state;
     }
     return picked;
@@ -343,10 +348,7 @@
     if (!m_hasAnnouncedToAll && !m_members.empty()) {
         m_hasAnnouncedToAll = true;
         m_announceAllAt = now + announceAllPeriod;
-        AnnounceHeldChunks initial { {}, true };
-        for (const auto& [id, state] : m_members)
-            initial.members.push_back(id);
-        actions.push_back(std::move(initial));
+        actions.push_back(AnnounceHeldChunks { contacts(), true });
     }
     if (!m_remoteMembersToNotify.empty()) {
         actions.push_back(AnnounceHeldChunks { { m_remoteMembersToNotify.begin(), m_remoteMembersToNotify.end() }, false });
@@ -363,14 +365,44 @@
         return;
     m_announceAllAt = now + announceAllPeriod;
     AnnounceHeldChunks all { {}, !isComplete() };
-    for (const auto& [id, state] : m_members) {
-        if (!state.held.isFull() || !isComplete())
+    for (const auto& id : contacts()) {
+        if (!m_members.at(id).held.isFull() || !isComplete())
             all.members.push_back(id);
     }
     if (!all.members.empty())
         actions.push_back(std::move(all));
 }
 
+// Returns the members to exchange held chunks with: in a large fleet the neighbours and a few
+// others of each region, drawn each time, so that what a VM sends does not grow with the fleet.
+std::vector<std::string> PullDecision::contacts()
+{
+    std::vector<std::string> ids;
+    if (!isLargeFleet()) {
+        for (const auto& [id, state] : m_members)
+            ids.push_back(id);
+        return ids;
+    }
+    std::map<std::string, std::vector<std::string>> others;
+    const std::set<std::string> neighbours(m_neighbours.begin(), m_neighbours.end());
+    for (const auto& [id, state] : m_members) {
+        if (neighbours.count(id) == 0)
+            others[state.member.region].push_back(id);
+    }
+    ids = m_neighbours;
+    for (auto& [region, candidates] : others) {
+        for (std::size_t i = 0; i < std::min(contactsPerOtherRegion, candidates.size()); ++i) {
+            std::swap(candidates[i], candidates[i + m_random.below(candidates.size() - i)]);
+            ids.push_back(candidates[i]);
+        }
+    }
+    return ids;
+}
+
+bool PullDecision::hasFreeFetch() const { return m_pendingFetches < maxPendingFetches; }
+
+bool PullDecision::isLargeFleet() const { return m_members.size() + 1 > maxWholeFleet; }
+
 TimePoint PullDecision::nextWake(TimePoint now) const
 {
     if (isComplete() && m_held == m_announced)
--- a/modules/hyssopwick_distribution/swarm/PullDecision.h
+++ b/modules/hyssopwick_distribution/swarm/PullDecision.h
@@ -69,6 +69,9 @@
     /// Records that a fetch from the origin failed.
     void recordOriginFailure(std::uint32_t chunk, TimePoint now);
 
+    /// Returns whether another fetch may be started now.
+    bool hasFreeFetch() const;
+
     const ChunkSet& held() const { return m_held; }
     bool isComplete() const { return m_held.isFull(); }
 
@@ -96,11 +99,12 @@
     bool pullOne(TimePoint now, std::vector<PullAction>& actions);
     void pull(const MemberProgress& source, std::uint32_t chunk, TimePoint now, std::vector<PullAction>& actions);
     const MemberProgress* pickRandomMember(TimePoint now, const std::function<bool(const MemberProgress&)>& isSuitable);
+    std::vector<std::string> contacts();
+    bool isLargeFleet() const;
     bool isWanted(std::uint32_t chunk) const;
     std::vector<std::size_t> holderCountsInRegion() const;
     TimePoint originDueAt(std::uint32_t chunk) const;
     TimePoint crossRegionDueAt(std::uint32_t chunk) const;
-    bool isHeldInRegion(std::uint32_t chunk) const;
     bool isHeldAnywhere(std::uint32_t chunk) const;
     std::vector<std::string> fetchersInOtherRegions(std::uint32_t chunk) const;
     Milliseconds chunkTime() const;
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -168,8 +168,6 @@
     m_lastUpdate = update;
     m_lastUpdateAt = now;
     std::set<std::string> addresses;
-    for (const auto& [id, vm] : m_entries)
-        addresses.insert(vm.address);
     for (auto subscriber = m_subscribers.begin(); subscriber != m_subscribers.end();) {
         if (now > subscriber->second + subscriptionLifetime) {
             subscriber = m_subscribers.erase(subscriber);
@@ -178,6 +176,13 @@
         addresses.insert(subscriber->first);
         ++subscriber;
     }
+    // Of a large fleet, the entries that use this engine subscribe. A started agent informs all
+    // until it knows them.
+    const bool isLargeFleet = m_peers.size() + 1 > EngineSubset::maxEngines;
+    if (!isLargeFleet || addresses.empty()) {
+        for (const auto& [id, vm] : m_entries)
+            addresses.insert(vm.address);
+    }
     m_peerSocket.sendToAll({ addresses.begin(), addresses.end() }, update);
 }
 
@@ -271,30 +276,32 @@
     if (m_peersRevision != m_registry.revision()) {
         m_peersRevision = m_registry.revision();
         m_peers.clear();
-        m_peerAddresses.clear();
         for (const auto* upstream : m_registry.usable(m_service->name)) {
             const auto ip = ipOf(upstream->address);
             if (ip == m_context.description.ip)
                 continue;
             const auto address = ip + ":" + std::to_string(m_context.description.internalPort);
             m_peers.push_back({ memberFor(ip, upstream->failureDomain, upstream->startedAt), address });
-            m_peerAddresses.push_back(address);
         }
+        updateActivationGroup();
         for (const auto& [version, swarm] : m_swarms)
             swarm->setPeers(m_peers);
         if (m_schedule)
-            m_schedule->setPeers(peerIds());
+            m_schedule->setPeers(m_groupIds);
     }
     for (const auto& [version, swarm] : m_swarms)
         swarm->setEngineServing(loadedVersion() != 0);
 }
 
-std::vector<std::string> AgentGateway::peerIds() const
+void AgentGateway::updateActivationGroup()
 {
-    std::vector<std::string> ids;
+    std::map<std::string, std::string> regions;
     for (const auto& peer : m_peers)
-        ids.push_back(peer.member.id);
-    return ids;
+        regions[peer.member.id] = peer.member.region;
+    m_groupIds = ActivationGroup::membersFor(m_context.description.ip, m_context.description.region, regions);
+    m_groupAddresses.clear();
+    for (const auto& ip : m_groupIds)
+        m_groupAddresses.push_back(ip + ":" + std::to_string(m_context.description.internalPort));
 }
 
 void AgentGateway::planActivation()
@@ -321,7 +328,7 @@
         const auto loadTime = EngineActivation::typicalTime(*m_service->engine);
         m_scheduledVersion = version;
         m_schedule.emplace(m_context.description.ip, WeightsSwarm::pathOf(swarm->second->weights()), loadTime, now, bound - orderMargin);
-        m_schedule->setPeers(peerIds());
+        m_schedule->setPeers(m_groupIds);
         recordPeerActivations();
         m_activation = std::make_shared<EngineActivation>(m_context, m_engine, swarm->second);
         m_activation->recordReport(m_report);
@@ -369,7 +376,7 @@
     ActivationUpdate update { m_context.description.ip, m_service->models.front(), newest, loaded, false, m_activation && m_activation->isLoading() };
     const auto swarm = m_swarms.find(newest);
     update.isReady = swarm != m_swarms.end() && swarm->second->isComplete();
-    m_peerSocket.sendToAll(m_peerAddresses, update);
+    m_peerSocket.sendToAll(m_groupAddresses, update);
 }
 
 void AgentGateway::receive(const PeerMessage& message, const std::string& sender)
@@ -440,6 +447,7 @@
 
 void AgentGateway::serveMetrics(const ServerExchangePointer& exchange)
 {
+    m_peerSocket.exportTraffic();
     m_context.metrics.gauge("weights_loaded_version", double(loadedVersion()));
     m_context.metrics.gauge("view_age_milliseconds", double(m_view.age().count()));
     exchange->respond(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.metrics.prometheusText());
--- a/modules/hyssopwick_gateway/agent/AgentGateway.h
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.h
@@ -46,7 +46,7 @@
     void planSwarms();
     void planActivation();
     void updatePeers();
-    std::vector<std::string> peerIds() const;
+    void updateActivationGroup();
     void announceActivation();
     void recordPeerActivations();
     bool mayLoad() const;
@@ -74,7 +74,8 @@
     std::uint64_t m_scheduledVersion = 0; // that m_schedule is for
     std::map<std::string, PeerActivation> m_peerActivations; // by node
     std::vector<WeightsSwarm::Peer> m_peers; // engines of the same service
-    std::vector<std::string> m_peerAddresses;
+    std::vector<std::string> m_groupIds; // of the peers with which loads are arranged
+    std::vector<std::string> m_groupAddresses;
     std::uint64_t m_peersRevision = 0; // revision of m_registry from which m_peers was made
     EngineReport m_report;
     PrefillEstimate m_prefillEstimate;
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
@@ -241,7 +241,7 @@
     const auto address = addressOf(update.node);
     if (update.wantsAnswer && !address.empty())
         m_peerSocket.send(address, chunksUpdate(false));
-    if (!m_decision->isComplete())
+    if (!m_decision->isComplete() && m_decision->hasFreeFetch())
         advance();
 }
 
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -96,6 +96,7 @@
     observer.onNode = [this](const RegisteredNode& node) { m_gossip.addRegisteredNode(node); };
     observer.onBatchEnd = [this] {
         m_services.refresh();
+        subscribeToAgents();
         updateReadiness();
     };
     m_view.start(std::move(observer));
@@ -200,6 +201,7 @@
 
 void EntryGateway::serveMetrics(const ServerExchangePointer& exchange)
 {
+    m_peerSocket.exportTraffic();
     m_context.metrics.gauge("calls_open", double(m_calls.size()));
     m_context.metrics.gauge("view_age_milliseconds", double(m_view.age().count()));
     exchange->respond(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.metrics.prometheusText());
@@ -233,7 +235,7 @@
 {
     const auto peers = m_gossip.livePeers();
     m_view.setEntries(peers);
-    m_services.setEntryCount(peers.size() + 1);
+    m_services.setEntries(peers);
 }
 
 void EntryGateway::updateReadiness()
@@ -259,7 +261,7 @@
 
 void EntryGateway::subscribeToAgents()
 {
-    for (const auto& address : m_services.silentAgents())
+    for (const auto& address : m_services.agentsToSubscribe())
         m_peerSocket.send(address, UpdateSubscription { m_gossip.self() });
 }
 
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -12,6 +12,8 @@
     // Agents send updates at least twice a second.
     constexpr Milliseconds maxUpdateAge { 1500 };
     constexpr Milliseconds maxMaintenanceDelay { 500 };
+    // Agents forget a subscription after 5 s; one that was lost or forgotten at a restart is renewed before.
+    constexpr Milliseconds subscriptionPeriod { 1000 };
     // Time left before the bound on weights versions when calls that have not begun on older
     // weights are withdrawn: the record of the version took some time to arrive, and the
     // withdrawal has to reach the engine.
@@ -229,8 +231,8 @@
             std::set<std::string> usable;
             std::map<std::string, TimePoint> beginBy;
             std::set<std::string> remote;
-            const auto registered = m_registry.usable(name);
-            for (const auto* upstream : registered) {
+            const auto& used = usedEngines(name);
+            for (const auto* upstream : used.upstreams) {
                 if (isResting(upstream->id, now) || !isUsableEngine(*upstream))
                     continue;
                 usable.insert(upstream->id);
@@ -242,7 +244,8 @@
             pool.setEngines(usable);
             pool.setReloadingSoon(std::move(beginBy));
             pool.setRemoteEngines(remote);
-            queue(name).setExpectedEngines(enginesExpectedAt(name), registered.size());
+            queue(name).setEntryCount(used.subset.entriesPerEngine());
+            queue(name).setExpectedEngines(enginesExpectedAt(used.upstreams), used.upstreams.size());
             for (const auto& id : usable) {
                 if (const auto* status = engineAt(m_registry.find(id)->address))
                     pool.recordReport(id, status->update.report, status->receivedAt);
@@ -260,20 +263,12 @@
         m_onCapacity();
 }
 
-std::size_t EntryServices::answeringEngines(const std::vector<const Upstream*>& registered) const
-{
-    return static_cast<std::size_t>(std::count_if(registered.begin(), registered.end(), [this](const Upstream* upstream) {
-        const auto* status = engineAt(upstream->address);
-        return status && status->update.isAnswering;
-    }));
-}
-
 // The earliest of the times at which engines that rest or have no weights are expected to serve.
-std::optional<TimePoint> EntryServices::enginesExpectedAt(const std::string& service) const
+std::optional<TimePoint> EntryServices::enginesExpectedAt(const std::vector<const Upstream*>& engines) const
 {
     std::optional<TimePoint> soonest;
     const auto now = monotonicNow();
-    for (const auto* upstream : m_registry.usable(service)) {
+    for (const auto* upstream : engines) {
         if (isResting(upstream->id, now)) {
             const auto restEnd = m_restingUntil.at(upstream->id);
             soonest = std::min(soonest.value_or(restEnd), restEnd);
@@ -372,12 +367,39 @@
     return next;
 }
 
-void EntryServices::setEntryCount(std::size_t entries)
+void EntryServices::setEntries(const std::vector<VmIdentity>& entries)
+{
+    std::map<std::string, std::string> regions;
+    for (const auto& entry : entries)
+        regions[entry.id] = entry.region;
+    m_retryBudget.setCapacity(m_context.description.retrySlack * budgetShare / double(entries.size() + 1));
+    if (regions == m_entries)
+        return;
+    m_entries = std::move(regions);
+    ++m_entriesRevision;
+    refresh();
+}
+
+const EntryServices::UsedEngines& EntryServices::usedEngines(const std::string& service)
 {
-    m_entryCount = std::max<std::size_t>(1, entries);
-    for (auto& [name, queue] : m_queues)
-        queue.setEntryCount(m_entryCount);
-    m_retryBudget.setCapacity(m_context.description.retrySlack * budgetShare / double(std::max<std::size_t>(1, entries)));
+    const auto& description = m_context.description;
+    auto& used = m_usedEngines.try_emplace(service, UsedEngines { EngineSubset(description.node, description.region), {} }).first->second;
+    if (used.registryRevision == m_registry.revision() && used.entriesRevision == m_entriesRevision)
+        return used;
+    used.registryRevision = m_registry.revision();
+    used.entriesRevision = m_entriesRevision;
+    // By address, so that the restart of an engine does not move others.
+    const auto registered = m_registry.usable(service);
+    std::map<std::string, std::string> regions;
+    for (const auto* upstream : registered)
+        regions[upstream->address] = regionOf(upstream->failureDomain);
+    used.subset.update(m_entries, regions);
+    used.upstreams.clear();
+    for (const auto* upstream : registered) {
+        if (used.subset.contains(upstream->address))
+            used.upstreams.push_back(upstream);
+    }
+    return used;
 }
 
 EnginePool* EntryServices::enginePool(const std::string& service)
@@ -393,24 +415,29 @@
         return found->second;
     auto& pool = m_enginePools.try_emplace(service, m_random.next()).first->second;
     auto& queue = m_queues.try_emplace(service, pool).first->second;
-    queue.setEntryCount(m_entryCount);
     return queue;
 }
 
 UpstreamPool& EntryServices::plainPool(const std::string& service) { return m_plainPools.try_emplace(service, m_random.next()).first->second; }
 
-std::vector<std::string> EntryServices::silentAgents() const
+std::vector<std::string> EntryServices::agentsToSubscribe()
 {
     std::vector<std::string> addresses;
     if (!m_routes)
         return addresses;
+    const auto now = monotonicNow();
     for (const auto& [name, service] : m_routes->configuration().services) {
         if (!service.engine)
             continue;
-        for (const auto* upstream : m_registry.registered(name)) {
-            if (engineAt(upstream->address))
+        const auto& used = usedEngines(name);
+        for (const auto* upstream : used.upstreams) {
+            const auto agent = upstream->address.substr(0, upstream->address.find(':')) + ":" + std::to_string(m_context.description.internalPort);
+            const auto last = m_subscribedAt.find(agent);
+            const bool isDue = last == m_subscribedAt.end() || now >= last->second + subscriptionPeriod;
+            if (engineAt(upstream->address) && (used.subset.isWhole() || !isDue))
                 continue;
-            addresses.push_back(upstream->address.substr(0, upstream->address.find(':')) + ":" + std::to_string(m_context.description.internalPort));
+            m_subscribedAt[agent] = now;
+            addresses.push_back(agent);
         }
     }
     return addresses;
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -50,8 +50,8 @@
     /// Drops what has expired. Returns when to call this next.
     TimePoint maintain();
 
-    /// Sets the number of entry VMs, which share the retry budget and the engines.
-    void setEntryCount(std::size_t entries);
+    /// Sets the other entry VMs, which share the retry budget and the engines.
+    void setEntries(const std::vector<VmIdentity>& entries);
 
     /// Returns the active configuration, or nullptr before the first.
     const RouteTablePointer& routes() const { return m_routes; }
@@ -85,8 +85,10 @@
     /// Returns for how long after the publication of a version calls may begin on older weights.
     Milliseconds oldWeightsGracePeriod() const;
 
-    /// Returns the addresses of agents without a recent update.
-    std::vector<std::string> silentAgents() const;
+    /// Returns the addresses of the agents whose updates this entry should subscribe to now: of
+    /// the engines that it uses, those without a recent update, and in a large fleet all, again
+    /// after a time.
+    std::vector<std::string> agentsToSubscribe();
 
     /// Sets when this process, which is stopping, aborts the calls that still run.
     void setStopBy(TimePoint stopBy) { m_stopBy = stopBy; }
@@ -124,8 +126,16 @@
     bool isUsableEngine(const Upstream& upstream) const;
     std::string regionOf(const std::string& failureDomain) const;
     std::optional<TimePoint> usableUntil(const std::map<std::string, std::uint64_t>& loadedVersions) const;
-    std::size_t answeringEngines(const std::vector<const Upstream*>& registered) const;
-    std::optional<TimePoint> enginesExpectedAt(const std::string& service) const;
+    // The engines of a service that this entry uses, computed at changes of the registry or of the entries.
+    struct UsedEngines {
+        EngineSubset subset;
+        std::vector<const Upstream*> upstreams; // valid at registryRevision
+        std::uint64_t registryRevision = 0;
+        std::uint64_t entriesRevision = 0;
+    };
+
+    const UsedEngines& usedEngines(const std::string& service);
+    std::optional<TimePoint> enginesExpectedAt(const std::vector<const Upstream*>& engines) const;
 
     GatewayContext& m_context;
     RouteTablePointer m_routes;
@@ -134,7 +144,10 @@
     std::map<std::string, std::map<std::uint64_t, TimePoint>> m_publishedVersions; // by model and version: earliest publication
     std::map<std::string, EnginePool> m_enginePools;
     std::map<std::string, CallQueue> m_queues;
-    std::size_t m_entryCount = 1;
+    std::map<std::string, std::string> m_entries; // the others' regions, by id
+    std::uint64_t m_entriesRevision = 1;
+    std::map<std::string, UsedEngines> m_usedEngines; // by service
+    std::map<std::string, TimePoint> m_subscribedAt; // by agent's address
     std::optional<TimePoint> m_stopBy;
     std::map<std::string, UpstreamPool> m_plainPools;
     RetryBudget m_retryBudget;
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
@@ -128,6 +128,13 @@
 
 }
 
+const char* peerMessageName(std::size_t index)
+{
+    constexpr const char* names[] = { "ping", "ping_answer", "ping_request", "engine_update", "subscription", "crash_observation", "activation_update", "chunks_update", "leaving_observation" };
+    static_assert(std::size(names) == std::variant_size_v<PeerMessage>);
+    return names[index];
+}
+
 std::string encodePeerMessage(const PeerMessage& message)
 {
     auto json = std::visit(Encoder {}, message);
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.h
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.h
@@ -81,6 +81,9 @@
 
 using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineUpdate, UpdateSubscription, CrashObservation, ActivationUpdate, ChunksUpdate, LeavingObservation>;
 
+/// Returns the name of a kind of message in logs and metrics. \param index  of the alternative
+const char* peerMessageName(std::size_t index);
+
 /// Encodes a message as CBOR (RFC 8949).
 std::string encodePeerMessage(const PeerMessage& message);
 
--- a/modules/hyssopwick_requests/hyssopwick_requests.h
+++ b/modules/hyssopwick_requests/hyssopwick_requests.h
@@ -12,6 +12,7 @@
 #include "claims/ClaimBucket.h"
 #include "claims/ClaimIdentity.h"
 #include "placing/EnginePool.h"
+#include "placing/EngineSubset.h"
 #include "placing/PrefillEstimate.h"
 #include "placing/UpstreamPool.h"
 #include "retries/CrashSuspicion.h"
