A process that loses its source tells its followers at once

It now answers them as stale after two failures in a row, and a source that lags is asked again after 0.2 s at most.

The new test of View fails by its bounds on the code before (a waiting follower was answered after 500 ms, with an age below the limit); it was not run there.

--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
@@ -246,6 +246,8 @@
     advance(now);
 }
 
+Milliseconds ViewSourceDecision::minStaleAge() { return maxSourceAge + Milliseconds(1); }
+
 bool ViewSourceDecision::isTooOld(Milliseconds age) { return age > maxSourceAge; }
 
 TimePoint ViewSourceDecision::earliestChangeTime(TimePoint now) const
--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.h
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.h
@@ -58,6 +58,9 @@
     /// Records that a source did not answer or gave an error.
     void recordFailure(const ViewSource& source, TimePoint now);
 
+    /// Returns the least age that is too old for others to follow this process.
+    static Milliseconds minStaleAge();
+
     /// Returns whether \p age is too old for others to follow this process.
     static bool isTooOld(Milliseconds age);
 
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -22,6 +22,10 @@
     constexpr Milliseconds readTimeout { 1500 };
     constexpr Milliseconds firstRetryDelay { 50 };
     constexpr Milliseconds maxRetryDelay { 1000 };
+    // A source that lags answers at once, so that asking costs little.
+    constexpr Milliseconds maxLagDelay { 200 };
+    // The first failure may be that of one connection.
+    constexpr unsigned failuresToLoseSource = 2;
     constexpr std::string_view viewPath = "/view?after=";
     constexpr std::string_view eraParameter = "&era=";
     constexpr std::size_t maxDigits = 18;
@@ -224,7 +228,7 @@
     if (isChanged)
         answerWaitingPeers();
     if (isTooOld)
-        scheduleFollow(nextRetryDelay());
+        scheduleFollow(nextRetryDelay(maxLagDelay));
     else if (!(source == m_decision.source()))
         scheduleFollow(firstRetryDelay);
     else if (delay.count() > 0)
@@ -249,19 +253,29 @@
         m_isSourceLost = true;
         m_context.log.write("view.source-lost", { { "source", describe(source) }, { "problem", problem }, { "next", describe(m_decision.source()) }, { "age_ms", std::to_string(m_decision.age(now).count()) }, { "bytes", std::to_string(transfer.bytes) }, { "after_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - transfer.requestedAt).count()) } });
     }
-    scheduleFollow(nextRetryDelay());
+    scheduleFollow(nextRetryDelay(maxRetryDelay));
+    if (m_consecutiveFailures == failuresToLoseSource)
+        answerAllWaitingPeers();
 }
 
 // The source answers but has not read the store yet.
 void ViewReplicator::handleLag(const ViewSource& source)
 {
     m_decision.recordLag(source, monotonicNow());
-    scheduleFollow(nextRetryDelay());
+    scheduleFollow(nextRetryDelay(maxLagDelay));
+    if (m_consecutiveFailures == failuresToLoseSource)
+        answerAllWaitingPeers();
 }
 
-Milliseconds ViewReplicator::nextRetryDelay()
+// Peers need not wait for the age of this view to exceed the limit: it will.
+Milliseconds ViewReplicator::servedAge() const
 {
-    const auto delay = std::min(maxRetryDelay, firstRetryDelay * (1 << std::min(m_consecutiveFailures, 5u)));
+    return m_consecutiveFailures < failuresToLoseSource ? age() : std::max(age(), ViewSourceDecision::minStaleAge());
+}
+
+Milliseconds ViewReplicator::nextRetryDelay(Milliseconds maxDelay)
+{
+    const auto delay = std::min(maxDelay, firstRetryDelay * (1 << std::min(m_consecutiveFailures, 5u)));
     ++m_consecutiveFailures;
     return delay;
 }
@@ -420,7 +434,7 @@
     }
     const WaitingPeer peer { exchange, *known, monotonicNow() + peerWait };
     // If this process's own source lags, it answers at once, so that the peer can choose another.
-    if (*known < m_view.position() || ViewSourceDecision::isTooOld(age())) {
+    if (*known < m_view.position() || ViewSourceDecision::isTooOld(servedAge())) {
         answerPeer(peer);
         return true;
     }
@@ -436,7 +450,7 @@
     const auto encoded = m_encoded.updateSince(m_view, peer.known);
     m_context.metrics.count("view_answers_total", answerKind(*encoded));
     m_context.metrics.count("view_bytes_sent_total", "", encoded->body.size());
-    peer.exchange->respond(statusOk, encoded->fields(age(), versionAges()), encoded->body);
+    peer.exchange->respond(statusOk, encoded->fields(servedAge(), versionAges()), encoded->body);
 }
 
 void ViewReplicator::answerWaitingPeers()
@@ -452,6 +466,14 @@
     }
 }
 
+void ViewReplicator::answerAllWaitingPeers()
+{
+    const auto waiting = std::move(m_waitingPeers);
+    m_waitingPeers.clear();
+    for (const auto& peer : waiting)
+        answerPeer(peer);
+}
+
 void ViewReplicator::expireWaitingPeers()
 {
     const auto now = monotonicNow();
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -338,6 +338,22 @@
     CHECK(decodeView(waiting->fields, waiting->body).value().age <= monotonicNow() - paced.firstPieceSentAt());
 }
 
+// Regression: the followers of a source that the store turned away learnt of it from its age only,
+// more than a second later.
+TEST(View, ASourceThatLosesTheStoreTellsItsFollowersAtOnce)
+{
+    readStore("a", "1");
+    const auto lostAt = monotonicNow();
+    const auto waiting = source.requestView(7);
+    CHECK_FALSE(waiting->hasEnded);
+    store.answer("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    store.answer("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    while (!waiting->hasEnded)
+        loop.run_one();
+    CHECK(monotonicNow() - lostAt < Milliseconds(450)); // the wait of a follower is 500 ms
+    CHECK(ViewSourceDecision::isTooOld(decodeView(waiting->fields, waiting->body).value().age));
+}
+
 TEST_GROUP(TransferLimits)
 {
     EventLoop loop { 1 };
