Engines load at an even pace, also when loads take longer than estimated

Loads take longer than estimated, since streams run on.

Waves are sized once, by the whole time from staging to the latest order and with the wave that may begin at its end; and each engine's turn comes at an even pace whatever the others do.

--- a/modules/hyssopwick_distribution/rollout/ActivationSchedule.cpp
+++ b/modules/hyssopwick_distribution/rollout/ActivationSchedule.cpp
@@ -38,27 +38,37 @@
         found->second = { state, now };
 }
 
+// Loads may take longer than estimated, since streams run on. Without an even pace, all engines
+// that still wait for the waves before them would load together at the end.
+TimePoint ActivationSchedule::paceTime(std::size_t rank) const
+{
+    const auto window = std::min<TimePoint::duration>(std::max(m_startBy - m_readyAt, TimePoint::duration::zero()), m_loadTime * static_cast<std::int64_t>(maxWaves));
+    return m_readyAt + window * static_cast<std::int64_t>(rank + 1) / static_cast<std::int64_t>(m_peers.size() + 1);
+}
+
 bool ActivationSchedule::mayLoad(bool isServing, TimePoint now) const
 {
     if (!isServing || now >= m_startBy)
         return true;
     const auto ownWeight = stableHash(m_key + m_self);
-    std::size_t notLoaded = 1;
     std::size_t ahead = 0;
+    std::size_t rank = 0;
     for (const auto& [id, peer] : m_peers) {
+        rank += stableHash(m_key + id) > ownWeight;
         const bool isCurrent = now - peer.recordedAt < maxPeerAge;
         if (isCurrent && peer.state.isLoaded)
             continue;
-        ++notLoaded;
         const bool isWaitingBefore = isCurrent && peer.state.isReady && stableHash(m_key + id) > ownWeight;
         if (isCurrent && (peer.state.isLoading || isWaitingBefore))
             ++ahead;
     }
-    const double timeLeft = double(millisecondsBetween(now, m_startBy));
-    const double waves = std::clamp(std::floor(timeLeft / double(std::max<std::int64_t>(1, m_loadTime.count()))), 1.0, maxWaves);
-    const auto waveSize = static_cast<std::size_t>(std::ceil(double(notLoaded) / waves));
+    // The first wave begins when the version is staged, and the last one may begin at the end.
+    const double window = double(millisecondsBetween(m_readyAt, m_startBy));
+    const double waves = std::clamp(std::floor(window / double(std::max<std::int64_t>(1, m_loadTime.count()))) + 1, 1.0, maxWaves);
+    const auto waveSize = static_cast<std::size_t>(std::ceil(double(m_peers.size() + 1) / waves));
     const auto spacing = m_loadTime / static_cast<std::int64_t>(waveSize);
-    return ahead < waveSize && now >= m_readyAt + spacing * static_cast<std::int64_t>(ahead);
+    const bool hasRoom = ahead < waveSize && now >= m_readyAt + spacing * static_cast<std::int64_t>(ahead);
+    return hasRoom || now >= paceTime(rank);
 }
 
 }
--- a/modules/hyssopwick_distribution/rollout/ActivationSchedule.h
+++ b/modules/hyssopwick_distribution/rollout/ActivationSchedule.h
@@ -22,7 +22,8 @@
 /// Decides when the engine on one VM may leave service to load a new version, without a
 /// coordinator: engines load in waves, each as small as the time left allows, in a
 /// rendezvous order that every VM computes alike. The starts of a wave are staggered, so
-/// that capacity does not drop by the whole wave at once. An engine that serves nothing
+/// that capacity does not drop by the whole wave at once, and an engine's turn comes at an even pace
+/// also if the loads before it take longer than estimated. An engine that serves nothing
 /// loads immediately, and none waits past the given latest time. Missing reports of peers can
 /// only make more engines load at the same time, never mix versions. Pure.
 class ActivationSchedule {
@@ -50,6 +51,9 @@
         TimePoint recordedAt;
     };
 
+    /// Returns when the engine may load although others before it have not ended.
+    TimePoint paceTime(std::size_t rank) const;
+
     std::string m_self;
     std::string m_key;
     Milliseconds m_loadTime;
--- a/tests/SizeTests.cpp
+++ b/tests/SizeTests.cpp
@@ -150,3 +150,43 @@
         CHECK(announced <= 50 * 24 + 5 * (24 + 10) + 48 * 4);
     }
 }
+
+TEST_GROUP(ActivationWaves) {};
+
+// Regression: 20 engines had 4.1 s for loads that took 2 s each, since streams ran on, against
+// an estimate of 1.33 s. Nine of them began at once half a second before any had to, when one was serving.
+TEST(ActivationWaves, HalfOfTheEnginesServeThoughLoadsTakeLongerThanEstimated)
+{
+    constexpr std::size_t count = 20;
+    constexpr std::int64_t startBy = 4100;
+    constexpr std::int64_t observedLoadTime = 2000;
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < count; ++i)
+        ids.push_back("vm" + std::to_string(i));
+    std::vector<ActivationSchedule> schedules;
+    for (const auto& id : ids) {
+        schedules.emplace_back(id, "model/2", Milliseconds(1330), at(0), at(startBy));
+        auto peers = ids;
+        peers.erase(std::find(peers.begin(), peers.end(), id));
+        schedules.back().setPeers(peers);
+    }
+    std::vector<std::int64_t> loadingSince(count, -1);
+    std::size_t mostLoading = 0;
+    for (std::int64_t now = 0; now <= startBy + observedLoadTime; now += 50) {
+        std::size_t loading = 0;
+        for (std::size_t i = 0; i < count; ++i) {
+            const bool isLoaded = loadingSince[i] >= 0 && now >= loadingSince[i] + observedLoadTime;
+            for (auto& schedule : schedules)
+                schedule.recordPeer(ids[i], { true, loadingSince[i] >= 0 && !isLoaded, isLoaded }, at(now));
+        }
+        for (std::size_t i = 0; i < count; ++i) {
+            if (loadingSince[i] < 0 && schedules[i].mayLoad(true, at(now)))
+                loadingSince[i] = now;
+            loading += loadingSince[i] >= 0 && now < loadingSince[i] + observedLoadTime;
+        }
+        mostLoading = std::max(mostLoading, loading);
+    }
+    for (const auto since : loadingSince)
+        CHECK(since >= 0 && since <= startBy);
+    CHECK_COMPARE(mostLoading, <=, count / 2);
+}
