A silent source is noticed within 0.9 s

Followers of the store wait 0.7 s for a change (1 s), a view is too old after 0.9 s (1.2 s), and a source that lags is asked again after 50 ms, doubling each four tries up to 0.4 s. Costs less than a half more watches (one process a region).

--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
@@ -25,12 +25,12 @@
             ++slot;
         return slot;
     }
-    // A process that follows the store waits up to 1 s for a change before it asks again.
-    constexpr Milliseconds maxSourceAge { 1200 };
+    // A process that follows the store waits up to 0.7 s for a change before it asks again.
+    constexpr Milliseconds maxSourceAge { 900 };
     // Time after which a process that fell back to another source tries its preferred one again.
     constexpr Milliseconds preferredRetryPeriod { 3000 };
     constexpr Milliseconds unknownAge { 3600000 };
-    // A process that follows the store waits 1 s for a change; an answer may take 0.6 s.
+    // A process that follows the store waits 0.7 s for a change; an answer may take 0.6 s more.
     constexpr Milliseconds maxNormalAge { 1600 };
     // A suspension of this process fails the one call that is pending meanwhile.
     constexpr unsigned failuresCausedBySuspension = 1;
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -5,7 +5,7 @@
 namespace {
     // A waiting call is answered after this time at the latest, so that a source that does not
     // answer is noticed well within the time in which a change has to take effect (2 s).
-    constexpr Milliseconds storeWait { 1000 };
+    constexpr Milliseconds storeWait { 700 };
     constexpr Milliseconds peerWait { 500 };
     // In addition to the wait: the longest typical round trip.
     constexpr Milliseconds storeRoundTripTime { 600 };
@@ -23,7 +23,8 @@
     constexpr Milliseconds firstRetryDelay { 50 };
     constexpr Milliseconds maxRetryDelay { 1000 };
     // A source that lags answers at once, so that asking costs little.
-    constexpr Milliseconds maxLagDelay { 200 };
+    constexpr unsigned triesPerLagDelay = 4; // the delay doubles after so many
+    constexpr unsigned maxLagDoublings = 3;
     // The first failure may be that of one connection.
     constexpr unsigned failuresToLoseSource = 2;
     constexpr std::string_view viewPath = "/view?after=";
@@ -228,7 +229,7 @@
     if (isChanged)
         answerWaitingPeers();
     if (isTooOld)
-        scheduleFollow(nextRetryDelay(maxLagDelay));
+        scheduleFollow(nextLagDelay());
     else if (!(source == m_decision.source()))
         scheduleFollow(firstRetryDelay);
     else if (delay.count() > 0)
@@ -253,7 +254,7 @@
         m_isSourceLost = true;
         m_context.log.write("view.source-lost", { { "source", describe(source) }, { "problem", problem }, { "next", describe(m_decision.source()) }, { "age_ms", std::to_string(m_decision.age(now).count()) }, { "bytes", std::to_string(transfer.bytes) }, { "after_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - transfer.requestedAt).count()) } });
     }
-    scheduleFollow(nextRetryDelay(maxRetryDelay));
+    scheduleFollow(nextRetryDelay());
     if (m_consecutiveFailures == failuresToLoseSource)
         answerAllWaitingPeers();
 }
@@ -262,7 +263,7 @@
 void ViewReplicator::handleLag(const ViewSource& source)
 {
     m_decision.recordLag(source, monotonicNow());
-    scheduleFollow(nextRetryDelay(maxLagDelay));
+    scheduleFollow(nextLagDelay());
     if (m_consecutiveFailures == failuresToLoseSource)
         answerAllWaitingPeers();
 }
@@ -273,9 +274,14 @@
     return m_consecutiveFailures < failuresToLoseSource ? age() : std::max(age(), ViewSourceDecision::minStaleAge());
 }
 
-Milliseconds ViewReplicator::nextRetryDelay(Milliseconds maxDelay)
+Milliseconds ViewReplicator::nextLagDelay()
 {
-    const auto delay = std::min(maxDelay, firstRetryDelay * (1 << std::min(m_consecutiveFailures, 5u)));
+    return firstRetryDelay * (1 << std::min(m_consecutiveFailures++ / triesPerLagDelay, maxLagDoublings));
+}
+
+Milliseconds ViewReplicator::nextRetryDelay()
+{
+    const auto delay = std::min(maxRetryDelay, firstRetryDelay * (1 << std::min(m_consecutiveFailures, 5u)));
     ++m_consecutiveFailures;
     return delay;
 }
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -67,7 +67,8 @@
     std::optional<std::uint64_t> currentEra(const WholeResponse& response) const;
     void handleFailure(const ViewSource& source, const std::string& problem, const Transfer& transfer);
     void handleLag(const ViewSource& source);
-    Milliseconds nextRetryDelay(Milliseconds maxDelay);
+    Milliseconds nextRetryDelay();
+    Milliseconds nextLagDelay();
     Milliseconds servedAge() const;
     void handleAnswer(const ViewSource& source, Milliseconds age, TimePoint at, bool isChanged, Milliseconds delay = Milliseconds(0));
     Transfer recordTransfer(const ViewSource& source, Transfer transfer, const WholeResponse& response);
