--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -45,9 +45,9 @@
 echo
 largest() { sed -n "s/.*event=weights.staged .*version=$1 .*took_ms=\([0-9]*\).*/\1/p" "$run"/logs/model-*.log | sort -n | tail -1; }
 echo "time to N replicas staged:  v1 $(largest v1) ms, v2 $(largest v2) ms (one VM restarted during v2)"
-echo "origin and key-value calls: $(tail -1 "$run/platform.json")"
-echo "                            (one copy is 64 MiB; v2 shares half of its chunks with v1, so 1.5 copies is the minimum)"
 plain() { tr -d '{}"' | sed 's/:/ /g; s/,/, /g'; }
+echo "origin and key-value calls: $(tail -1 "$run/platform.json" | plain)"
+echo "                            (one copy is 64 MiB; v2 shares half of its chunks with v1, so 1.5 copies is the minimum)"
 for account in $accounts; do echo "caller $account: $(plain <"$run/caller-$account.json")"; done
 echo "refusals at entry VMs:      $(cat "$run"/logs/entry-*.log | sed -n 's/.*event=request.refused .*reason=\([a-z-]*\) .*/\1/p' | sort | uniq -c | tr -s ' \n' ' ')"
 echo "undecided: the logs do not show whether the promise was kept in that case, for example because a process was killed before it wrote its line."
