What a route allows of a call is a decision of its own

Recording a rest, with its log of unreadable values, moved to EntryServices, where the rests are kept. An exchange parsed its address twice; whether a fleet is small enough for entries to use all engines was decided in two places.

--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -178,8 +178,7 @@
     }
     // Of a large fleet, the entries that use this engine subscribe. A started agent informs all
     // until it knows them.
-    const bool isLargeFleet = m_peers.size() + 1 > EngineSubset::maxEngines;
-    if (!isLargeFleet || addresses.empty()) {
+    if (EngineSubset::isWholeOf(m_peers.size() + 1) || addresses.empty()) {
         for (const auto& [id, vm] : m_entries)
             addresses.insert(vm.address);
     }
--- /dev/null
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.cpp
@@ -0,0 +1,55 @@
+#include "CallAdmission.h"
+
+#include "../http/HttpStatus.h"
+
+namespace hyssopwick {
+
+namespace {
+
+    constexpr Milliseconds defaultCallerTimeout { 10000 }; // for callers that send none, on routes without a bound
+    // A stopping process accepts a call only if this many times its expected time is left: for
+    // engine calls that of an idle engine, for others the latency objective. Slow upstreams take
+    // four times as long (a fault that the platform specifies), and the call may have to wait.
+    constexpr double stoppingSafetyFactor = 5;
+    constexpr int plainCallSafetyFactor = 10;
+
+    TimePoint deadlineOf(const CallDescription& call, const CallRoute& route, TimePoint received)
+    {
+        if (!call.callerTimeout)
+            return received + (route.answerTimeout.count() > 0 ? route.answerTimeout : defaultCallerTimeout);
+        return received + (route.answerTimeout.count() > 0 ? std::min(*call.callerTimeout, route.answerTimeout) : *call.callerTimeout);
+    }
+
+}
+
+CallAdmission admitCall(const ServerRequest& request, const CallDescription& call, const RouteTable& routes, double draw)
+{
+    AdmittedCall admitted;
+    admitted.route = routes.find(request.host, request.target);
+    if (!admitted.route)
+        return RejectedCall { nullptr, RefusalReason::UnknownService, statusNotFound };
+    const auto& route = *admitted.route;
+    admitted.priority = route.priority;
+    if (routes.needsKeys() && !route.allowsAnonymous) {
+        const auto* account = routes.accountOf(call.accountKey);
+        if (!account)
+            return RejectedCall { &route, RefusalReason::Unauthenticated, statusUnauthorized };
+        admitted.account = account->name;
+        admitted.priority = account->priority.value_or(route.priority);
+    }
+    admitted.service = routes.service(RouteTable::chooseTarget(route, draw));
+    admitted.deadline = deadlineOf(call, route, request.receivedAt);
+    admitted.size = { double(call.promptTokens), double(call.answerTokensHint > 0 ? call.answerTokensHint : call.maxAnswerTokens) };
+    admitted.fingerprint = Digest::of(request.method + " " + request.host + request.target + "\n" + admitted.account + "\n" + request.body);
+    return admitted;
+}
+
+bool canEndBefore(TimePoint stopBy, const AdmittedCall& call, const EnginePool* engines, TimePoint now)
+{
+    auto needed = call.route->latencyObjective * plainCallSafetyFactor;
+    if (engines)
+        needed = Milliseconds(static_cast<std::int64_t>(engines->predictIdle(call.size).endMilliseconds * stoppingSafetyFactor));
+    return now + needed <= stopBy;
+}
+
+}
--- /dev/null
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "../http/ServerExchange.h"
+
+#include <hyssopwick_requests.h>
+#include <variant>
+
+namespace hyssopwick {
+
+/// What the configuration says of a call that it allows. Valid as long as the route table.
+struct AdmittedCall {
+    const CallRoute* route = nullptr;
+    const ServiceDescription* service = nullptr; ///< nullptr if the configuration names one that it lacks
+    std::string account; ///< "" when the route needs no key
+    unsigned priority = 0; ///< 0 is the most urgent
+    TimePoint deadline; ///< when the caller stops waiting or the route's time ends
+    CallSize size;
+    Digest fingerprint; ///< the same for each repetition of a request
+};
+
+/// Why the configuration does not allow a call.
+struct RejectedCall {
+    const CallRoute* route = nullptr; ///< nullptr if none matches
+    RefusalReason reason = RefusalReason::UnknownService;
+    unsigned status = 0;
+};
+
+using CallAdmission = std::variant<AdmittedCall, RejectedCall>;
+
+/// Decides whether the configuration allows a call, and by which service it runs. Pure.
+/// \param draw  random number in [0, 1) that selects one of the route's services
+CallAdmission admitCall(const ServerRequest& request, const CallDescription& call, const RouteTable& routes, double draw);
+
+/// Returns whether a stopping process would end a call before \p stopBy. Such a process still
+/// accepts calls of callers that cache its address, but none that it would have to abort: a
+/// refused call has not run and can go to another entry at once. Pure.
+/// \param engines  those of the call's service; nullptr for a plain service
+bool canEndBefore(TimePoint stopBy, const AdmittedCall& call, const EnginePool* engines, TimePoint now);
+
+}
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -14,12 +14,6 @@
     constexpr Milliseconds connectRoundDelay { 30 };
     constexpr Milliseconds notReadyRetryAfter { 500 };
     constexpr Milliseconds overloadRetryAfter { 500 };
-    constexpr Milliseconds defaultCallerTimeout { 10000 }; // for callers that send none, on routes without a bound
-    // A stopping process accepts a call only if this many times its expected time is left: for
-    // engine calls that of an idle engine, for others the latency objective. Slow upstreams take
-    // four times as long (a fault that the platform specifies), and the call may have to wait.
-    constexpr double stoppingSafetyFactor = 5;
-    constexpr int plainCallSafetyFactor = 10;
     // Longer answers and events than any upstream sends are taken for bytes without end.
     constexpr std::uint64_t maxAnswerBytes = std::uint64_t(4) << 20;
     constexpr std::size_t maxEventBytes = std::size_t(256) << 10;
@@ -72,34 +66,25 @@
         refuse(RefusalReason::NotReady, statusUnavailable, notReadyRetryAfter);
         return false;
     }
-    m_route = m_routes->find(request.host, request.target);
-    if (!m_route) {
-        refuse(RefusalReason::UnknownService, statusNotFound, Milliseconds(0));
+    const auto admission = admitCall(request, m_call, *m_routes, m_services.random().unit());
+    if (const auto* rejected = std::get_if<RejectedCall>(&admission)) {
+        m_route = rejected->route;
+        refuse(rejected->reason, rejected->status, Milliseconds(0));
         return false;
     }
-    m_priority = m_route->priority;
-    if (m_routes->needsKeys() && !m_route->allowsAnonymous) {
-        const auto* account = m_routes->accountOf(m_call.accountKey);
-        if (!account) {
-            refuse(RefusalReason::Unauthenticated, statusUnauthorized, Milliseconds(0));
-            return false;
-        }
-        m_account = account->name;
-        m_priority = account->priority.value_or(m_priority);
-    }
-    m_service = m_routes->service(RouteTable::chooseTarget(*m_route, m_services.random().unit()));
-    const auto received = request.receivedAt;
-    m_deadline = received + defaultCallerTimeout;
-    if (m_call.callerTimeout)
-        m_deadline = received + *m_call.callerTimeout;
-    if (m_route->answerTimeout.count() > 0)
-        m_deadline = std::min(m_call.callerTimeout ? m_deadline : TimePoint::max(), received + m_route->answerTimeout);
-    m_size = { double(m_call.promptTokens), double(m_call.answerTokensHint > 0 ? m_call.answerTokensHint : m_call.maxAnswerTokens) };
-    if (!canEndBeforeStop()) {
+    const auto& admitted = std::get<AdmittedCall>(admission);
+    m_route = admitted.route;
+    m_service = admitted.service;
+    m_account = admitted.account;
+    m_priority = admitted.priority;
+    m_deadline = admitted.deadline;
+    m_size = admitted.size;
+    m_fingerprint = admitted.fingerprint;
+    const auto stopBy = m_services.stopBy();
+    if (stopBy && !canEndBefore(*stopBy, admitted, isEngineCall() ? m_services.enginePool(m_service->name) : nullptr, monotonicNow())) {
         refuse(RefusalReason::EntryLeaving, statusUnavailable, Milliseconds(0));
         return false;
     }
-    m_fingerprint = fingerprint();
     if (m_services.suspicion().verdict(m_fingerprint, monotonicNow()) == CrashVerdict::Refuse) {
         refuse(RefusalReason::CrashSuspected, statusBadGateway, Milliseconds(0));
         return false;
@@ -107,25 +92,6 @@
     return true;
 }
 
-// A stopping process still accepts calls of callers that cache its address, but none that it
-// would have to abort: a refused call has not run and can go to another entry at once.
-bool CallFlow::canEndBeforeStop() const
-{
-    const auto stopBy = m_services.stopBy();
-    if (!stopBy)
-        return true;
-    auto needed = m_route->latencyObjective * plainCallSafetyFactor;
-    if (const auto* engines = isEngineCall() ? m_services.enginePool(m_service->name) : nullptr)
-        needed = Milliseconds(static_cast<std::int64_t>(engines->predictIdle(m_size).endMilliseconds * stoppingSafetyFactor));
-    return monotonicNow() + needed <= *stopBy;
-}
-
-Digest CallFlow::fingerprint() const
-{
-    const auto& request = m_exchange->request();
-    return Digest::of(request.method + " " + request.host + request.target + "\n" + m_account + "\n" + request.body);
-}
-
 void CallFlow::place()
 {
     if (m_phase == Phase::Ended)
@@ -295,19 +261,8 @@
         return cutAnswer("other-request");
     if (m_answer.isLeaving && !m_answer.isWrongUpstream)
         m_services.recordLeaving(m_upstream);
-    if (head.status == statusUnavailable)
-        recordRest();
-}
-
-// Only an upstream's 503 asks for a rest.
-void CallFlow::recordRest()
-{
-    if (m_answer.hasUnreadableRetryAfter) {
-        m_services.context().metrics.count("retry_after_unreadable_total");
-        m_services.context().log.write("upstream.retry-after-unreadable", { { "request", m_call.requestId }, { "upstream", m_upstream } });
-    }
-    if (m_answer.retryAfter && m_answer.retryAfter->count() > 0)
-        m_services.recordRest(m_upstream, *m_answer.retryAfter);
+    if (head.status == statusUnavailable) // no other answer asks for a rest
+        m_services.recordRest(m_upstream, m_answer);
 }
 
 // Ends an attempt whose answer cannot be used, without reading the rest of it.
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -2,6 +2,7 @@
 
 #include "../http/HttpExchange.h"
 #include "../http/ServerExchange.h"
+#include "CallAdmission.h"
 #include "EntryServices.h"
 
 namespace hyssopwick {
@@ -59,7 +60,6 @@
     void handleEnd(ExchangeEnd end);
     void forwardEvents(std::string_view bytes);
     void handleAttemptFailure(AttemptFailure failure, const char* reason);
-    void recordRest();
     void cutAnswer(const char* reason);
     void releaseBody();
     void forwardWholeAnswer();
@@ -73,8 +73,6 @@
     void withdraw();
     bool mayRunAgain() const;
     bool isEngineCall() const { return m_service && m_service->engine.has_value(); }
-    Digest fingerprint() const;
-    bool canEndBeforeStop() const;
     Milliseconds elapsed() const { return Milliseconds(millisecondsBetween(m_exchange->request().receivedAt, monotonicNow())); }
 
     EntryServices& m_services;
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -108,8 +108,15 @@
         refresh();
 }
 
-void EntryServices::recordRest(const std::string& id, Milliseconds time)
+void EntryServices::recordRest(const std::string& id, const AnswerDescription& answer)
 {
+    if (answer.hasUnreadableRetryAfter) {
+        m_context.metrics.count("retry_after_unreadable_total");
+        m_context.log.write("upstream.retry-after-unreadable", { { "request", answer.requestId.empty() ? "unknown" : answer.requestId }, { "upstream", id } });
+    }
+    const auto time = answer.retryAfter.value_or(Milliseconds(0));
+    if (time.count() <= 0)
+        return;
     const auto bounded = std::min(time, maxRest);
     if (bounded != time)
         m_context.metrics.count("rests_bounded_total");
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -31,8 +31,8 @@
     /// Records what another process observed.
     void recordLeaving(const LeavingObservation& observation);
 
-    /// Records that an upstream that refused a call wants no further ones for a time.
-    void recordRest(const std::string& id, Milliseconds time);
+    /// Records for how long an upstream that refused a call with \p answer wants no further ones.
+    void recordRest(const std::string& id, const AnswerDescription& answer);
 
     /// Returns for how long all upstreams of a service want no calls, or nothing if one takes
     /// calls or none is registered.
--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -137,11 +137,6 @@
 void HttpExchange::run()
 {
     auto& state = *m_state;
-    const auto endpoint = parseEndpoint(state.address);
-    if (!endpoint) {
-        asio::post(state.socket.get_executor(), [self = shared_from_this()] { self->end(ExchangeEnd::NotSent); });
-        return;
-    }
     if (auto socket = state.kept ? state.kept->take() : std::nullopt) {
         state.socket = std::move(*socket);
         state.isReused = true;
@@ -154,6 +149,10 @@
 {
     auto& state = *m_state;
     const auto endpoint = parseEndpoint(state.address);
+    if (!endpoint) {
+        asio::post(state.loop, [self = shared_from_this()] { self->end(ExchangeEnd::NotSent); });
+        return;
+    }
     const auto generation = ++state.timerGeneration;
     state.timer.expires_at(std::min(state.limits.connectBy, state.deadline));
     state.timer.async_wait([self = shared_from_this(), generation](error_code error) {
--- a/modules/hyssopwick_requests/placing/EngineSubset.cpp
+++ b/modules/hyssopwick_requests/placing/EngineSubset.cpp
@@ -40,7 +40,7 @@
 void EngineSubset::update(const std::map<std::string, std::string>& entries, const std::map<std::string, std::string>& engines)
 {
     m_engines.clear();
-    m_isWhole = engines.size() <= maxEngines;
+    m_isWhole = isWholeOf(engines.size());
     auto allEntries = entries;
     allEntries[m_self] = m_region;
     m_entriesPerEngine = double(allEntries.size());
--- a/modules/hyssopwick_requests/placing/EngineSubset.h
+++ b/modules/hyssopwick_requests/placing/EngineSubset.h
@@ -22,6 +22,9 @@
     /// Engines that one entry uses.
     static constexpr std::size_t maxEngines = 32;
 
+    /// Returns whether entries use all of so many engines.
+    static bool isWholeOf(std::size_t engines) { return engines <= maxEngines; }
+
     /// \param self  id of the entry VM
     EngineSubset(std::string self, std::string region);
 
