--- a/modules/hyssopwick_distribution/swarm/PullDecision.cpp
+++ b/modules/hyssopwick_distribution/swarm/PullDecision.cpp
@@ -1,5 +1,7 @@
 #include "PullDecision.h"
 
+#include "NeighbourSelection.h"
+
 #include <algorithm>
 
 namespace hyssopwick {
@@ -24,7 +26,6 @@
     constexpr std::size_t crossRegionHolders = 2;
     constexpr Milliseconds busyDelay { 15 };
     constexpr Milliseconds failureDelay { 300 };
-    constexpr Milliseconds maxFailureDelay { 5000 };
     // Several chunk times, since a fetch shares both VMs' links with other fetches.
     constexpr int chunkTimesPerDeadline = 8;
     constexpr Milliseconds deadlineSlack { 300 };
@@ -36,10 +37,6 @@
     constexpr Milliseconds idleWakePeriod { 500 };
     constexpr Milliseconds activeWakePeriod { 10 };
 
-    std::uint64_t mix(std::uint64_t left, std::uint64_t right) { return RandomSource(left ^ (right * 0x9e3779b97f4a7c15ull)).next(); }
-
-    Milliseconds backoff(unsigned failures) { return std::min(maxFailureDelay, failureDelay * (1u << std::min(failures, 5u))); }
-
 }
 
 PullDecision::PullDecision(PullSettings settings, std::string key, std::uint32_t chunkCount, std::uint64_t chunkBytes, std::uint64_t seed, TimePoint now)
@@ -98,29 +95,17 @@
             byDomain[state.member.failureDomain].push_back(id);
     }
     for (std::uint32_t chunk = 0; chunk < m_chunks.size(); ++chunk) {
-        const auto ownWeight = mix(ownHash, chunk);
+        const auto ownWeight = chunkWeight(ownHash, chunk);
         m_chunks[chunk].originRank = 0;
         m_chunks[chunk].regionRank = 0;
         for (const auto& [hash, isInRegion] : others) {
-            if (mix(hash, chunk) <= ownWeight)
+            if (chunkWeight(hash, chunk) <= ownWeight)
                 continue;
             ++m_chunks[chunk].originRank;
             m_chunks[chunk].regionRank += isInRegion;
         }
     }
-    // Neighbours alternate between the failure domains of the region.
-    m_neighbours.clear();
-    std::size_t longest = 0;
-    for (auto& [domain, ids] : byDomain) {
-        ids = rendezvousOrder(m_settings.self.id, std::move(ids));
-        longest = std::max(longest, ids.size());
-    }
-    for (std::size_t round = 0; round < longest; ++round) {
-        for (const auto& [domain, ids] : byDomain) {
-            if (round < ids.size() && m_neighbours.size() < m_settings.neighbourLimit)
-                m_neighbours.push_back(ids[round]);
-        }
-    }
+    m_neighbours = selectNeighbours(m_settings.self.id, std::move(byDomain), m_settings.neighbourLimit);
 }
 
 void PullDecision::recordHeld(const std::string& member, const ChunkSet& held)
@@ -163,7 +148,7 @@
         found->second.nextRequestAt = now + busyDelay;
         return;
     }
-    found->second.nextRequestAt = now + backoff(found->second.failures++);
+    found->second.nextRequestAt = now + failureBackoff(found->second.failures++);
     found->second.held.erase(chunk);
 }
 
@@ -221,7 +206,7 @@
     for (const auto& [id, state] : m_members) {
         if (state.member.region == m_settings.self.region)
             continue;
-        const auto weight = mix(stableHash(m_key + id), chunk);
+        const auto weight = chunkWeight(stableHash(m_key + id), chunk);
         auto& first = firstOfRegion[state.member.region];
         if (first.second.empty() || weight > first.first)
             first = { weight, id };
--- a/modules/hyssopwick_distribution/swarm/PushDecision.cpp
+++ b/modules/hyssopwick_distribution/swarm/PushDecision.cpp
@@ -1,5 +1,7 @@
 #include "PushDecision.h"
 
+#include "NeighbourSelection.h"
+
 #include <algorithm>
 
 namespace hyssopwick {
@@ -12,11 +14,9 @@
     constexpr Milliseconds minLead { 4 };
     constexpr Milliseconds maxLead { 60 };
     constexpr Milliseconds minBusyTime { 3 };
-    constexpr Milliseconds failureDelay { 300 };
     constexpr Milliseconds sendFailureDelay { 2500 };
     constexpr Milliseconds maxSendFailureDelay { 20000 };
     constexpr Milliseconds crossRegionRetryDelay { 15 };
-    constexpr Milliseconds maxFailureDelay { 5000 };
     constexpr Milliseconds avoidancePeriod { 30000 };
     constexpr Milliseconds minAnnouncePeriod { 500 };
     constexpr Milliseconds activeWakePeriod { 20 };
@@ -28,13 +28,6 @@
     constexpr unsigned transferTimesPerDeadline = 4;
     constexpr unsigned originTransferTimesPerDeadline = 10;
 
-    std::uint64_t mix(std::uint64_t left, std::uint64_t right) { return RandomSource(left ^ (right * 0x9e3779b97f4a7c15ull)).next(); }
-
-    Milliseconds failureBackoff(unsigned failures)
-    {
-        return std::min(maxFailureDelay, failureDelay * (1u << std::min(failures, 5u)));
-    }
-
 }
 
 PushDecision::PushDecision(PushSettings settings, std::string key, std::vector<std::uint64_t> chunkSizes, std::uint64_t seed, TimePoint now)
@@ -85,8 +78,6 @@
     rebuildRegionLinks();
 }
 
-// Neighbours are chosen by rendezvous order for this VM, alternating between the
-// failure domains, so that a failed domain leaves neighbours in the others.
 void PushDecision::rebuildNeighbours()
 {
     m_regionMembers.clear();
@@ -97,18 +88,7 @@
         m_regionMembers.push_back(id);
         byDomain[state.member.failureDomain].push_back(id);
     }
-    std::size_t longest = 0;
-    for (auto& [domain, ids] : byDomain) {
-        ids = rendezvousOrder(m_settings.self.id, std::move(ids));
-        longest = std::max(longest, ids.size());
-    }
-    m_neighbours.clear();
-    for (std::size_t round = 0; round < longest; ++round) {
-        for (const auto& [domain, ids] : byDomain) {
-            if (round < ids.size() && m_neighbours.size() < m_settings.neighbourLimit)
-                m_neighbours.push_back(ids[round]);
-        }
-    }
+    m_neighbours = selectNeighbours(m_settings.self.id, std::move(byDomain), m_settings.neighbourLimit);
 }
 
 // The first VM in a chunk's rendezvous order asks the origin at once. The others take
@@ -125,10 +105,10 @@
         hashes.push_back(stableHash(m_key + id));
     const auto ownHash = stableHash(m_key + m_settings.self.id);
     for (std::size_t chunk = 0; chunk < m_origin.size(); ++chunk) {
-        const auto ownWeight = mix(ownHash, chunk);
+        const auto ownWeight = chunkWeight(ownHash, chunk);
         std::int64_t rank = 0;
         for (const auto hash : hashes)
-            rank += mix(hash, chunk) > ownWeight;
+            rank += chunkWeight(hash, chunk) > ownWeight;
         auto& origin = m_origin[chunk];
         origin.dueAt = rank == 0 ? m_startedAt : m_startedAt + takeoverDelay + step * (rank - 1);
     }
@@ -316,7 +296,7 @@
     for (const auto& [id, state] : m_members) {
         if (state.member.region != region)
             continue;
-        const auto weight = (mix(stableHash(m_key + id), chunk) >> 1) | (now >= state.unreachableUntil ? reachableBit : 0);
+        const auto weight = (chunkWeight(stableHash(m_key + id), chunk) >> 1) | (now >= state.unreachableUntil ? reachableBit : 0);
         if (best.empty() || weight > bestWeight) {
             best = id;
             bestWeight = weight;
