Guards of the incident VERSION that no test failed for

Each part of the code that docs/incidents/version-after-its-bound.md names under "What changed" was disabled on its own, and all tests were run. No test failed without these parts: * EntryGateway: calls that wait are told of a version that the store publishes * EntryServices::usableUntil: a call at an engine that loads counts from the weights at its send * EntryServices::refresh: the pool learns until when calls may begin at an engine * CallFlow::isWaitingAtEngine: the head of a stream does not show that its call has begun * ViewReplicator: seeds are asked at the start; the age that a peer reports is used; a version in the first read may be old; the time for which changes are collected is counted; the ages of versions are served, also after the store's return from an older copy * AgentGateway: the bound counts from when the version may have been published * MonotonicClock: time goes on while a VM is suspended

Each has a test now that fails without it and passes with it.

--- a/tests/platform/VersionBoundTests.cpp
+++ b/tests/platform/VersionBoundTests.cpp
@@ -1,8 +1,10 @@
 #include "../TestSupport.h"
-#include "CallFlowSupport.h"
+#include "ViewSupport.h"
 
 #include <PlatformAdapter.h>
 #include <hyssopwick_gateway.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
 
 using namespace hyssopwick;
 
@@ -11,6 +13,85 @@
 const std::string streamWithOneEvent = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s1\r\nTransfer-Encoding: chunked\r\n\r\n"
                                        "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
 
+const std::string versionKey = "op/version/m";
+const std::string secondVersion = R"({"model":"m","version":2})";
+
+// Returns a store's answer that holds version 2, or no record.
+std::string storeAnswer(const char* listName, std::uint64_t revision, bool hasVersion, int era = 0)
+{
+    auto items = nlohmann::json::array();
+    if (hasVersion)
+        items.push_back({ { "key", versionKey }, { "value", base64(secondVersion) }, { "revision", revision } });
+    const auto answer = httpAnswer(nlohmann::json { { "at", revision }, { "hasMore", false }, { listName, items } }.dump());
+    const auto headersAt = answer.find("\r\n") + 2;
+    return answer.substr(0, headersAt) + "Store-Era: " + std::to_string(era) + "\r\n" + answer.substr(headersAt);
+}
+
+// Returns a peer's answer. \param ages  of the versions, by revision
+std::string peerAnswer(const ViewUpdate& update, const VersionAges& ages = {})
+{
+    const auto encoded = encodeView(update);
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(encoded.body.size()) + "\r\n";
+    for (const auto& [name, value] : encoded.fields(Milliseconds(0), ages))
+        head.append(name).append(": ").append(value).append("\r\n");
+    return head + "\r\n" + encoded.body;
+}
+
+// Returns a peer's answer with version 2, which was published \p age ago.
+std::string peerAnswerWithVersion(Milliseconds age)
+{
+    return peerAnswer({ 8, false, { { versionKey, secondVersion, 8, false } } }, { { 8, age } });
+}
+
+/// Engine that receives a request and sends its answer only when it is told to.
+class SlowEngine {
+public:
+    explicit SlowEngine(EventLoop& loop)
+        : m_acceptor(loop)
+        , m_socket(loop)
+    {
+        const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), 0);
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes)); // of accepted connections, too
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+        m_acceptor.async_accept(m_socket, [](boost::system::error_code) {});
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+
+    bool isReceiving()
+    {
+        boost::system::error_code error;
+        return m_socket.is_open() && m_socket.available(error) > 0;
+    }
+
+    void send(const std::string& bytes) { asio::write(m_socket, asio::buffer(bytes)); }
+
+    // Starts to receive, until the caller closes the connection.
+    void receiveAll()
+    {
+        asio::async_read(m_socket, asio::dynamic_buffer(m_received), [this](boost::system::error_code, std::size_t) { m_hasEnded = true; });
+    }
+
+    bool hasEnded() const { return m_hasEnded; }
+
+    const std::string& received() const { return m_received; }
+
+private:
+    static constexpr int receiveBufferBytes = 4096;
+
+    asio::ip::tcp::acceptor m_acceptor;
+    TcpSocket m_socket;
+    std::string m_received;
+    bool m_hasEnded = false;
+};
+
+Milliseconds since(TimePoint start) { return Milliseconds(millisecondsBetween(start, monotonicNow())); }
+
+// Runs no handler for a time, as in a process that was suspended or has no processor.
+void suspend(Milliseconds time) { usleep(static_cast<useconds_t>(std::chrono::microseconds(time).count())); }
+
 }
 
 TEST_GROUP(VersionBound)
@@ -50,7 +131,8 @@
         services.refresh();
     }
 
-    void addEngine(const std::string& id, const ScriptedUpstream& upstream, std::uint64_t version)
+    template <typename Engine>
+    void addEngine(const std::string& id, const Engine& upstream, std::uint64_t version)
     {
         Upstream engine;
         engine.id = id;
@@ -61,13 +143,14 @@
         services.refresh();
     }
 
-    void send()
+    void send(const std::string& body = "")
     {
         ServerRequest request;
         request.method = "POST";
         request.target = "/x/";
         request.host = "a.example";
         request.fields = { { "Request-Id", "r1" }, { "Deadline-Ms", "8000" } };
+        request.body = body;
         request.receivedAt = monotonicNow();
         exchange = std::make_shared<RecordedExchange>(std::move(request));
         flow = std::make_shared<CallFlow>(
@@ -80,6 +163,30 @@
         for (const auto& decision : services.queue("models").advance(monotonicNow()).sent)
             flow->sendTo(decision);
     }
+
+    // Starts a view that tells the services of versions.
+    void start(ViewProcess & process)
+    {
+        ViewReplicator::Observer observer;
+        observer.onVersion = [this](const WeightsVersion& version, TimePoint earliestPublication) {
+            services.addVersion(version, earliestPublication);
+        };
+        process.replicator.start(std::move(observer));
+    }
+
+    void runUntil(const std::function<bool()>& isDone)
+    {
+        // The upper bound only ends a failing test.
+        for (const auto deadline = monotonicNow() + Milliseconds(20000); !isDone() && monotonicNow() < deadline;)
+            loop.run_one_for(Milliseconds(5));
+        CHECK(isDone());
+    }
+
+    // Returns until when calls may begin at the engine i-1.
+    std::optional<TimePoint> usableUntil() const { return services.usableUntil(*services.upstream("i-1")); }
+
+    // Returns for how many milliseconds after its bound they may, with a newer version published at \p publishedAt.
+    std::int64_t lateBy(TimePoint publishedAt) const { return std::max<std::int64_t>(0, millisecondsBetween(publishedAt + context.description.versionBound, *usableUntil())); }
 };
 
 TEST(VersionBound, AWaitingCallIsMovedFromOldWeightsBeforeTheBound)
@@ -143,3 +250,134 @@
     LONGS_EQUAL(200, exchange->status);
     LONGS_EQUAL(1, older.m_disconnects);
 }
+
+TEST(VersionBound, AWaitingCallIsMovedFromAnEngineThatLoadsWhenAVersionIsLearntLate)
+{
+    context.description.versionBound = Milliseconds(60000);
+    services.onVersion([this] { flow->armBeginTimer(); });
+    addEngine("i-1", older, 1);
+    send();
+    while (older.requests().empty() && !exchange->hasEnded)
+        loop.run_one();
+    newer.answer(streamWithOneEvent);
+    addEngine("i-2", newer, 2);
+    EngineUpdate update;
+    update.engineAddress = older.address();
+    update.availability = EngineAvailability::Draining;
+    services.recordEngineUpdate(update);
+    services.addVersion({ "m", 2 }, monotonicNow() - context.description.versionBound);
+    while (!exchange->hasEnded)
+        loop.run_one();
+    LONGS_EQUAL(200, exchange->status);
+    LONGS_EQUAL(1, older.m_disconnects);
+}
+
+// The head of a stream's answer may arrive before the call begins.
+TEST(VersionBound, AWaitingCallIsMovedAfterTheHeadOfItsStream)
+{
+    SlowEngine slow(loop);
+    bool hasHead = false;
+    services.onVersion([this] { flow->armBeginTimer(); });
+    services.onLeaving([&hasHead](const LeavingObservation&) { hasHead = true; });
+    addEngine("i-1", slow, 1);
+    send();
+    runUntil([&slow] { return slow.isReceiving(); });
+    slow.send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s1\r\nServer-Leaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    runUntil([&hasHead] { return hasHead; });
+    newer.answer(streamWithOneEvent);
+    addEngine("i-2", newer, 2);
+    services.addVersion({ "m", 2 }, monotonicNow() - context.description.versionBound);
+    runUntil([this] { return exchange->hasEnded; });
+    LONGS_EQUAL(200, exchange->status);
+    LONGS_EQUAL(1, newer.requests().size());
+}
+
+TEST(VersionBound, ACallThatWouldBeginAfterTheBoundIsNotSent)
+{
+    addEngine("i-1", older, 1);
+    services.addVersion({ "m", 2 }, monotonicNow());
+    services.refresh();
+    auto& engines = *services.enginePool("models");
+    const CallSize longCall { 1e6, 1 };
+    CHECK(engines.predict("i-1", longCall, monotonicNow()).firstEventMilliseconds > double(context.description.versionBound.count()));
+    CHECK(engines.choose({ 1, 1 }, {}, monotonicNow()).has_value());
+    CHECK_FALSE(engines.choose(longCall, {}, monotonicNow()).has_value());
+}
+
+TEST(VersionBound, TheBoundOfAVersionLearntFromAPeerCountsTheAgeThatThePeerReports)
+{
+    addEngine("i-1", older, 1);
+    ScriptedUpstream source(loop);
+    ScriptedUpstream unusedStore(loop);
+    ViewProcess follower(loop, "follower", unusedStore.address(), false);
+    follower.replicator.setEntries({ { "source", source.address(), "north", "north-a", "entry" } });
+    const auto publishedAt = monotonicNow() - Milliseconds(3000);
+    source.answer(peerAnswer({ 7, true, {} }));
+    source.answer(peerAnswerWithVersion(Milliseconds(3000)));
+    start(follower);
+    runUntil([this] { return usableUntil().has_value(); });
+    LONGS_EQUAL(0, lateBy(publishedAt));
+}
+
+TEST(VersionBound, TheBoundOfAVersionInTheFirstReadOfTheStoreHasPassed)
+{
+    addEngine("i-1", older, 1);
+    ScriptedUpstream store(loop);
+    ViewProcess reader(loop, "reader", store.address(), true);
+    store.answer(storeAnswer("items", 7, true));
+    start(reader);
+    runUntil([this] { return usableUntil().has_value(); });
+    CHECK(*usableUntil() <= monotonicNow());
+}
+
+// Changes are collected for a time before the store is asked again.
+TEST(VersionBound, TheBoundCountsFromThePublicationOfAVersionThatIsCollected)
+{
+    addEngine("i-1", older, 1);
+    ScriptedUpstream store(loop);
+    ViewProcess reader(loop, "reader", store.address(), true);
+    reader.context.description.configurationBound = reader.context.description.drainBound = Milliseconds(10000); // collected for 1 s
+    store.answer(storeAnswer("items", 7, false));
+    const nlohmann::json change { { "key", "other" }, { "value", base64("{}") }, { "revision", 8 } };
+    store.answer(httpAnswer(nlohmann::json { { "at", 8 }, { "events", nlohmann::json::array({ change }) } }.dump()));
+    start(reader);
+    runUntil([&reader] { return reader.replicator.revision() == 8; });
+    const auto publishedAt = monotonicNow();
+    store.answer(storeAnswer("events", 9, true));
+    runUntil([this] { return usableUntil().has_value(); });
+    LONGS_EQUAL(0, lateBy(publishedAt));
+}
+
+TEST(VersionBound, AViewIsServedWithTheAgesOfItsVersions)
+{
+    ScriptedUpstream store(loop);
+    ViewProcess reader(loop, "reader", store.address(), true);
+    store.answer(storeAnswer("items", 7, false));
+    store.answer(storeAnswer("events", 8, true));
+    start(reader);
+    runUntil([&reader] { return reader.replicator.revision() == 8; });
+    const auto exchange = reader.requestView(7);
+    const auto ages = decodeView(exchange->fields, exchange->body).value().versionAges;
+    LONGS_EQUAL(1, ages.count(8));
+    CHECK(ages.at(8) >= reader.context.description.changeBatchPeriod());
+}
+
+TEST(VersionBound, TheAgeOfAVersionSurvivesTheReturnOfTheStoreFromAnOlderCopy)
+{
+    ScriptedUpstream store(loop);
+    ViewProcess reader(loop, "reader", store.address(), true);
+    store.answer(storeAnswer("items", 7, false, 1));
+    store.answer(storeAnswer("events", 8, true, 1));
+    start(reader);
+    runUntil([&reader] { return reader.replicator.revision() == 8; });
+    const auto learntAt = monotonicNow();
+    suspend(Milliseconds(500));
+    store.answer(storeAnswer("events", 6, false, 2));
+    store.answer(storeAnswer("items", 6, true, 2));
+    runUntil([&reader] { return reader.replicator.position().era == 2; });
+    const auto minAge = since(learntAt);
+    const auto exchange = reader.requestView(0);
+    const auto ages = decodeView(exchange->fields, exchange->body).value().versionAges;
+    LONGS_EQUAL(1, ages.count(6));
+    CHECK(ages.at(6) >= minAge);
+}
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -354,6 +354,21 @@
     CHECK(ViewSourceDecision::isTooOld(decodeView(waiting->fields, waiting->body).value().age));
 }
 
+TEST(View, AStartingProcessAsksASeedBeforeTheStore)
+{
+    ScriptedUpstream seed(loop);
+    auto description = ViewProcess::describe(store.address());
+    description.ip = "127.0.0.3";
+    description.seedIps = { "127.0.0.1" };
+    description.internalPort = static_cast<std::uint16_t>(std::stoul(seed.address().substr(seed.address().find(':') + 1)));
+    GatewayContext context { loop, description, platform::platformPorts(), source.log, source.metrics, 1 };
+    ViewReplicator starting(context, { "starting", "127.0.0.3:1", "north", "north-a", "agent" }, false);
+    starting.start({});
+    while (seed.requests().empty() && store.requests().empty())
+        loop.run_one();
+    LONGS_EQUAL(0, store.requests().size());
+}
+
 TEST_GROUP(TransferLimits)
 {
     EventLoop loop { 1 };
