A call that is taken back sends nothing more to its first engine

What callers see: nothing; the engine may get, and begin, a call that was moved before its bound. Cause: HttpExchange::cancel() closed the socket, and the system went on sending what it had buffered, so a request on a slow or full link reached the engine after the bound. Class: an end that is taken for the end of a transfer. Change: cancel() resets the connection, which discards unsent bytes.

--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -99,6 +99,10 @@
     if (m_state->isEnded)
         return;
     m_state->handlers = {};
+    // A reset discards what is buffered; otherwise the system would still send it. Fails only
+    // when there is no connection.
+    error_code ignored;
+    m_state->socket.set_option(asio::socket_base::linger(true, 0), ignored);
     end(ExchangeEnd::Cancelled);
 }
 
--- a/modules/hyssopwick_gateway/http/HttpExchange.h
+++ b/modules/hyssopwick_gateway/http/HttpExchange.h
@@ -64,7 +64,7 @@
 
     ~HttpExchange();
 
-    /// Closes the connection. No handler is called afterwards.
+    /// Resets the connection, so that the server gets nothing more. No handler is called afterwards.
     void cancel();
 
     /// Returns whether a byte of the request may have left this VM.
