Failed peers do not stop the bound of a version

What callers see: calls on old weights 1.05 s after the bound at a process whose two peers failed. Cause: earliestChangeTime() takes two failed sources for an outage of the store, in which nothing is published, also when both were peers. Class: a failure counted without asking whose it is. Change: only failures of the store count for that.

--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
@@ -185,7 +185,7 @@
     const bool isNews = !m_hasAnswer || now - age > m_currentAsOf;
     if (isNews)
         m_currentAsOf = now - age;
-    m_failures = 0;
+    m_storeFailures = 0;
     const bool isFirst = !m_hasAnswer;
     m_hasAnswer = true;
     if (isFirst && !m_seeds.empty()) {
@@ -237,7 +237,7 @@
 
 void ViewSourceDecision::recordFailure(const ViewSource& source, TimePoint now)
 {
-    ++m_failures;
+    m_storeFailures += std::holds_alternative<StoreSource>(source) ? 1 : 0;
     if (!(source == this->source()) || returnToWorkingSource(now))
         return;
     if (m_position == 0)
@@ -253,7 +253,7 @@
 TimePoint ViewSourceDecision::earliestChangeTime(TimePoint now) const
 {
     const auto dataAge = age(now);
-    const bool wasStoreUnreachable = m_hasAnswer && m_failures > failuresCausedBySuspension;
+    const bool wasStoreUnreachable = m_hasAnswer && m_storeFailures > failuresCausedBySuspension;
     return dataAge <= maxNormalAge || wasStoreUnreachable ? now : now - dataAge;
 }
 
