A change after a failed watch may be as old as that watch

What callers see: calls on old weights up to 1.36 s past the time that is left for them. Cause: a watch that went silent ends after 1.3 s; a view younger than 1.6 s counted as current, so the change that the next try brought was dated to its arrival. Class: a limit that tells normal from disturbed by time alone. Change: after any failed source the change may date from the last answer.

--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
@@ -185,6 +185,7 @@
     const bool isNews = !m_hasAnswer || now - age > m_currentAsOf;
     if (isNews)
         m_currentAsOf = now - age;
+    m_failures = 0;
     m_storeFailures = 0;
     const bool isFirst = !m_hasAnswer;
     m_hasAnswer = true;
@@ -237,6 +238,7 @@
 
 void ViewSourceDecision::recordFailure(const ViewSource& source, TimePoint now)
 {
+    ++m_failures;
     m_storeFailures += std::holds_alternative<StoreSource>(source) ? 1 : 0;
     if (!(source == this->source()) || returnToWorkingSource(now))
         return;
@@ -254,7 +256,9 @@
 {
     const auto dataAge = age(now);
     const bool wasStoreUnreachable = m_hasAnswer && m_storeFailures > failuresCausedBySuspension;
-    return dataAge <= maxNormalAge || wasStoreUnreachable ? now : now - dataAge;
+    // A source that failed may have known of the change for as long as it was waited for.
+    const bool isCurrent = dataAge <= maxNormalAge && m_failures == 0;
+    return isCurrent || wasStoreUnreachable ? now : now - dataAge;
 }
 
 Milliseconds ViewSourceDecision::age(TimePoint now) const
--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.h
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.h
@@ -99,7 +99,8 @@
     std::size_t m_leaveSlot = 0; // time at which this process may leave the region, in intervals after its views became stale
     std::size_t m_position = 0;
     std::optional<std::size_t> m_retriedFrom; // the position that worked, while the preferred one is tried again
-    unsigned m_storeFailures = 0; // since the last answer of any source
+    unsigned m_failures = 0; // since the last answer of any source
+    unsigned m_storeFailures = 0; // those of the store among them
     std::optional<TimePoint> m_staleSince; // since when no source in the region is up to date
     bool m_isSourceNew = false; // it has not answered since it was selected
     bool m_hasAnswer = false;
