An answer that is read late counts as current from its request

What callers see: calls on old weights 1.0 s and 1.3 s after the bound at an entry that was suspended for 1.5 s and 2 s around a publication, and at those that follow it. Cause: the contents of an answer counted as current when its head was read, however long it had lain in the socket: the age that a peer reports was subtracted from that time, and an old empty answer of the store made the view look current just before a change. Class: the time of reading taken for that of sending. Change: an answer whose head is read later than its wait and round trip allow counts as current from its request. A process that is late by less than that (0.8 s for a peer, 1.3 s for the store) still counts up to that much late; 0.5 s of it are in the margin.

--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -209,9 +209,16 @@
 ViewReplicator::Transfer ViewReplicator::recordTransfer(const ViewSource& source, Transfer transfer, const WholeResponse& response)
 {
     m_context.metrics.count("view_bytes_received_total", std::holds_alternative<StoreSource>(source) ? "store" : "peer", response.body.size());
-    if (transfer.beganAt == TimePoint())
-        transfer.beganAt = response.beganAt;
     transfer.bytes += response.body.size();
+    if (transfer.beganAt != TimePoint())
+        return transfer;
+    transfer.beganAt = response.beganAt;
+    // So late, the answer may have waited for this process; all that is certain is that it was
+    // current after the request.
+    const bool isStore = std::holds_alternative<StoreSource>(source);
+    const auto expectedBy = transfer.requestedAt + (isStore ? storeWait + storeRoundTripTime : peerWait + peerRoundTripTime);
+    if (transfer.beganAt > expectedBy)
+        transfer.beganAt = transfer.requestedAt;
     return transfer;
 }
 
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -53,7 +53,7 @@
     /// The progress of a request for the view.
     struct Transfer {
         TimePoint requestedAt;
-        TimePoint beganAt {}; ///< arrival of the first answer's head, when its contents were current
+        TimePoint beganAt {}; ///< when the contents of the first answer were current: arrival of its head, or earlier
         std::uint64_t bytes = 0; ///< of the answer's body
         VersionAges versionAges {}; ///< as the peer reported them
     };
