The bound of a version that a later one replaced reaches processes that never saw it

What callers see: an entry that starts, or lags, between two versions lets calls begin on weights two versions back until 1.5 s after the bound of the first of them. Cause: the store and the view keep one record a model, so whole views and changes tell of the last version only, and the bound of the first was counted from the second's publication. Class: state that is replaced although each of its changes has an effect of its own. Change: processes pass on when each of the latest eight versions may have been published, by model and version instead of by revision (VersionPublications); what has no record counts too. The field is new (View-Versions); followers of another build see no ages and take the more cautious time. Tests that named ages by revision name them by version, with the same bounds.

--- a/modules/hyssopwick_deployment/hyssopwick_deployment.h
+++ b/modules/hyssopwick_deployment/hyssopwick_deployment.h
@@ -22,4 +22,5 @@
 #include "view/RestoredRecords.h"
 #include "view/StorePosition.h"
 #include "view/StoreView.h"
+#include "view/VersionPublications.h"
 #include "view/ViewSourceDecision.h"
--- a/modules/hyssopwick_gateway/view/ViewMessage.cpp
+++ b/modules/hyssopwick_gateway/view/ViewMessage.cpp
@@ -16,7 +16,10 @@
     constexpr std::size_t maxCachedEncodings = 4;
     constexpr std::size_t maxDigits = 18;
     constexpr const char* ageField = "View-Age-Ms";
-    constexpr const char* versionAgesField = "View-Version-Ages"; // REVISION:MILLISECONDS, ...
+    constexpr const char* versionAgesField = "View-Versions"; // [[MODEL, VERSION, MILLISECONDS], ...]
+    constexpr int noIndent = -1;
+    // Only a sanity check: ten years, still far below the range of a time.
+    constexpr std::uint64_t maxVersionAgeMilliseconds = std::uint64_t(10) * 365 * 24 * 3600 * 1000;
     constexpr const char* codingField = "Content-Encoding";
     constexpr const char* deflateCoding = "deflate";
 
@@ -27,18 +30,29 @@
         return std::stoull(text);
     }
 
-    Outcome<VersionAges> decodeVersionAges(const std::string& text)
+    std::string encodeVersionAges(const VersionAges& ages)
     {
-        VersionAges ages;
-        for (std::size_t begin = 0; begin < text.size();) {
-            const auto end = std::min(text.find(',', begin), text.size());
-            const auto colon = std::min(text.find(':', begin), end);
-            BOOST_OUTCOME_TRY(revision, decodeNumber(text.substr(begin, colon - begin)));
-            BOOST_OUTCOME_TRY(age, decodeNumber(text.substr(std::min(colon + 1, end), end - std::min(colon + 1, end))));
-            ages[revision] = Milliseconds(age);
-            begin = end + 1;
+        auto json = nlohmann::json::array();
+        for (const auto& [weights, age] : ages)
+            json.push_back({ weights.model, weights.version, age.count() });
+        return json.dump(noIndent, ' ', true); // escapes what a header field may not hold
+    }
+
+    Outcome<VersionAges> decodeVersionAges(std::string_view text)
+    {
+        if (text.empty())
+            return VersionAges {};
+        try {
+            VersionAges ages;
+            for (const auto& item : nlohmann::json::parse(text)) {
+                if (!item.at(1).is_number_unsigned() || !item.at(2).is_number_unsigned() || item.at(2).get<std::uint64_t>() > maxVersionAgeMilliseconds)
+                    return failure(ErrorCode::InvalidInput, "malformed view: ages of versions");
+                ages[{ item.at(0).get<std::string>(), item.at(1).get<std::uint64_t>() }] = Milliseconds(item.at(2).get<std::int64_t>());
+            }
+            return ages;
+        } catch (const std::exception& problem) {
+            return failure(ErrorCode::InvalidInput, std::string("malformed view: ages of versions: ") + problem.what());
         }
-        return ages;
     }
 
     Outcome<ViewUpdate> decodeUpdate(const std::string& bytes)
@@ -63,11 +77,8 @@
     HeaderFields fields { { ageField, std::to_string(age.count()) } };
     if (isCompressed)
         fields.emplace_back(codingField, deflateCoding);
-    std::string ages;
-    for (const auto& [revision, versionAge] : versionAges)
-        ages += (ages.empty() ? "" : ",") + std::to_string(revision) + ":" + std::to_string(versionAge.count());
-    if (!ages.empty())
-        fields.emplace_back(versionAgesField, ages);
+    if (!versionAges.empty())
+        fields.emplace_back(versionAgesField, encodeVersionAges(versionAges));
     return fields;
 }
 
@@ -94,7 +105,7 @@
 {
     BOOST_OUTCOME_TRY(ageMilliseconds, decodeNumber(std::string(headerValue(fields, ageField))));
     const Milliseconds age(ageMilliseconds);
-    BOOST_OUTCOME_TRY(versionAges, decodeVersionAges(std::string(headerValue(fields, versionAgesField))));
+    BOOST_OUTCOME_TRY(versionAges, decodeVersionAges(headerValue(fields, versionAgesField)));
     const auto coding = headerValue(fields, codingField);
     if (!coding.empty() && coding != deflateCoding)
         return failure(ErrorCode::InvalidInput, "malformed view: content coding \"" + std::string(coding) + "\"");
--- a/modules/hyssopwick_gateway/view/ViewMessage.h
+++ b/modules/hyssopwick_gateway/view/ViewMessage.h
@@ -4,10 +4,6 @@
 
 namespace hyssopwick {
 
-/// Upper bounds on the ages of weights versions' records, by their revisions. Ages are sent
-/// instead of times because the clocks of VMs differ.
-using VersionAges = std::map<std::uint64_t, Milliseconds>;
-
 /// An encoded update of the view. It holds nothing that changes with time, so that it can be
 /// sent to all followers that know the same revision.
 struct EncodedView {
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -30,8 +30,6 @@
     constexpr std::string_view viewPath = "/view?after=";
     constexpr std::string_view eraParameter = "&era=";
     constexpr std::size_t maxDigits = 18;
-    // Versions whose ages are sent to peers; the bounds of earlier ones have passed.
-    constexpr std::size_t maxReportedVersions = 8;
 
     std::string describe(const ViewSource& source)
     {
@@ -305,11 +303,11 @@
     if (isNewEra) {
         m_context.log.write("store.era-changed", { { "from", std::to_string(before.era) }, { "to", std::to_string(update.era) }, { "revision_before", std::to_string(before.revision) }, { "revision", std::to_string(update.revision) }, { "changed", std::to_string(changed.size()) } });
         m_context.metrics.count("store_era_changes_total");
-        m_earliestPublications.clear();
         m_restored.recordReturn(transfer.beganAt);
         if (m_observer.onEra)
             m_observer.onEra(update.era);
     }
+    recordReportedVersions(transfer);
     for (const auto& record : changed) {
         if (isRestored && record.isDeleted) {
             m_restored.recordMissing(record.key, transfer.beganAt);
@@ -330,26 +328,23 @@
 
 // A peer reports the version's maximum age, which stays right however late its answer comes.
 // Without that, the version is no older than the last time the view was known to be current.
-TimePoint ViewReplicator::recordPublication(const WeightsVersion& version, std::uint64_t revision, const Transfer& transfer)
+TimePoint ViewReplicator::earliestPublication(const WeightsVersion& version, const Transfer& transfer) const
 {
-    const auto reported = transfer.versionAges.find(revision);
-    auto earliestPublication = reported != transfer.versionAges.end() ? transfer.beganAt - reported->second : m_decision.earliestChangeTime(transfer.beganAt) - m_context.description.changeBatchPeriod();
-    // A version that is written again after the store's return from an older copy was published before it.
-    const auto known = m_publications.emplace(std::make_pair(version.model, version.version), earliestPublication).first;
-    earliestPublication = std::min(earliestPublication, known->second);
-    m_earliestPublications[revision] = earliestPublication;
-    if (m_earliestPublications.size() > maxReportedVersions)
-        m_earliestPublications.erase(m_earliestPublications.begin());
-    return earliestPublication;
+    const auto reported = transfer.versionAges.find(version);
+    if (reported != transfer.versionAges.end())
+        return transfer.beganAt - reported->second;
+    return m_decision.earliestChangeTime(transfer.beganAt) - m_context.description.changeBatchPeriod();
 }
 
-VersionAges ViewReplicator::versionAges() const
+// Those that a later version replaced have no record, but a bound.
+void ViewReplicator::recordReportedVersions(const Transfer& transfer)
 {
-    const auto now = monotonicNow();
-    VersionAges ages;
-    for (const auto& [revision, earliestPublication] : m_earliestPublications)
-        ages[revision] = Milliseconds(std::max<std::int64_t>(0, millisecondsBetween(earliestPublication, now)));
-    return ages;
+    for (const auto& [version, age] : transfer.versionAges) {
+        const bool isNew = !m_publications.contains(version);
+        const auto earliestPublication = m_publications.record(version, transfer.beganAt - age);
+        if (isNew && m_observer.onVersion)
+            m_observer.onVersion(version, earliestPublication);
+    }
 }
 
 // Removes the records whose owners did not write them again after the store's return.
@@ -416,7 +411,7 @@
         void operator()(const WeightsVersion& version) const
         {
             if (replicator.m_observer.onVersion)
-                replicator.m_observer.onVersion(version, replicator.recordPublication(version, record.revision, transfer));
+                replicator.m_observer.onVersion(version, replicator.m_publications.record(version, replicator.earliestPublication(version, transfer)));
         }
         void operator()(const RegisteredNode& node) const
         {
@@ -463,7 +458,7 @@
     const auto encoded = m_encoded.updateSince(m_view, peer.known);
     m_context.metrics.count("view_answers_total", answerKind(*encoded));
     m_context.metrics.count("view_bytes_sent_total", "", encoded->body.size());
-    peer.exchange->respond(statusOk, encoded->fields(servedAge(), versionAges()), encoded->body);
+    peer.exchange->respond(statusOk, encoded->fields(servedAge(), m_publications.ages(monotonicNow())), encoded->body);
 }
 
 void ViewReplicator::answerWaitingPeers()
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -77,8 +77,8 @@
     void notifyObserver(const StoreRecord& record, const Transfer& transfer, RegistrationSource source = RegistrationSource::Owner);
     void notifyRemoval(const std::string& key, RegistrationEnd end);
     void expireRestoration();
-    TimePoint recordPublication(const WeightsVersion& version, std::uint64_t revision, const Transfer& transfer);
-    VersionAges versionAges() const;
+    TimePoint earliestPublication(const WeightsVersion& version, const Transfer& transfer) const;
+    void recordReportedVersions(const Transfer& transfer);
     void answerPeer(const WaitingPeer& peer);
     void answerWaitingPeers();
     void answerAllWaitingPeers();
@@ -87,8 +87,7 @@
     GatewayContext& m_context;
     ViewSourceDecision m_decision;
     StoreView m_view;
-    std::map<std::uint64_t, TimePoint> m_earliestPublications; // by revision
-    std::map<std::pair<std::string, std::uint64_t>, TimePoint> m_publications; // the same by model and version, across eras
+    VersionPublications m_publications;
     RestoredRecords m_restored;
     EncodedViewCache m_encoded; // of the view's current revision
     Observer m_observer;
--- a/tests/platform/VersionBoundTests.cpp
+++ b/tests/platform/VersionBoundTests.cpp
@@ -27,7 +27,7 @@
     return answer.substr(0, headersAt) + "Store-Era: " + std::to_string(era) + "\r\n" + answer.substr(headersAt);
 }
 
-// Returns a peer's answer. \param ages  of the versions, by revision
+// Returns a peer's answer. \param ages  of the versions
 std::string peerAnswer(const ViewUpdate& update, const VersionAges& ages = {})
 {
     const auto encoded = encodeView(update);
@@ -40,7 +40,7 @@
 // Returns a peer's answer with version 2, which was published \p age ago.
 std::string peerAnswerWithVersion(Milliseconds age)
 {
-    return peerAnswer({ 8, false, { { versionKey, secondVersion, 8, false } } }, { { 8, age } });
+    return peerAnswer({ 8, false, { { versionKey, secondVersion, 8, false } } }, { { { "m", 2 }, age } });
 }
 
 /// Engine that receives a request and sends its answer only when it is told to.
@@ -358,8 +358,8 @@
     runUntil([&reader] { return reader.replicator.revision() == 8; });
     const auto exchange = reader.requestView(7);
     const auto ages = decodeView(exchange->fields, exchange->body).value().versionAges;
-    LONGS_EQUAL(1, ages.count(8));
-    CHECK(ages.at(8) >= reader.context.description.changeBatchPeriod());
+    LONGS_EQUAL(1, ages.count({ "m", 2 }));
+    CHECK(ages.at({ "m", 2 }) >= reader.context.description.changeBatchPeriod());
 }
 
 TEST(VersionBound, TheAgeOfAVersionSurvivesTheReturnOfTheStoreFromAnOlderCopy)
@@ -378,8 +378,8 @@
     const auto minAge = since(learntAt);
     const auto exchange = reader.requestView(0);
     const auto ages = decodeView(exchange->fields, exchange->body).value().versionAges;
-    LONGS_EQUAL(1, ages.count(6));
-    CHECK(ages.at(6) >= minAge);
+    LONGS_EQUAL(1, ages.count({ "m", 2 }));
+    CHECK(ages.at({ "m", 2 }) >= minAge);
 }
 
 // The answer that tells of a version lies in the socket of a process that is suspended.
@@ -454,7 +454,7 @@
     ViewProcess entry(loop, "entry", unusedStore.address(), false);
     entry.replicator.setEntries({ { "source", source.address(), "north", "north-a", "entry" } });
     const auto firstPublishedAt = monotonicNow() - Milliseconds(3000);
-    source.answer(peerAnswer(view.updateSince({}), { { 8, since(firstPublishedAt) }, { 9, Milliseconds(1000) } }));
+    source.answer(peerAnswer(view.updateSince({}), { { { "m", 2 }, since(firstPublishedAt) }, { { "m", 3 }, Milliseconds(1000) } }));
     start(entry);
     runUntil([this] { return usableUntil().has_value(); });
     LONGS_EQUAL(0, lateBy(firstPublishedAt));
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -217,7 +217,7 @@
         const ViewUpdate update { 9, routes == 0, { { "key", configurationText(routes), 8, false }, { "gone", "", 9, true } } };
         const auto encoded = encodeView(update);
         CHECK_EQUAL(routes != 0, encoded.isCompressed);
-        const VersionAges ages { { 7, Milliseconds(0) }, { 9, Milliseconds(4100) } };
+        const VersionAges ages { { { "m", 2 }, Milliseconds(0) }, { { "model \"\u00fc\", 2:1", 3 }, Milliseconds(4100) } };
         const auto decoded = decodeView(encoded.fields(Milliseconds(25), ages), encoded.body);
         CHECK(decoded.has_value());
         CHECK(decoded.value().update == update);
@@ -243,8 +243,9 @@
     CHECK_FALSE(decodeView({ { "View-Age-Ms", "-1" }, { "Content-Encoding", "deflate" } }, encoded.body).has_value());
     CHECK_FALSE(decodeView({ { "View-Age-Ms", "9999999999999999999999" }, { "Content-Encoding", "deflate" } }, encoded.body).has_value());
     CHECK_FALSE(decodeView({ { "View-Age-Ms", "0" }, { "Content-Encoding", "br" } }, encoded.body).has_value());
-    for (const auto* ages : { "7", "7:", ":5", "7:x", "7:1,," })
-        CHECK_FALSE(decodeView({ { "View-Age-Ms", "0" }, { "Content-Encoding", "deflate" }, { "View-Version-Ages", ages } }, encoded.body).has_value());
+    for (const auto* ages : { "7", "7:1", "[7]", "[[]]", R"([["m"]])", R"([["m",2]])", R"([["m",2,-1]])", R"([["m",-2,1]])", R"([["m","x",1]])", R"([[1,2,3]])", R"([["m",2,1)", R"([["m",2,9999999999999999999]])" })
+        CHECK_FALSE(decodeView({ { "View-Age-Ms", "0" }, { "Content-Encoding", "deflate" }, { "View-Versions", ages } }, encoded.body).has_value());
+    CHECK(decodeView({ { "View-Age-Ms", "0" }, { "Content-Encoding", "deflate" }, { "View-Versions", R"([["m",2,1]])" } }, encoded.body).has_value());
     CHECK_FALSE(decodeView(fields, encoded.body.substr(0, encoded.body.size() / 2)).has_value());
     CHECK_FALSE(decodeView(fields, encoded.body + "more").has_value());
     CHECK_FALSE(decodeView(fields, "no deflated bytes").has_value());
