Lines about crashes name the request and the shared blocks of its prompt

Change: the blocks of a prompt but the last are decoded; crash.sighted has the request, its blocks, and when it was sent and lost. No decision changes.

--- a/modules/hyssopwick_deployment/model/Call.h
+++ b/modules/hyssopwick_deployment/model/Call.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <hyssopwick_core.h>
 #include <optional>
+#include <vector>
 
 namespace hyssopwick {
 
@@ -16,11 +17,12 @@
     unsigned maxAnswerTokens = 0;
     unsigned answerTokensHint = 0; ///< the caller's estimate of the answer's length; 0 for none
     std::string promptPrefix; ///< id of the last block of the shared prompt prefix; "" for none
+    std::vector<std::string> sharedPromptBlocks; ///< ids of the prompt's blocks that other requests may have too, in order
     std::string lastEventId; ///< that the caller received; "" to start from the beginning
 
     auto tied() const
     {
-        return std::tie(requestId, accountKey, callerTimeout, model, promptTokens, maxAnswerTokens, answerTokensHint, promptPrefix, lastEventId);
+        return std::tie(requestId, accountKey, callerTimeout, model, promptTokens, maxAnswerTokens, answerTokensHint, promptPrefix, sharedPromptBlocks, lastEventId);
     }
     bool operator==(const CallDescription& other) const { return tied() == other.tied(); }
     bool operator!=(const CallDescription& other) const { return !(*this == other); }
--- a/modules/hyssopwick_gateway/entry/CallAdmission.cpp
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.cpp
@@ -40,7 +40,7 @@
     admitted.service = routes.service(RouteTable::chooseTarget(route, draw));
     admitted.deadline = deadlineOf(call, route, request.receivedAt);
     admitted.size = { double(call.promptTokens), double(call.answerTokensHint > 0 ? call.answerTokensHint : call.maxAnswerTokens) };
-    admitted.fingerprint = Digest::of(request.method + " " + request.host + request.target + "\n" + admitted.account + "\n" + request.body);
+    admitted.crashTraits = { Digest::of(request.method + " " + request.host + request.target + "\n" + admitted.account + "\n" + request.body), call.sharedPromptBlocks };
     return admitted;
 }
 
--- a/modules/hyssopwick_gateway/entry/CallAdmission.h
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.h
@@ -7,6 +7,16 @@
 
 namespace hyssopwick {
 
+/// What two calls that crash upstreams for the same reason may have in common.
+struct CrashTraits {
+    Digest fingerprint; ///< the same for each repetition of a request
+    std::vector<std::string> promptBlocks; ///< ids of the blocks that other requests may share
+
+    auto tied() const { return std::tie(fingerprint, promptBlocks); }
+    bool operator==(const CrashTraits& other) const { return tied() == other.tied(); }
+    bool operator!=(const CrashTraits& other) const { return !(*this == other); }
+};
+
 /// What the configuration says of a call that it allows. Valid as long as the route table.
 struct AdmittedCall {
     const CallRoute* route = nullptr;
@@ -15,7 +25,7 @@
     unsigned priority = 0; ///< 0 is the most urgent
     TimePoint deadline; ///< when the caller stops waiting or the route's time ends
     CallSize size;
-    Digest fingerprint; ///< the same for each repetition of a request
+    CrashTraits crashTraits;
 };
 
 /// Why the configuration does not allow a call.
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -79,13 +79,13 @@
     m_priority = admitted.priority;
     m_deadline = admitted.deadline;
     m_size = admitted.size;
-    m_fingerprint = admitted.fingerprint;
+    m_crashTraits = admitted.crashTraits;
     const auto stopBy = m_services.stopBy();
     if (stopBy && !canEndBefore(*stopBy, admitted, isEngineCall() ? m_services.enginePool(m_service->name) : nullptr, monotonicNow())) {
         refuse(RefusalReason::EntryLeaving, statusUnavailable, Milliseconds(0));
         return false;
     }
-    if (m_services.suspicion().verdict(m_fingerprint, monotonicNow()) == CrashVerdict::Refuse) {
+    if (m_services.suspicion().verdict(m_crashTraits.fingerprint, monotonicNow()) == CrashVerdict::Refuse) {
         refuse(RefusalReason::CrashSuspected, statusBadGateway, Milliseconds(0));
         return false;
     }
@@ -348,7 +348,7 @@
     if (end == ExchangeEnd::NotSent)
         m_services.recordUpstreamDown(address);
     if (end == ExchangeEnd::Lost)
-        m_services.recordLostCall(address, m_fingerprint);
+        m_services.recordLostCall(address, { m_crashTraits, m_call.requestId, m_sentAt, monotonicNow() });
     if (end == ExchangeEnd::NotSent)
         return handleAttemptFailure(AttemptFailure::NotSent, exchangeEndName(end));
     ++m_sentAttempts;
@@ -360,7 +360,7 @@
         if (m_splitter.hasPartialEvent() || m_eventsForwarded == 0)
             return handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "cut-event");
         m_exchange->finish();
-        m_services.suspicion().recordFinished(m_fingerprint);
+        m_services.suspicion().recordFinished(m_crashTraits.fingerprint);
         return this->end("served", m_head.status);
     }
     if (m_eventsForwarded > 0)
@@ -407,7 +407,7 @@
     if (isNotRunStatus)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
     m_exchange->respond(status, m_services.context().ports.calls->encodeAnswer(m_head.fields), m_body);
-    m_services.suspicion().recordFinished(m_fingerprint);
+    m_services.suspicion().recordFinished(m_crashTraits.fingerprint);
     end("served", status);
 }
 
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -92,7 +92,7 @@
     unsigned m_priority = 0;
     TimePoint m_deadline;
     CallSize m_size;
-    Digest m_fingerprint; // the same for each repetition of a request
+    CrashTraits m_crashTraits;
 
     HttpExchangePointer m_attempt;
     std::string m_upstream; // id of the attempt's upstream
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -27,6 +27,14 @@
     // Longer waits are not believed, so that a malformed answer cannot take an upstream out of service.
     constexpr Milliseconds maxRest { 30000 };
 
+    std::string joinBlocks(const std::vector<std::string>& blocks)
+    {
+        std::string text;
+        for (const auto& block : blocks)
+            text += (text.empty() ? "" : ",") + block;
+        return text.empty() ? "none" : text;
+    }
+
     const char* registrationEndName(RegistrationEnd end)
     {
         switch (end) {
@@ -324,23 +332,24 @@
         m_onCapacity();
 }
 
-void EntryServices::recordLostCall(const std::string& address, const Digest& request) { m_lostCalls[address].emplace_back(request, monotonicNow()); }
+void EntryServices::recordLostCall(const std::string& address, LostCall lost) { m_lostCalls[address].push_back(std::move(lost)); }
 
 void EntryServices::recordUpstreamDown(const std::string& address)
 {
     const auto found = m_lostCalls.find(address);
     if (found == m_lostCalls.end())
         return;
-    const auto lost = std::move(found->second);
+    const auto lostCalls = std::move(found->second);
     m_lostCalls.erase(found);
     const auto now = monotonicNow();
-    for (const auto& [request, at] : lost) {
-        if (now > at + crashWindow)
+    for (const auto& lost : lostCalls) {
+        if (now > lost.lostAt + crashWindow)
             continue;
-        m_suspicion.recordCrash({ request }, false, now);
-        m_context.log.write("crash.sighted", { { "digest", request.shortHex() }, { "upstream", address } });
+        const auto& fingerprint = lost.call.fingerprint;
+        m_suspicion.recordCrash({ fingerprint }, false, now);
+        m_context.log.write("crash.sighted", { { "request", lost.requestId }, { "digest", fingerprint.shortHex() }, { "upstream", address }, { "blocks", joinBlocks(lost.call.promptBlocks) }, { "sent_ms_ago", std::to_string(millisecondsBetween(lost.sentAt, now)) }, { "lost_ms_ago", std::to_string(millisecondsBetween(lost.lostAt, now)) } });
         if (m_onCrashObservation)
-            m_onCrashObservation({ request.hex(), address });
+            m_onCrashObservation({ fingerprint.hex(), address });
     }
 }
 
@@ -348,7 +357,7 @@
 {
     const auto now = monotonicNow();
     for (auto lost = m_lostCalls.begin(); lost != m_lostCalls.end();)
-        lost = lost->second.back().second + crashWindow < now ? m_lostCalls.erase(lost) : std::next(lost);
+        lost = lost->second.back().lostAt + crashWindow < now ? m_lostCalls.erase(lost) : std::next(lost);
     auto firstRestEnd = TimePoint::max();
     for (auto resting = m_restingUntil.begin(); resting != m_restingUntil.end();) {
         if (resting->second <= now) {
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -2,6 +2,7 @@
 
 #include "../runtime/GatewayContext.h"
 #include "../runtime/PeerSocket.h"
+#include "CallAdmission.h"
 
 #include <hyssopwick_requests.h>
 
@@ -13,6 +14,14 @@
     TimePoint receivedAt;
 };
 
+/// A call that an upstream lost.
+struct LostCall {
+    CrashTraits call;
+    std::string requestId;
+    TimePoint sentAt;
+    TimePoint lostAt;
+};
+
 /// What the calls of one entry VM share: the active configuration, the upstreams and the
 /// decisions about them. Used by one event loop.
 class EntryServices {
@@ -100,8 +109,8 @@
     RandomSource& random() { return m_random; }
     GatewayContext& context() { return m_context; }
 
-    /// Records that a request was sent to an upstream whose connection ended without an answer.
-    void recordLostCall(const std::string& address, const Digest& request);
+    /// Records a call whose connection to the upstream ended without a whole answer.
+    void recordLostCall(const std::string& address, LostCall lost);
     /// Records that an upstream was found to be down: a request that it lost shortly before
     /// may have crashed it.
     void recordUpstreamDown(const std::string& address);
@@ -153,7 +162,7 @@
     RetryBudget m_retryBudget;
     CrashSuspicion m_suspicion;
     RandomSource m_random;
-    std::map<std::string, std::vector<std::pair<Digest, TimePoint>>> m_lostCalls; // by upstream address
+    std::map<std::string, std::vector<LostCall>> m_lostCalls; // by upstream address
     std::function<void(const CrashObservation&)> m_onCrashObservation;
     std::function<void(const std::string&)> m_onEngineDown;
     std::map<std::string, TimePoint> m_restingUntil; // by upstream id
--- a/tests/platform/FormatTests.cpp
+++ b/tests/platform/FormatTests.cpp
@@ -104,6 +104,7 @@
     LONGS_EQUAL(80, call.maxAnswerTokens);
     LONGS_EQUAL(0, call.answerTokensHint);
     STRCMP_EQUAL("b", call.promptPrefix.c_str());
+    CHECK(call.sharedPromptBlocks == std::vector<std::string>({ "a" }));
 }
 
 TEST(CallFormat, OnlyAnExplicitStatementCountsAsNotExecuted)
