Held answers and view targets in files of their own

Numbers in a view's target and in its fields were decoded by two functions. Change: HeldAnswer owns the bytes of an incomplete answer and their share of the process's limit; the target of a view is encoded and decoded beside the view's other fields. No behaviour changes.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -35,6 +35,7 @@
     , m_retryTimer(services.context().loop)
     , m_beginTimer(services.context().loop)
     , m_id(nextCallId++)
+    , m_body(services.answerMemory())
 {
 }
 
@@ -96,11 +97,10 @@
 {
     if (m_phase == Phase::Ended)
         return;
-    const auto now = monotonicNow();
     if (isEngineCall())
         return enqueue();
     if (m_service) {
-        if (const auto choice = m_services.plainPool(m_service->name).choose(m_triedUpstreams, now))
+        if (const auto choice = m_services.plainPool(m_service->name).choose(m_triedUpstreams, monotonicNow()))
             return send(*choice, m_connectRounds);
     }
     // The upstreams that refused this call or others want none for a time.
@@ -175,7 +175,7 @@
     m_upstreamAddress = upstream->address;
     m_triedUpstreams.insert(upstreamId);
     m_hasHead = false;
-    releaseBody();
+    m_body.clear();
     m_splitter = {};
     CallForwarding forwarding;
     forwarding.timeLeft = std::max(Milliseconds(1), Milliseconds(millisecondsBetween(now, m_deadline)) - answerMargin);
@@ -278,21 +278,12 @@
     handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, reason);
 }
 
-void CallFlow::releaseBody()
-{
-    m_services.addHeldAnswerBytes(-static_cast<std::ptrdiff_t>(m_body.size()));
-    m_body.clear();
-    m_body.shrink_to_fit();
-}
-
 void CallFlow::handleBody(std::string_view bytes)
 {
     if (m_isStreamAnswer)
         return forwardEvents(bytes);
-    if (m_services.heldAnswerBytes() + bytes.size() > m_services.maxHeldAnswerBytes())
-        return cutAnswer("no-memory");
-    m_body.append(bytes);
-    m_services.addHeldAnswerBytes(static_cast<std::ptrdiff_t>(bytes.size()));
+    if (!m_body.append(bytes))
+        cutAnswer("no-memory");
 }
 
 void CallFlow::forwardEvents(std::string_view bytes)
@@ -406,7 +397,7 @@
     const bool isNotRunStatus = status == statusUnavailable || status == statusTooManyRequests || status == statusRequestTimeout || status == statusMisdirected;
     if (isNotRunStatus)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
-    m_exchange->respond(status, m_services.context().ports.calls->encodeAnswer(m_head.fields), m_body);
+    m_exchange->respond(status, m_services.context().ports.calls->encodeAnswer(m_head.fields), m_body.bytes());
     m_services.suspicion().recordFinished(m_crashTraits.fingerprint);
     end("served", status);
 }
@@ -483,7 +474,7 @@
         return;
     leaveQueue();
     releaseUpstream();
-    releaseBody();
+    m_body.clear();
     m_phase = Phase::Ended;
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -61,7 +61,6 @@
     void forwardEvents(std::string_view bytes);
     void handleAttemptFailure(AttemptFailure failure, const char* reason);
     void cutAnswer(const char* reason);
-    void releaseBody();
     void forwardWholeAnswer();
     void refuse(RefusalReason reason, unsigned status, Milliseconds retryAfter);
     void abortStream(const char* outcome);
@@ -102,7 +101,7 @@
     std::set<std::string> m_triedUpstreams;
     ResponseHead m_head;
     AnswerDescription m_answer;
-    std::string m_body;
+    HeldAnswer m_body;
     bool m_isStreamAnswer = false;
     bool m_hasHead = false;
     EventStreamSplitter m_splitter;
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -24,6 +24,9 @@
     // A crash shows first as a lost connection and, within this time, as an engine that does not answer or has restarted.
     constexpr Milliseconds crashWindow { 2000 };
 
+    // Other answers, connections and tables need the rest of the process's memory.
+    constexpr std::size_t answerMemoryDivisor = 4;
+
     // Longer waits are not believed, so that a malformed answer cannot take an upstream out of service.
     constexpr Milliseconds maxRest { 30000 };
 
@@ -66,6 +69,7 @@
     , m_retryBudget(context.description.retryRatio * budgetShare, context.description.retrySlack * budgetShare)
     , m_suspicion(crashesToRefuse)
     , m_random(stableHash(context.description.node) ^ context.incarnation)
+    , m_answerMemory(std::make_shared<AnswerMemory>([&context] { return context.description.memoryBytes / answerMemoryDivisor; }))
 {
 }
 
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -3,6 +3,7 @@
 #include "../runtime/GatewayContext.h"
 #include "../runtime/PeerSocket.h"
 #include "CallAdmission.h"
+#include "HeldAnswer.h"
 
 #include <hyssopwick_requests.h>
 
@@ -47,11 +48,7 @@
     /// calls or none is registered.
     std::optional<Milliseconds> restOfAll(const std::string& service) const;
 
-    /// Returns how many bytes of answers calls may hold until they are complete, in this process.
-    std::size_t maxHeldAnswerBytes() const { return m_context.description.memoryBytes / answerMemoryDivisor; }
-    /// Adds to the bytes of incomplete answers that calls hold; a negative change releases them.
-    void addHeldAnswerBytes(std::ptrdiff_t change) { m_heldAnswerBytes = static_cast<std::size_t>(static_cast<std::ptrdiff_t>(m_heldAnswerBytes) + change); }
-    std::size_t heldAnswerBytes() const { return m_heldAnswerBytes; }
+    const std::shared_ptr<AnswerMemory>& answerMemory() const { return m_answerMemory; }
 
     /// Recomputes which upstreams may be chosen. Call after each batch of changes.
     void refresh();
@@ -127,9 +124,6 @@
     void onCapacity(std::function<void()> handler) { m_onCapacity = std::move(handler); }
 
 private:
-    // Other answers, connections and tables need the rest of the process's memory.
-    static constexpr std::size_t answerMemoryDivisor = 4;
-
     bool markLeaving(const std::string& id, UnixMilliseconds startedAt, const char* source);
     bool isResting(const std::string& id, TimePoint now) const;
     bool isUsableEngine(const Upstream& upstream) const;
@@ -166,7 +160,7 @@
     std::function<void(const CrashObservation&)> m_onCrashObservation;
     std::function<void(const std::string&)> m_onEngineDown;
     std::map<std::string, TimePoint> m_restingUntil; // by upstream id
-    std::size_t m_heldAnswerBytes = 0;
+    std::shared_ptr<AnswerMemory> m_answerMemory;
     std::function<void(const LeavingObservation&)> m_onLeaving;
     std::function<void()> m_onVersion;
     std::function<void()> m_onCapacity;
--- a/modules/hyssopwick_gateway/view/ViewMessage.cpp
+++ b/modules/hyssopwick_gateway/view/ViewMessage.cpp
@@ -15,6 +15,8 @@
     // limit saves memory of the entry VM.
     constexpr std::size_t maxCachedEncodings = 4;
     constexpr std::size_t maxDigits = 18;
+    constexpr std::string_view viewPath = "/view?after=";
+    constexpr std::string_view eraParameter = "&era=";
     constexpr const char* ageField = "View-Age-Ms";
     constexpr const char* versionAgesField = "View-Versions"; // [[MODEL, VERSION, MILLISECONDS], ...]
     constexpr int noIndent = -1;
@@ -23,11 +25,11 @@
     constexpr const char* codingField = "Content-Encoding";
     constexpr const char* deflateCoding = "deflate";
 
-    Outcome<std::uint64_t> decodeNumber(const std::string& text)
+    Outcome<std::uint64_t> decodeNumber(std::string_view text)
     {
-        if (text.empty() || text.size() > maxDigits || text.find_first_not_of("0123456789") != std::string::npos)
-            return failure(ErrorCode::InvalidInput, "malformed view: number \"" + text + "\"");
-        return std::stoull(text);
+        if (text.empty() || text.size() > maxDigits || text.find_first_not_of("0123456789") != std::string_view::npos)
+            return failure(ErrorCode::InvalidInput, "malformed view: number \"" + std::string(text) + "\"");
+        return std::stoull(std::string(text));
     }
 
     std::string encodeVersionAges(const VersionAges& ages)
@@ -72,6 +74,26 @@
     }
 }
 
+std::string encodeViewTarget(const StorePosition& known)
+{
+    return std::string(viewPath) + std::to_string(known.revision) + std::string(eraParameter) + std::to_string(known.era);
+}
+
+bool isViewTarget(std::string_view target) { return target.substr(0, viewPath.size()) == viewPath; }
+
+std::optional<StorePosition> decodeViewTarget(std::string_view target)
+{
+    if (!isViewTarget(target))
+        return std::nullopt;
+    const auto text = target.substr(viewPath.size());
+    const auto separator = text.find(eraParameter);
+    const auto revision = decodeNumber(text.substr(0, separator));
+    const auto era = separator == std::string_view::npos ? Outcome<std::uint64_t>(0) : decodeNumber(text.substr(separator + eraParameter.size()));
+    if (!revision || !era)
+        return std::nullopt;
+    return StorePosition { era.value(), revision.value() };
+}
+
 HeaderFields EncodedView::fields(Milliseconds age, const VersionAges& versionAges) const
 {
     HeaderFields fields { { ageField, std::to_string(age.count()) } };
@@ -103,7 +125,7 @@
 
 Outcome<ReceivedView> decodeView(const HeaderFields& fields, const std::string& body)
 {
-    BOOST_OUTCOME_TRY(ageMilliseconds, decodeNumber(std::string(headerValue(fields, ageField))));
+    BOOST_OUTCOME_TRY(ageMilliseconds, decodeNumber(headerValue(fields, ageField)));
     const Milliseconds age(ageMilliseconds);
     BOOST_OUTCOME_TRY(versionAges, decodeVersionAges(headerValue(fields, versionAgesField)));
     const auto coding = headerValue(fields, codingField);
--- a/modules/hyssopwick_gateway/view/ViewMessage.h
+++ b/modules/hyssopwick_gateway/view/ViewMessage.h
@@ -4,6 +4,14 @@
 
 namespace hyssopwick {
 
+/// Returns the target of a request for the updates after a position.
+std::string encodeViewTarget(const StorePosition& known);
+
+bool isViewTarget(std::string_view target);
+
+/// Decodes the position in a view target, or returns nothing if it is malformed.
+std::optional<StorePosition> decodeViewTarget(std::string_view target);
+
 /// An encoded update of the view. It holds nothing that changes with time, so that it can be
 /// sent to all followers that know the same revision.
 struct EncodedView {
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -27,9 +27,6 @@
     constexpr unsigned maxLagDoublings = 3;
     // The first failure may be that of one connection.
     constexpr unsigned failuresToLoseSource = 2;
-    constexpr std::string_view viewPath = "/view?after=";
-    constexpr std::string_view eraParameter = "&era=";
-    constexpr std::size_t maxDigits = 18;
 
     std::string describe(const ViewSource& source)
     {
@@ -47,24 +44,6 @@
         return encoded.isEmpty ? "empty" : "changes";
     }
 
-    std::optional<std::uint64_t> numberIn(std::string_view text)
-    {
-        if (text.empty() || text.size() > maxDigits || text.find_first_not_of("0123456789") != std::string_view::npos)
-            return std::nullopt;
-        return std::stoull(std::string(text));
-    }
-
-    // Decodes the position after viewPath in a request for the view.
-    std::optional<StorePosition> decodePosition(std::string_view text)
-    {
-        const auto separator = text.find(eraParameter);
-        const auto revision = numberIn(text.substr(0, separator));
-        const auto era = separator == std::string_view::npos ? std::optional<std::uint64_t>(0) : numberIn(text.substr(separator + eraParameter.size()));
-        if (!revision || !era)
-            return std::nullopt;
-        return StorePosition { *era, *revision };
-    }
-
     // Addresses of the seeds, from which starting processes read the view; empty in a seed.
     std::vector<std::string> seedsOf(const GatewayContext& context)
     {
@@ -186,7 +165,7 @@
 {
     const auto now = monotonicNow();
     HttpCall call;
-    call.target = std::string(viewPath) + std::to_string(m_view.revision()) + std::string(eraParameter) + std::to_string(m_view.position().era);
+    call.target = encodeViewTarget(m_view.position());
     fetchWhole(m_context.loop, peer.address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, peer, now](WholeResponse response) {
         auto transfer = recordTransfer(peer, { now }, response);
         if (response.isComplete() && response.status == statusUnavailable)
@@ -425,9 +404,9 @@
 bool ViewReplicator::serve(const ServerExchangePointer& exchange)
 {
     const auto& target = exchange->request().target;
-    if (target.compare(0, viewPath.size(), viewPath) != 0)
+    if (!isViewTarget(target))
         return false;
-    const auto known = decodePosition(std::string_view(target).substr(viewPath.size()));
+    const auto known = decodeViewTarget(target);
     if (!known) {
         exchange->respond(statusBadRequest, {}, "malformed position\n");
         return true;
--- a/tests/platform/EndlessAnswerTests.cpp
+++ b/tests/platform/EndlessAnswerTests.cpp
@@ -79,11 +79,11 @@
         send();
         while (!exchange->hasEnded || !endless->isClosed()) {
             loop.run_one();
-            peakHeldBytes = std::max(peakHeldBytes, services.heldAnswerBytes());
+            peakHeldBytes = std::max(peakHeldBytes, services.answerMemory()->heldBytes());
         }
         CHECK(endless->sentBytes() < (std::size_t(4) << 20) + socketBufferBytes);
         CHECK(peakHeldBytes <= (std::size_t(4) << 20));
-        LONGS_EQUAL(0, services.heldAnswerBytes());
+        LONGS_EQUAL(0, services.answerMemory()->heldBytes());
     }
 
     ExchangeEnd fetchEnd(const std::string& prefix, const std::string& pattern, std::uint64_t maxBodyBytes)
