Prompt blocks that crash engines are quarantined by all entries

What callers see: calls whose prompts share one block crash every engine that begins to answer them, two engines a call; each crash cuts the other calls of that engine for which no cause shows. Cause: suspicion of a crash was kept for whole requests (CrashSuspicion), which never repeat here, and a call that was cancelled because its engine was found down did not count at all. Class: the unit of blame is the request, not the part that it shares with others. Change: PromptQuarantine blames the blocks of lost calls that no answered call clears, after three crashes in sequence; entries share crashes, answers and rechecks; a single call rechecks a quarantine after 0.5 s, 8 s, 1 h and more; one that a recheck confirms is recorded in the store, so that processes that start or were away know it. CrashContainment relates lost calls to crashes for both kinds of suspicion.

--- a/modules/hyssopwick_deployment/ports/StoreCodec.h
+++ b/modules/hyssopwick_deployment/ports/StoreCodec.h
@@ -21,6 +21,16 @@
     bool operator!=(const RegisteredNode& other) const { return !(*this == other); }
 };
 
+/// A prompt block on which engines crash, as a process recorded it in the store.
+struct PromptBlockRecord {
+    std::string block;
+    unsigned rechecks = 0; ///< calls that crashed an engine to find out whether one still crashes
+
+    auto tied() const { return std::tie(block, rechecks); }
+    bool operator==(const PromptBlockRecord& other) const { return tied() == other.tied(); }
+    bool operator!=(const PromptBlockRecord& other) const { return !(*this == other); }
+};
+
 /// A record of the store that this system does not use.
 struct IrrelevantRecord {
 };
@@ -31,7 +41,7 @@
 };
 
 /// Decoded value of a record of the store.
-using DecodedRecord = std::variant<IrrelevantRecord, UnreadableRecord, DeploymentConfiguration, Upstream, WeightsVersion, RegisteredNode>;
+using DecodedRecord = std::variant<IrrelevantRecord, UnreadableRecord, DeploymentConfiguration, Upstream, WeightsVersion, RegisteredNode, PromptBlockRecord>;
 
 /// Kind of a record of the store. It follows from the key, so it is known after a deletion too.
 enum class StoreRecordKind {
@@ -40,6 +50,7 @@
     Upstream,
     WeightsVersion,
     Node,
+    PromptBlock,
 };
 
 /// One page of a read of many records.
@@ -77,8 +88,11 @@
     /// Registers this VM under a lease.
     virtual HttpCall encodeRegistration(const RegisteredNode& node, std::uint64_t lease) const = 0;
 
+    virtual HttpCall encodePromptBlock(const PromptBlockRecord& record) const = 0;
+    virtual HttpCall encodePromptBlockRemoval(const std::string& block) const = 0;
+
     virtual DecodedRecord decodeRecord(const StoreRecord& record) const = 0;
-    /// Returns the kind of the record under a key, and the id of an upstream or node.
+    /// Returns the kind of the record under a key, and the id of an upstream, node or block.
     virtual std::pair<StoreRecordKind, std::string> decodeKey(const std::string& key) const = 0;
 };
 
--- a/modules/hyssopwick_gateway/entry/CallAdmission.h
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.h
@@ -1,22 +1,13 @@
 #pragma once
 
 #include "../http/ServerExchange.h"
+#include "CrashContainment.h"
 
 #include <hyssopwick_requests.h>
 #include <variant>
 
 namespace hyssopwick {
 
-/// What two calls that crash upstreams for the same reason may have in common.
-struct CrashTraits {
-    Digest fingerprint; ///< the same for each repetition of a request
-    std::vector<std::string> promptBlocks; ///< ids of the blocks that other requests may share
-
-    auto tied() const { return std::tie(fingerprint, promptBlocks); }
-    bool operator==(const CrashTraits& other) const { return tied() == other.tied(); }
-    bool operator!=(const CrashTraits& other) const { return !(*this == other); }
-};
-
 /// What the configuration says of a call that it allows. Valid as long as the route table.
 struct AdmittedCall {
     const CallRoute* route = nullptr;
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -1,25 +1,11 @@
 #include "CallFlow.h"
 
+#include "CallLimits.h"
+
 namespace hyssopwick {
 
 namespace {
 
-    // Connect timeouts in the first and in later rounds over the upstreams. The first is
-    // several times the latency between failure domains of one site; later ones allow for
-    // sites with longer latencies.
-    constexpr Milliseconds connectTimeouts[] = { Milliseconds(60), Milliseconds(250), Milliseconds(1000) };
-    constexpr unsigned lastConnectRound = 2;
-    // Engines that may be unreachable before a call is refused.
-    constexpr unsigned maxEngineConnects = 4;
-    constexpr Milliseconds connectRoundDelay { 30 };
-    constexpr Milliseconds notReadyRetryAfter { 500 };
-    constexpr Milliseconds overloadRetryAfter { 500 };
-    // Longer answers and events than any upstream sends are taken for bytes without end.
-    constexpr std::uint64_t maxAnswerBytes = std::uint64_t(4) << 20;
-    constexpr std::size_t maxEventBytes = std::size_t(256) << 10;
-    // Time for the answer's last bytes to reach a caller before its deadline.
-    constexpr Milliseconds answerMargin { 5 };
-
     std::uint64_t nextCallId = 1;
 
     std::string millisecondsText(Milliseconds time) { return std::to_string(time.count()); }
@@ -86,13 +72,25 @@
         refuse(RefusalReason::EntryLeaving, statusUnavailable, Milliseconds(0));
         return false;
     }
-    if (m_services.suspicion().verdict(m_crashTraits.fingerprint, monotonicNow()) == CrashVerdict::Refuse) {
-        refuse(RefusalReason::CrashSuspected, statusBadGateway, Milliseconds(0));
+    return !refuseIfCrashSuspected();
+}
+
+bool CallFlow::refuseIfCrashSuspected()
+{
+    auto& crashes = m_services.crashes();
+    if (crashes.mayRun(m_crashTraits))
         return false;
-    }
+    const bool isNotRun = m_sentAttempts == 0 || m_answer.isNotRun;
+    const auto retryAfter = isNotRun ? crashes.retryAfter(m_crashTraits) : std::nullopt;
+    refuse(RefusalReason::CrashSuspected, retryAfter ? statusUnavailable : statusBadGateway, retryAfter.value_or(Milliseconds(0)));
     return true;
 }
 
+void CallFlow::recordLost(const std::string& address)
+{
+    m_services.crashes().recordLost(address, { m_crashTraits, m_call.requestId, m_sentAt, m_firstEventDelay < 0 ? std::nullopt : std::optional(begunAt()) });
+}
+
 void CallFlow::place()
 {
     if (m_phase == Phase::Ended)
@@ -145,6 +143,8 @@
 {
     m_isQueued = false;
     m_predictedFirstEventDelay = decision.prediction.firstEventMilliseconds;
+    if (refuseIfCrashSuspected())
+        return m_services.enginePool(m_service->name)->recordEnd(m_id, monotonicNow());
     send(decision.upstream, m_connectRounds);
 }
 
@@ -171,6 +171,7 @@
     m_phase = m_eventsForwarded > 0 ? Phase::Answering : Phase::Sent;
     m_sentAt = now;
     m_firstEventDelay = -1;
+    m_isRecordedAsAnswered = false;
     m_upstream = upstreamId;
     m_upstreamAddress = upstream->address;
     m_triedUpstreams.insert(upstreamId);
@@ -207,6 +208,7 @@
     if (beginBy)
         m_services.context().metrics.count("calls_sent_to_older_weights_total");
     m_services.context().log.write("call.sent", { { "request", m_call.requestId }, { "upstream", upstreamId }, { "attempt", std::to_string(m_sentAttempts + 1) }, { "left_ms", millisecondsText(forwarding.timeLeft) }, { "resume", m_lastEventId.empty() ? "no" : m_lastEventId }, { "held", std::to_string(m_services.loadedVersion(*upstream)) }, { "begin_within_ms", beginBy ? std::to_string(millisecondsBetween(now, *beginBy)) : "any" } });
+    m_services.crashes().recordSend(m_crashTraits, m_call.requestId);
     m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), TransferLimits { now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), Milliseconds(0), TimePoint::max(), maxAnswerBytes }, std::move(handlers));
     m_loadedVersionsAtSend = m_services.loadedVersions(*upstream);
     armBeginTimer();
@@ -311,6 +313,10 @@
     m_eventsForwarded += static_cast<unsigned>(events.size());
     if (auto* engines = isEngineCall() ? m_services.enginePool(m_service->name) : nullptr)
         engines->recordFirstEvent(m_id);
+    if (!m_isRecordedAsAnswered && monotonicNow() > begunAt() + CrashContainment::crashDelay()) {
+        m_isRecordedAsAnswered = true;
+        m_services.crashes().recordAnswered(m_crashTraits, begunAt());
+    }
     m_exchange->write(std::move(text));
 }
 
@@ -336,12 +342,13 @@
     if (!isEngineCall() && m_service)
         m_services.plainPool(m_service->name).recordResult(upstream, isHealthy, monotonicNow());
     releaseUpstream();
-    if (end == ExchangeEnd::NotSent)
-        m_services.recordUpstreamDown(address);
-    if (end == ExchangeEnd::Lost)
-        m_services.recordLostCall(address, { m_crashTraits, m_call.requestId, m_sentAt, monotonicNow() });
-    if (end == ExchangeEnd::NotSent)
+    if (end == ExchangeEnd::NotSent) {
+        m_services.crashes().recordUpstreamDown(address);
+        m_services.crashes().recordNotSent(m_crashTraits);
         return handleAttemptFailure(AttemptFailure::NotSent, exchangeEndName(end));
+    }
+    if (end == ExchangeEnd::Lost)
+        recordLost(address);
     ++m_sentAttempts;
     if (end != ExchangeEnd::Complete)
         return handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, exchangeEndName(end));
@@ -351,7 +358,7 @@
         if (m_splitter.hasPartialEvent() || m_eventsForwarded == 0)
             return handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "cut-event");
         m_exchange->finish();
-        m_services.suspicion().recordFinished(m_crashTraits.fingerprint);
+        m_services.crashes().recordFinished(m_crashTraits, begunAt());
         return this->end("served", m_head.status);
     }
     if (m_eventsForwarded > 0)
@@ -398,7 +405,7 @@
     if (isNotRunStatus)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
     m_exchange->respond(status, m_services.context().ports.calls->encodeAnswer(m_head.fields), m_body.bytes());
-    m_services.suspicion().recordFinished(m_crashTraits.fingerprint);
+    m_services.crashes().recordFinished(m_crashTraits, m_sentAt);
     end("served", status);
 }
 
@@ -451,6 +458,7 @@
     if (m_phase == Phase::Ended || m_upstreamAddress != address || !mayRunAgain() || !m_attempt)
         return;
     m_attempt->cancel();
+    recordLost(address);
     releaseUpstream();
     ++m_sentAttempts;
     handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "engine-down");
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -63,6 +63,8 @@
     void cutAnswer(const char* reason);
     void forwardWholeAnswer();
     void refuse(RefusalReason reason, unsigned status, Milliseconds retryAfter);
+    bool refuseIfCrashSuspected();
+    void recordLost(const std::string& address);
     void abortStream(const char* outcome);
     void handleDeadline();
     void handleCallerLeft();
@@ -72,6 +74,8 @@
     void withdraw();
     bool mayRunAgain() const;
     bool isEngineCall() const { return m_service && m_service->engine.has_value(); }
+    /// Returns when the first event of the attempt arrived.
+    TimePoint begunAt() const { return m_sentAt + Milliseconds(m_firstEventDelay); }
     Milliseconds elapsed() const { return Milliseconds(millisecondsBetween(m_exchange->request().receivedAt, monotonicNow())); }
 
     EntryServices& m_services;
@@ -112,6 +116,7 @@
     TimePoint m_sentAt;
     std::map<std::string, std::uint64_t> m_loadedVersionsAtSend; // by the attempt's engine, by model
     std::int64_t m_firstEventDelay = -1; // milliseconds after m_sentAt; -1 before the first event
+    bool m_isRecordedAsAnswered = false; // the attempt shows that its prompt crashes no engine
 };
 
 }
--- /dev/null
+++ b/modules/hyssopwick_gateway/entry/CallLimits.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <hyssopwick_core.h>
+
+namespace hyssopwick {
+
+// Connect timeouts in the first and in later rounds over the upstreams. The first is
+// several times the latency between failure domains of one site; later ones allow for
+// sites with longer latencies.
+inline constexpr Milliseconds connectTimeouts[] = { Milliseconds(60), Milliseconds(250), Milliseconds(1000) };
+inline constexpr unsigned lastConnectRound = 2;
+// Engines that may be unreachable before a call is refused.
+inline constexpr unsigned maxEngineConnects = 4;
+inline constexpr Milliseconds connectRoundDelay { 30 };
+inline constexpr Milliseconds notReadyRetryAfter { 500 };
+inline constexpr Milliseconds overloadRetryAfter { 500 };
+// Longer answers and events than any upstream sends are taken for bytes without end.
+inline constexpr std::uint64_t maxAnswerBytes = std::uint64_t(4) << 20;
+inline constexpr std::size_t maxEventBytes = std::size_t(256) << 10;
+// Time for the answer's last bytes to reach a caller before its deadline.
+inline constexpr Milliseconds answerMargin { 5 };
+
+}
--- /dev/null
+++ b/modules/hyssopwick_gateway/entry/CrashContainment.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "../runtime/GatewayContext.h"
+#include "../runtime/PeerMessage.h"
+
+#include <hyssopwick_requests.h>
+
+namespace hyssopwick {
+
+/// What identifies a call, for what may crash an upstream.
+struct CrashTraits {
+    Digest fingerprint; ///< the same for each repetition of a request
+    std::vector<std::string> promptBlocks; ///< ids of the blocks that other requests share
+
+    auto tied() const { return std::tie(fingerprint, promptBlocks); }
+    bool operator==(const CrashTraits& other) const { return tied() == other.tied(); }
+    bool operator!=(const CrashTraits& other) const { return !(*this == other); }
+};
+
+/// An attempt of a call that an upstream lost.
+struct LostAttempt {
+    CrashTraits call;
+    std::string requestId;
+    TimePoint sentAt;
+    std::optional<TimePoint> begunAt; ///< when its first event arrived, if one did
+};
+
+/// Relates lost calls to crashes of upstreams, and keeps what crashes them from further ones:
+/// requests that are repeated (CrashSuspicion) and prompt blocks (PromptQuarantine). Exchanges
+/// observations with the other entry VMs through its handlers, and has a quarantine recorded in
+/// the store once a recheck confirmed it. Used by one event loop.
+class CrashContainment {
+public:
+    explicit CrashContainment(GatewayContext& context);
+
+    /// Returns whether a call may run, perhaps as a recheck of its prompt blocks.
+    bool mayRun(const CrashTraits& call);
+
+    /// Returns when a refused call may be tried again, from now, or nothing if that is not soon.
+    std::optional<Milliseconds> retryAfter(const CrashTraits& call) const;
+
+    /// Records that a call is sent to an upstream.
+    void recordSend(const CrashTraits& call, const std::string& requestId);
+
+    /// Records that a call could not be sent after all.
+    void recordNotSent(const CrashTraits& call);
+
+    /// Records that an upstream lost a call.
+    void recordLost(const std::string& address, LostAttempt attempt);
+
+    /// Records that an upstream was found to be down: the calls that it lost shortly before, or
+    /// loses soon after, may have crashed it.
+    void recordUpstreamDown(const std::string& address);
+
+    /// Records that a call did not crash its upstream. \param begunAt  when its first event arrived
+    void recordAnswered(const CrashTraits& call, TimePoint begunAt);
+
+    /// Records that a call was answered in full. \param begunAt  when its answer began, or earlier
+    void recordFinished(const CrashTraits& call, TimePoint begunAt);
+
+    /// Returns how long after its first event a call can no longer have crashed its upstream.
+    static Milliseconds crashDelay();
+
+    /// Records what another entry VM observed.
+    void receive(const CrashObservation& observation);
+    void receive(const RecheckObservation& observation);
+    void receive(const AnswerObservation& observation);
+
+    /// Adopts a quarantine that is recorded in the store.
+    void adopt(const PromptBlockRecord& record);
+    /// Ends a quarantine whose record was removed from the store.
+    void release(const std::string& block);
+
+    void expire(TimePoint now);
+
+    /// Called with what the other entry VMs should know.
+    void onObservation(std::function<void(const PeerMessage&)> handler) { m_onObservation = std::move(handler); }
+    /// Called with a quarantine that should be recorded in the store.
+    void onConfirmed(std::function<void(const PromptBlockRecord&)> handler) { m_onConfirmed = std::move(handler); }
+    /// Called with a block whose record in the store should be removed.
+    void onRefuted(std::function<void(const std::string&)> handler) { m_onRefuted = std::move(handler); }
+
+private:
+    struct LostCall {
+        LostAttempt attempt;
+        TimePoint lostAt;
+    };
+
+    void recordCrash(const std::string& address, const LostCall& lost);
+    void confirm(const std::string& block);
+    void count(const CrashTraits& call, TimePoint sentAt, TimePoint crashedAt);
+    PromptQuarantine::Cleared clear(const std::vector<std::string>& blocks, TimePoint begunAt);
+    void recordRelease(const std::string& block);
+    void announce(const PeerMessage& message) const;
+
+    GatewayContext& m_context;
+    CrashSuspicion m_suspicion;
+    PromptQuarantine m_quarantine;
+    std::map<std::string, std::vector<LostCall>> m_lostCalls; // by upstream address
+    std::map<std::string, TimePoint> m_downAt; // by upstream address
+    std::set<std::string> m_ownRechecks; // blocks that a call of this process rechecks
+    std::set<std::string> m_recorded; // blocks that have a record in the store
+    std::function<void(const PeerMessage&)> m_onObservation;
+    std::function<void(const PromptBlockRecord&)> m_onConfirmed;
+    std::function<void(const std::string&)> m_onRefuted;
+};
+
+}
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -35,6 +35,7 @@
     , m_gossip(context, m_peerSocket)
     , m_services(context)
     , m_view(context, m_gossip.self(), true)
+    , m_blockRecords(context)
     , m_callers(
           context.loop, [this](const ServerExchangePointer& exchange) { serveCaller(exchange); }, [this] { return m_services.routes() ? m_services.routes()->configuration().limits : CallerLimits(); })
     , m_directory(
@@ -70,14 +71,10 @@
                 scheduleQueueAdvance(name);
         }
     });
-    m_services.onCrashObservation([this](const CrashObservation& observation) {
-        for (const auto& peer : m_gossip.livePeers())
-            m_peerSocket.send(peer.address, observation);
-    });
-    m_services.onLeaving([this](const LeavingObservation& observation) {
-        for (const auto& peer : m_gossip.livePeers())
-            m_peerSocket.send(peer.address, observation);
-    });
+    m_services.crashes().onObservation([this](const PeerMessage& observation) { sendToEntries(observation); });
+    m_services.crashes().onConfirmed([this](const PromptBlockRecord& record) { m_blockRecords.write(record); });
+    m_services.crashes().onRefuted([this](const std::string& block) { m_blockRecords.remove(block); });
+    m_services.onLeaving([this](const LeavingObservation& observation) { sendToEntries(observation); });
     m_services.onEngineDown([this](const std::string& address) {
         const auto calls = m_calls;
         for (const auto& [id, call] : calls)
@@ -91,7 +88,12 @@
     observer.onConfiguration = [this](const DeploymentConfiguration& configuration) { m_services.setConfiguration(configuration); };
     observer.onUpstream = [this](const Upstream& upstream, RegistrationSource source) { m_services.setUpstream(upstream, source); };
     observer.onUpstreamGone = [this](const std::string& id, RegistrationEnd end) { m_services.removeUpstream(id, end); };
-    observer.onEra = [this](std::uint64_t era) { restoreRegistration(era); };
+    observer.onEra = [this](std::uint64_t era) {
+        restoreRegistration(era);
+        m_blockRecords.restore();
+    };
+    observer.onPromptBlock = [this](const PromptBlockRecord& record) { m_services.crashes().adopt(record); };
+    observer.onPromptBlockGone = [this](const std::string& block) { m_services.crashes().release(block); };
     observer.onVersion = [this](const WeightsVersion& version, TimePoint earliestPublication) { m_services.addVersion(version, earliestPublication); };
     observer.onNode = [this](const RegisteredNode& node) { m_gossip.addRegisteredNode(node); };
     observer.onBatchEnd = [this] {
@@ -217,12 +219,9 @@
         void operator()(const PingAnswer& answer) const { entry.m_gossip.receive(answer); }
         void operator()(const PingRequest& request) const { entry.m_gossip.receive(request, sender); }
         void operator()(const EngineUpdate& update) const { entry.m_services.recordEngineUpdate(update); }
-        void operator()(const CrashObservation& observation) const
-        {
-            const auto digest = Digest::fromHex(observation.digest);
-            if (!digest.isEmpty())
-                entry.m_services.suspicion().recordCrash({ digest }, false, monotonicNow());
-        }
+        void operator()(const CrashObservation& observation) const { entry.m_services.crashes().receive(observation); }
+        void operator()(const RecheckObservation& observation) const { entry.m_services.crashes().receive(observation); }
+        void operator()(const AnswerObservation& observation) const { entry.m_services.crashes().receive(observation); }
         void operator()(const LeavingObservation& observation) const { entry.m_services.recordLeaving(observation); }
         void operator()(const UpdateSubscription&) const { }
         void operator()(const ActivationUpdate&) const { }
@@ -231,6 +230,14 @@
     std::visit(Visitor { *this, sender }, message);
 }
 
+void EntryGateway::sendToEntries(const PeerMessage& message)
+{
+    std::vector<std::string> addresses;
+    for (const auto& peer : m_gossip.livePeers())
+        addresses.push_back(peer.address);
+    m_peerSocket.sendToAll(addresses, message);
+}
+
 void EntryGateway::membersChanged()
 {
     const auto peers = m_gossip.livePeers();
--- a/modules/hyssopwick_gateway/entry/EntryGateway.h
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.h
@@ -7,6 +7,7 @@
 #include "../view/ViewReplicator.h"
 #include "CallFlow.h"
 #include "EntryServices.h"
+#include "PromptBlockRecords.h"
 
 namespace hyssopwick {
 
@@ -33,6 +34,7 @@
     void serveInternal(const ServerExchangePointer& exchange);
     void serveMetrics(const ServerExchangePointer& exchange);
     void receive(const PeerMessage& message, const std::string& sender);
+    void sendToEntries(const PeerMessage& message);
     void membersChanged();
     void updateReadiness();
     void maintain();
@@ -49,6 +51,7 @@
     MemberGossip m_gossip;
     EntryServices m_services;
     ViewReplicator m_view;
+    PromptBlockRecords m_blockRecords;
     HttpListener m_callers;
     HttpListener m_directory;
     HttpListener m_readiness;
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -19,25 +19,12 @@
     // withdrawal has to reach the engine.
     constexpr Milliseconds versionMargin { 500 };
 
-    // A request is refused once it was in flight at three upstreams that crashed (the platform's rules).
-    constexpr unsigned crashesToRefuse = 3;
-    // A crash shows first as a lost connection and, within this time, as an engine that does not answer or has restarted.
-    constexpr Milliseconds crashWindow { 2000 };
-
     // Other answers, connections and tables need the rest of the process's memory.
     constexpr std::size_t answerMemoryDivisor = 4;
 
     // Longer waits are not believed, so that a malformed answer cannot take an upstream out of service.
     constexpr Milliseconds maxRest { 30000 };
 
-    std::string joinBlocks(const std::vector<std::string>& blocks)
-    {
-        std::string text;
-        for (const auto& block : blocks)
-            text += (text.empty() ? "" : ",") + block;
-        return text.empty() ? "none" : text;
-    }
-
     const char* registrationEndName(RegistrationEnd end)
     {
         switch (end) {
@@ -67,7 +54,7 @@
     : m_context(context)
     , m_registry(context.description.drainBound / removalGraceDivisor)
     , m_retryBudget(context.description.retryRatio * budgetShare, context.description.retrySlack * budgetShare)
-    , m_suspicion(crashesToRefuse)
+    , m_crashes(context)
     , m_random(stableHash(context.description.node) ^ context.incarnation)
     , m_answerMemory(std::make_shared<AnswerMemory>([&context] { return context.description.memoryBytes / answerMemoryDivisor; }))
 {
@@ -323,7 +310,7 @@
             m_context.log.write("engine.state", { { "engine", update.engineAddress }, { "answering", update.isAnswering ? "true" : "false" }, { "availability", availabilityName(update.availability) }, { "held", update.report.loadedVersions.empty() ? "none" : std::to_string(update.report.loadedVersions.begin()->second) } });
         refresh();
         if ((wasAnswering && !update.isAnswering) || isRestart)
-            recordUpstreamDown(update.engineAddress);
+            m_crashes.recordUpstreamDown(update.engineAddress);
         if (wasAnswering && !update.isAnswering && m_onEngineDown)
             m_onEngineDown(update.engineAddress);
         return;
@@ -336,32 +323,10 @@
         m_onCapacity();
 }
 
-void EntryServices::recordLostCall(const std::string& address, LostCall lost) { m_lostCalls[address].push_back(std::move(lost)); }
-
-void EntryServices::recordUpstreamDown(const std::string& address)
-{
-    const auto found = m_lostCalls.find(address);
-    if (found == m_lostCalls.end())
-        return;
-    const auto lostCalls = std::move(found->second);
-    m_lostCalls.erase(found);
-    const auto now = monotonicNow();
-    for (const auto& lost : lostCalls) {
-        if (now > lost.lostAt + crashWindow)
-            continue;
-        const auto& fingerprint = lost.call.fingerprint;
-        m_suspicion.recordCrash({ fingerprint }, false, now);
-        m_context.log.write("crash.sighted", { { "request", lost.requestId }, { "digest", fingerprint.shortHex() }, { "upstream", address }, { "blocks", joinBlocks(lost.call.promptBlocks) }, { "sent_ms_ago", std::to_string(millisecondsBetween(lost.sentAt, now)) }, { "lost_ms_ago", std::to_string(millisecondsBetween(lost.lostAt, now)) } });
-        if (m_onCrashObservation)
-            m_onCrashObservation({ fingerprint.hex(), address });
-    }
-}
-
 TimePoint EntryServices::maintain()
 {
     const auto now = monotonicNow();
-    for (auto lost = m_lostCalls.begin(); lost != m_lostCalls.end();)
-        lost = lost->second.back().lostAt + crashWindow < now ? m_lostCalls.erase(lost) : std::next(lost);
+    m_crashes.expire(now);
     auto firstRestEnd = TimePoint::max();
     for (auto resting = m_restingUntil.begin(); resting != m_restingUntil.end();) {
         if (resting->second <= now) {
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -2,7 +2,7 @@
 
 #include "../runtime/GatewayContext.h"
 #include "../runtime/PeerSocket.h"
-#include "CallAdmission.h"
+#include "CrashContainment.h"
 #include "HeldAnswer.h"
 
 #include <hyssopwick_requests.h>
@@ -15,14 +15,6 @@
     TimePoint receivedAt;
 };
 
-/// A call that an upstream lost.
-struct LostCall {
-    CrashTraits call;
-    std::string requestId;
-    TimePoint sentAt;
-    TimePoint lostAt;
-};
-
 /// What the calls of one entry VM share: the active configuration, the upstreams and the
 /// decisions about them. Used by one event loop.
 class EntryServices {
@@ -102,18 +94,10 @@
     std::optional<TimePoint> stopBy() const { return m_stopBy; }
 
     RetryBudget& budget() { return m_retryBudget; }
-    CrashSuspicion& suspicion() { return m_suspicion; }
+    CrashContainment& crashes() { return m_crashes; }
     RandomSource& random() { return m_random; }
     GatewayContext& context() { return m_context; }
 
-    /// Records a call whose connection to the upstream ended without a whole answer.
-    void recordLostCall(const std::string& address, LostCall lost);
-    /// Records that an upstream was found to be down: a request that it lost shortly before
-    /// may have crashed it.
-    void recordUpstreamDown(const std::string& address);
-
-    /// Called with each request that was in flight when an upstream went down.
-    void onCrashObservation(std::function<void(const CrashObservation&)> handler) { m_onCrashObservation = std::move(handler); }
     /// Called when an engine was found to be down, with its address.
     void onEngineDown(std::function<void(const std::string&)> handler) { m_onEngineDown = std::move(handler); }
     /// Called when an upstream said to this process that it leaves.
@@ -154,10 +138,8 @@
     std::optional<TimePoint> m_stopBy;
     std::map<std::string, UpstreamPool> m_plainPools;
     RetryBudget m_retryBudget;
-    CrashSuspicion m_suspicion;
+    CrashContainment m_crashes;
     RandomSource m_random;
-    std::map<std::string, std::vector<LostCall>> m_lostCalls; // by upstream address
-    std::function<void(const CrashObservation&)> m_onCrashObservation;
     std::function<void(const std::string&)> m_onEngineDown;
     std::map<std::string, TimePoint> m_restingUntil; // by upstream id
     std::shared_ptr<AnswerMemory> m_answerMemory;
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
@@ -61,12 +61,14 @@
             const auto& vm = message.subscriber;
             return { vm.id, vm.address, vm.region, vm.failureDomain, vm.kind };
         }
-        Json operator()(const CrashObservation& message) const { return { message.digest, message.upstream }; }
+        Json operator()(const CrashObservation& message) const { return { message.digest, message.upstream, message.promptBlocks, message.sentAgo.count(), message.lostAgo.count() }; }
         Json operator()(const ActivationUpdate& message) const
         {
             return { message.node, message.model, message.wanted, message.loaded, message.isReady, message.isLoading };
         }
         Json operator()(const LeavingObservation& message) const { return { message.upstream, message.startedAt }; }
+        Json operator()(const RecheckObservation& message) const { return Json::array({ message.promptBlocks }); }
+        Json operator()(const AnswerObservation& message) const { return { message.promptBlocks, message.begunAgo.count() }; }
         Json operator()(const ChunksUpdate& message) const { return { message.node, message.model, message.version, message.held, message.wantsAnswer }; }
     };
 
@@ -97,6 +99,19 @@
         return update;
     }
 
+    Milliseconds agoFromJson(const Json& json) { return Milliseconds(std::max<std::int64_t>(0, json.get<std::int64_t>())); }
+
+    CrashObservation crashObservationFromJson(const Json& json)
+    {
+        CrashObservation observation { json.at(1).get<std::string>(), json.at(2).get<std::string>(), {}, Milliseconds(0), Milliseconds(0) };
+        if (json.size() <= 3) // of a process before an upgrade
+            return observation;
+        json.at(3).get_to(observation.promptBlocks);
+        observation.sentAgo = agoFromJson(json.at(4));
+        observation.lostAgo = agoFromJson(json.at(5));
+        return observation;
+    }
+
     PeerMessage messageFromJson(const Json& json)
     {
         switch (json.at(0).get<int>()) {
@@ -112,7 +127,7 @@
             return UpdateSubscription { { json.at(1).get<std::string>(), json.at(2).get<std::string>(), json.at(3).get<std::string>(),
                 json.at(4).get<std::string>(), json.at(5).get<std::string>() } };
         case 5:
-            return CrashObservation { json.at(1).get<std::string>(), json.at(2).get<std::string>() };
+            return crashObservationFromJson(json);
         case 6:
             return ActivationUpdate { json.at(1).get<std::string>(), json.at(2).get<std::string>(), json.at(3).get<std::uint64_t>(),
                 json.at(4).get<std::uint64_t>(), json.at(5).get<bool>(), json.at(6).get<bool>() };
@@ -121,6 +136,10 @@
                 json.at(4).get<std::string>(), json.at(5).get<bool>() };
         case 8:
             return LeavingObservation { json.at(1).get<std::string>(), json.at(2).get<UnixMilliseconds>() };
+        case 9:
+            return RecheckObservation { json.at(1).get<std::vector<std::string>>() };
+        case 10:
+            return AnswerObservation { json.at(1).get<std::vector<std::string>>(), agoFromJson(json.at(2)) };
         default:
             throw std::invalid_argument("unknown message type");
         }
@@ -130,7 +149,7 @@
 
 const char* peerMessageName(std::size_t index)
 {
-    constexpr const char* names[] = { "ping", "ping_answer", "ping_request", "engine_update", "subscription", "crash_observation", "activation_update", "chunks_update", "leaving_observation" };
+    constexpr const char* names[] = { "ping", "ping_answer", "ping_request", "engine_update", "subscription", "crash_observation", "activation_update", "chunks_update", "leaving_observation", "recheck_observation", "answer_observation" };
     static_assert(std::size(names) == std::variant_size_v<PeerMessage>);
     return names[index];
 }
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.h
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.h
@@ -52,6 +52,20 @@
 struct CrashObservation {
     std::string digest;
     std::string upstream;
+    std::vector<std::string> promptBlocks; ///< that may have crashed it; none if the call had begun long before
+    Milliseconds sentAgo { 0 }; ///< before this message
+    Milliseconds lostAgo { 0 }; ///< before this message
+};
+
+/// A call that rechecks quarantined prompt blocks is sent to an upstream.
+struct RecheckObservation {
+    std::vector<std::string> promptBlocks;
+};
+
+/// A call with suspected prompt blocks did not crash its upstream.
+struct AnswerObservation {
+    std::vector<std::string> promptBlocks;
+    Milliseconds begunAgo { 0 }; ///< before this message
 };
 
 /// An agent's update for other agents: which version its engine has loaded and whether it is loading.
@@ -79,7 +93,7 @@
     UnixMilliseconds startedAt = 0; ///< of the start that leaves; 0 when unknown
 };
 
-using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineUpdate, UpdateSubscription, CrashObservation, ActivationUpdate, ChunksUpdate, LeavingObservation>;
+using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineUpdate, UpdateSubscription, CrashObservation, ActivationUpdate, ChunksUpdate, LeavingObservation, RecheckObservation, AnswerObservation>;
 
 /// Returns the name of a kind of message in logs and metrics. \param index  of the alternative
 const char* peerMessageName(std::size_t index);
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -354,6 +354,9 @@
         m_observer.onUpstreamGone(id, end);
     if (kind == StoreRecordKind::Node && m_observer.onNodeGone)
         m_observer.onNodeGone(id);
+    // A record that an older copy of the store lacks is written again by the process that wrote it.
+    if (kind == StoreRecordKind::PromptBlock && end == RegistrationEnd::Ended && m_observer.onPromptBlockGone)
+        m_observer.onPromptBlockGone(id);
 }
 
 void ViewReplicator::notifyObserver(const StoreRecord& record, const Transfer& transfer, RegistrationSource source)
@@ -392,6 +395,11 @@
             if (replicator.m_observer.onVersion)
                 replicator.m_observer.onVersion(version, replicator.m_publications.record(version, replicator.earliestPublication(version, transfer)));
         }
+        void operator()(const PromptBlockRecord& block) const
+        {
+            if (replicator.m_observer.onPromptBlock)
+                replicator.m_observer.onPromptBlock(block);
+        }
         void operator()(const RegisteredNode& node) const
         {
             if (replicator.m_observer.onNode)
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -22,6 +22,8 @@
         std::function<void(const WeightsVersion&, TimePoint earliestPublication)> onVersion;
         std::function<void(const RegisteredNode&)> onNode;
         std::function<void(const std::string& id)> onNodeGone;
+        std::function<void(const PromptBlockRecord&)> onPromptBlock;
+        std::function<void(const std::string& block)> onPromptBlockGone;
         std::function<void(std::uint64_t era)> onEra; ///< before the changes of the first update of an era
         std::function<void()> onBatchEnd; ///< after all changes of one update
     };
--- a/modules/hyssopwick_requests/hyssopwick_requests.h
+++ b/modules/hyssopwick_requests/hyssopwick_requests.h
@@ -16,6 +16,7 @@
 #include "placing/PrefillEstimate.h"
 #include "placing/UpstreamPool.h"
 #include "retries/CrashSuspicion.h"
+#include "retries/PromptQuarantine.h"
 #include "retries/RetryDecision.h"
 #include "routing/EntrySelection.h"
 #include "routing/PrefixIndex.h"
--- a/tests/platform/CallFlowTests.cpp
+++ b/tests/platform/CallFlowTests.cpp
@@ -219,13 +219,13 @@
 {
     route(CallKind::AtMostOnce, 1, false);
     std::vector<CrashObservation> observations;
-    services.onCrashObservation([&](const CrashObservation& observation) { observations.push_back(observation); });
+    services.crashes().onObservation([&](const PeerMessage& message) { observations.push_back(std::get<CrashObservation>(message)); });
     for (int crash = 1; crash <= 3; ++crash) {
         answerBoth("", true);
         send();
         finish();
-        services.recordUpstreamDown(first.address());
-        services.recordUpstreamDown(second.address());
+        services.crashes().recordUpstreamDown(first.address());
+        services.crashes().recordUpstreamDown(second.address());
         LONGS_EQUAL(crash, observations.size());
     }
     const auto before = requestCount();
@@ -239,7 +239,7 @@
 {
     route(CallKind::AtMostOnce, 1, false);
     int observations = 0;
-    services.onCrashObservation([&](const CrashObservation&) { ++observations; });
+    services.crashes().onObservation([&](const PeerMessage&) { ++observations; });
     answerBoth("", true);
     send();
     finish();
