--- a/modules/hyssopwick_gateway/entry/CallAdmission.h
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../http/ServerExchange.h"
+#include "CrashContainment.h"
 
 #include <hyssopwick_requests.h>
 #include <variant>
@@ -15,7 +16,7 @@
     unsigned priority = 0; ///< 0 is the most urgent
     TimePoint deadline; ///< when the caller stops waiting or the route's time ends
     CallSize size;
-    Digest fingerprint; ///< the same for each repetition of a request
+    CrashTraits crashTraits;
 };
 
 /// Why the configuration does not allow a call.
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -1,25 +1,11 @@
 #include "CallFlow.h"
 
+#include "CallLimits.h"
+
 namespace hyssopwick {
 
 namespace {
 
-    // Connect timeouts in the first and in later rounds over the upstreams. The first is
-    // several times the latency between failure domains of one site; later ones allow for
-    // sites with longer latencies.
-    constexpr Milliseconds connectTimeouts[] = { Milliseconds(60), Milliseconds(250), Milliseconds(1000) };
-    constexpr unsigned lastConnectRound = 2;
-    // Engines that may be unreachable before a call is refused.
-    constexpr unsigned maxEngineConnects = 4;
-    constexpr Milliseconds connectRoundDelay { 30 };
-    constexpr Milliseconds notReadyRetryAfter { 500 };
-    constexpr Milliseconds overloadRetryAfter { 500 };
-    // Longer answers and events than any upstream sends are taken for bytes without end.
-    constexpr std::uint64_t maxAnswerBytes = std::uint64_t(4) << 20;
-    constexpr std::size_t maxEventBytes = std::size_t(256) << 10;
-    // Time for the answer's last bytes to reach a caller before its deadline.
-    constexpr Milliseconds answerMargin { 5 };
-
     std::uint64_t nextCallId = 1;
 
     std::string millisecondsText(Milliseconds time) { return std::to_string(time.count()); }
@@ -35,6 +21,7 @@
     , m_retryTimer(services.context().loop)
     , m_beginTimer(services.context().loop)
     , m_id(nextCallId++)
+    , m_body(services.answerMemory())
 {
 }
 
@@ -79,28 +66,39 @@
     m_priority = admitted.priority;
     m_deadline = admitted.deadline;
     m_size = admitted.size;
-    m_fingerprint = admitted.fingerprint;
+    m_crashTraits = admitted.crashTraits;
     const auto stopBy = m_services.stopBy();
     if (stopBy && !canEndBefore(*stopBy, admitted, isEngineCall() ? m_services.enginePool(m_service->name) : nullptr, monotonicNow())) {
         refuse(RefusalReason::EntryLeaving, statusUnavailable, Milliseconds(0));
         return false;
     }
-    if (m_services.suspicion().verdict(m_fingerprint, monotonicNow()) == CrashVerdict::Refuse) {
-        refuse(RefusalReason::CrashSuspected, statusBadGateway, Milliseconds(0));
+    return !refuseIfCrashSuspected();
+}
+
+bool CallFlow::refuseIfCrashSuspected()
+{
+    auto& crashes = m_services.crashes();
+    if (crashes.mayRun(m_crashTraits))
         return false;
-    }
+    const bool isNotRun = m_sentAttempts == 0 || m_answer.isNotRun;
+    const auto retryAfter = isNotRun ? crashes.retryAfter(m_crashTraits) : std::nullopt;
+    refuse(RefusalReason::CrashSuspected, retryAfter ? statusUnavailable : statusBadGateway, retryAfter.value_or(Milliseconds(0)));
     return true;
 }
 
+void CallFlow::recordLost(const std::string& address)
+{
+    m_services.crashes().recordLost(address, { m_crashTraits, m_call.requestId, m_sentAt, m_firstEventDelay < 0 ? std::nullopt : std::optional(begunAt()) });
+}
+
 void CallFlow::place()
 {
     if (m_phase == Phase::Ended)
         return;
-    const auto now = monotonicNow();
     if (isEngineCall())
         return enqueue();
     if (m_service) {
-        if (const auto choice = m_services.plainPool(m_service->name).choose(m_triedUpstreams, now))
+        if (const auto choice = m_services.plainPool(m_service->name).choose(m_triedUpstreams, monotonicNow()))
             return send(*choice, m_connectRounds);
     }
     // The upstreams that refused this call or others want none for a time.
@@ -145,6 +143,8 @@
 {
     m_isQueued = false;
     m_predictedFirstEventDelay = decision.prediction.firstEventMilliseconds;
+    if (refuseIfCrashSuspected())
+        return m_services.enginePool(m_service->name)->recordEnd(m_id, monotonicNow());
     send(decision.upstream, m_connectRounds);
 }
 
@@ -171,11 +171,12 @@
     m_phase = m_eventsForwarded > 0 ? Phase::Answering : Phase::Sent;
     m_sentAt = now;
     m_firstEventDelay = -1;
+    m_isRecordedAsAnswered = false;
     m_upstream = upstreamId;
     m_upstreamAddress = upstream->address;
     m_triedUpstreams.insert(upstreamId);
     m_hasHead = false;
-    releaseBody();
+    m_body.clear();
     m_splitter = {};
     CallForwarding forwarding;
     forwarding.timeLeft = std::max(Milliseconds(1), Milliseconds(millisecondsBetween(now, m_deadline)) - answerMargin);
@@ -207,6 +208,7 @@
     if (beginBy)
         m_services.context().metrics.count("calls_sent_to_older_weights_total");
     m_services.context().log.write("call.sent", { { "request", m_call.requestId }, { "upstream", upstreamId }, { "attempt", std::to_string(m_sentAttempts + 1) }, { "left_ms", millisecondsText(forwarding.timeLeft) }, { "resume", m_lastEventId.empty() ? "no" : m_lastEventId }, { "held", std::to_string(m_services.loadedVersion(*upstream)) }, { "begin_within_ms", beginBy ? std::to_string(millisecondsBetween(now, *beginBy)) : "any" } });
+    m_services.crashes().recordSend(m_crashTraits, m_call.requestId);
     m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), TransferLimits { now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), Milliseconds(0), TimePoint::max(), maxAnswerBytes }, std::move(handlers));
     m_loadedVersionsAtSend = m_services.loadedVersions(*upstream);
     armBeginTimer();
@@ -278,21 +280,12 @@
     handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, reason);
 }
 
-void CallFlow::releaseBody()
-{
-    m_services.addHeldAnswerBytes(-static_cast<std::ptrdiff_t>(m_body.size()));
-    m_body.clear();
-    m_body.shrink_to_fit();
-}
-
 void CallFlow::handleBody(std::string_view bytes)
 {
     if (m_isStreamAnswer)
         return forwardEvents(bytes);
-    if (m_services.heldAnswerBytes() + bytes.size() > m_services.maxHeldAnswerBytes())
-        return cutAnswer("no-memory");
-    m_body.append(bytes);
-    m_services.addHeldAnswerBytes(static_cast<std::ptrdiff_t>(bytes.size()));
+    if (!m_body.append(bytes))
+        cutAnswer("no-memory");
 }
 
 void CallFlow::forwardEvents(std::string_view bytes)
@@ -320,6 +313,10 @@
     m_eventsForwarded += static_cast<unsigned>(events.size());
     if (auto* engines = isEngineCall() ? m_services.enginePool(m_service->name) : nullptr)
         engines->recordFirstEvent(m_id);
+    if (!m_isRecordedAsAnswered && monotonicNow() > begunAt() + CrashContainment::crashDelay()) {
+        m_isRecordedAsAnswered = true;
+        m_services.crashes().recordAnswered(m_crashTraits, begunAt());
+    }
     m_exchange->write(std::move(text));
 }
 
@@ -345,12 +342,13 @@
     if (!isEngineCall() && m_service)
         m_services.plainPool(m_service->name).recordResult(upstream, isHealthy, monotonicNow());
     releaseUpstream();
-    if (end == ExchangeEnd::NotSent)
-        m_services.recordUpstreamDown(address);
-    if (end == ExchangeEnd::Lost)
-        m_services.recordLostCall(address, m_fingerprint);
-    if (end == ExchangeEnd::NotSent)
+    if (end == ExchangeEnd::NotSent) {
+        m_services.crashes().recordUpstreamDown(address);
+        m_services.crashes().recordNotSent(m_crashTraits);
         return handleAttemptFailure(AttemptFailure::NotSent, exchangeEndName(end));
+    }
+    if (end == ExchangeEnd::Lost)
+        recordLost(address);
     ++m_sentAttempts;
     if (end != ExchangeEnd::Complete)
         return handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, exchangeEndName(end));
@@ -360,7 +358,7 @@
         if (m_splitter.hasPartialEvent() || m_eventsForwarded == 0)
             return handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "cut-event");
         m_exchange->finish();
-        m_services.suspicion().recordFinished(m_fingerprint);
+        m_services.crashes().recordFinished(m_crashTraits, begunAt());
         return this->end("served", m_head.status);
     }
     if (m_eventsForwarded > 0)
@@ -406,8 +404,8 @@
     const bool isNotRunStatus = status == statusUnavailable || status == statusTooManyRequests || status == statusRequestTimeout || status == statusMisdirected;
     if (isNotRunStatus)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
-    m_exchange->respond(status, m_services.context().ports.calls->encodeAnswer(m_head.fields), m_body);
-    m_services.suspicion().recordFinished(m_fingerprint);
+    m_exchange->respond(status, m_services.context().ports.calls->encodeAnswer(m_head.fields), m_body.bytes());
+    m_services.crashes().recordFinished(m_crashTraits, m_sentAt);
     end("served", status);
 }
 
@@ -460,6 +458,7 @@
     if (m_phase == Phase::Ended || m_upstreamAddress != address || !mayRunAgain() || !m_attempt)
         return;
     m_attempt->cancel();
+    recordLost(address);
     releaseUpstream();
     ++m_sentAttempts;
     handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "engine-down");
@@ -483,7 +482,7 @@
         return;
     leaveQueue();
     releaseUpstream();
-    releaseBody();
+    m_body.clear();
     m_phase = Phase::Ended;
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -61,9 +61,10 @@
     void forwardEvents(std::string_view bytes);
     void handleAttemptFailure(AttemptFailure failure, const char* reason);
     void cutAnswer(const char* reason);
-    void releaseBody();
     void forwardWholeAnswer();
     void refuse(RefusalReason reason, unsigned status, Milliseconds retryAfter);
+    bool refuseIfCrashSuspected();
+    void recordLost(const std::string& address);
     void abortStream(const char* outcome);
     void handleDeadline();
     void handleCallerLeft();
@@ -73,6 +74,8 @@
     void withdraw();
     bool mayRunAgain() const;
     bool isEngineCall() const { return m_service && m_service->engine.has_value(); }
+    /// Returns when the first event of the attempt arrived.
+    TimePoint begunAt() const { return m_sentAt + Milliseconds(m_firstEventDelay); }
     Milliseconds elapsed() const { return Milliseconds(millisecondsBetween(m_exchange->request().receivedAt, monotonicNow())); }
 
     EntryServices& m_services;
@@ -92,7 +95,7 @@
     unsigned m_priority = 0;
     TimePoint m_deadline;
     CallSize m_size;
-    Digest m_fingerprint; // the same for each repetition of a request
+    CrashTraits m_crashTraits;
 
     HttpExchangePointer m_attempt;
     std::string m_upstream; // id of the attempt's upstream
@@ -102,7 +105,7 @@
     std::set<std::string> m_triedUpstreams;
     ResponseHead m_head;
     AnswerDescription m_answer;
-    std::string m_body;
+    HeldAnswer m_body;
     bool m_isStreamAnswer = false;
     bool m_hasHead = false;
     EventStreamSplitter m_splitter;
@@ -113,6 +116,7 @@
     TimePoint m_sentAt;
     std::map<std::string, std::uint64_t> m_loadedVersionsAtSend; // by the attempt's engine, by model
     std::int64_t m_firstEventDelay = -1; // milliseconds after m_sentAt; -1 before the first event
+    bool m_isRecordedAsAnswered = false; // the attempt shows that its prompt crashes no engine
 };
 
 }
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -19,10 +19,8 @@
     // withdrawal has to reach the engine.
     constexpr Milliseconds versionMargin { 500 };
 
-    // A request is refused once it was in flight at three upstreams that crashed (the platform's rules).
-    constexpr unsigned crashesToRefuse = 3;
-    // A crash shows first as a lost connection and, within this time, as an engine that does not answer or has restarted.
-    constexpr Milliseconds crashWindow { 2000 };
+    // Other answers, connections and tables need the rest of the process's memory.
+    constexpr std::size_t answerMemoryDivisor = 4;
 
     // Longer waits are not believed, so that a malformed answer cannot take an upstream out of service.
     constexpr Milliseconds maxRest { 30000 };
@@ -56,8 +54,9 @@
     : m_context(context)
     , m_registry(context.description.drainBound / removalGraceDivisor)
     , m_retryBudget(context.description.retryRatio * budgetShare, context.description.retrySlack * budgetShare)
-    , m_suspicion(crashesToRefuse)
+    , m_crashes(context)
     , m_random(stableHash(context.description.node) ^ context.incarnation)
+    , m_answerMemory(std::make_shared<AnswerMemory>([&context] { return context.description.memoryBytes / answerMemoryDivisor; }))
 {
 }
 
@@ -311,7 +310,7 @@
             m_context.log.write("engine.state", { { "engine", update.engineAddress }, { "answering", update.isAnswering ? "true" : "false" }, { "availability", availabilityName(update.availability) }, { "held", update.report.loadedVersions.empty() ? "none" : std::to_string(update.report.loadedVersions.begin()->second) } });
         refresh();
         if ((wasAnswering && !update.isAnswering) || isRestart)
-            recordUpstreamDown(update.engineAddress);
+            m_crashes.recordUpstreamDown(update.engineAddress);
         if (wasAnswering && !update.isAnswering && m_onEngineDown)
             m_onEngineDown(update.engineAddress);
         return;
@@ -324,31 +323,10 @@
         m_onCapacity();
 }
 
-void EntryServices::recordLostCall(const std::string& address, const Digest& request) { m_lostCalls[address].emplace_back(request, monotonicNow()); }
-
-void EntryServices::recordUpstreamDown(const std::string& address)
-{
-    const auto found = m_lostCalls.find(address);
-    if (found == m_lostCalls.end())
-        return;
-    const auto lost = std::move(found->second);
-    m_lostCalls.erase(found);
-    const auto now = monotonicNow();
-    for (const auto& [request, at] : lost) {
-        if (now > at + crashWindow)
-            continue;
-        m_suspicion.recordCrash({ request }, false, now);
-        m_context.log.write("crash.sighted", { { "digest", request.shortHex() }, { "upstream", address } });
-        if (m_onCrashObservation)
-            m_onCrashObservation({ request.hex(), address });
-    }
-}
-
 TimePoint EntryServices::maintain()
 {
     const auto now = monotonicNow();
-    for (auto lost = m_lostCalls.begin(); lost != m_lostCalls.end();)
-        lost = lost->second.back().second + crashWindow < now ? m_lostCalls.erase(lost) : std::next(lost);
+    m_crashes.expire(now);
     auto firstRestEnd = TimePoint::max();
     for (auto resting = m_restingUntil.begin(); resting != m_restingUntil.end();) {
         if (resting->second <= now) {
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -2,6 +2,8 @@
 
 #include "../runtime/GatewayContext.h"
 #include "../runtime/PeerSocket.h"
+#include "CrashContainment.h"
+#include "HeldAnswer.h"
 
 #include <hyssopwick_requests.h>
 
@@ -38,11 +40,7 @@
     /// calls or none is registered.
     std::optional<Milliseconds> restOfAll(const std::string& service) const;
 
-    /// Returns how many bytes of answers calls may hold until they are complete, in this process.
-    std::size_t maxHeldAnswerBytes() const { return m_context.description.memoryBytes / answerMemoryDivisor; }
-    /// Adds to the bytes of incomplete answers that calls hold; a negative change releases them.
-    void addHeldAnswerBytes(std::ptrdiff_t change) { m_heldAnswerBytes = static_cast<std::size_t>(static_cast<std::ptrdiff_t>(m_heldAnswerBytes) + change); }
-    std::size_t heldAnswerBytes() const { return m_heldAnswerBytes; }
+    const std::shared_ptr<AnswerMemory>& answerMemory() const { return m_answerMemory; }
 
     /// Recomputes which upstreams may be chosen. Call after each batch of changes.
     void refresh();
@@ -96,18 +94,10 @@
     std::optional<TimePoint> stopBy() const { return m_stopBy; }
 
     RetryBudget& budget() { return m_retryBudget; }
-    CrashSuspicion& suspicion() { return m_suspicion; }
+    CrashContainment& crashes() { return m_crashes; }
     RandomSource& random() { return m_random; }
     GatewayContext& context() { return m_context; }
 
-    /// Records that a request was sent to an upstream whose connection ended without an answer.
-    void recordLostCall(const std::string& address, const Digest& request);
-    /// Records that an upstream was found to be down: a request that it lost shortly before
-    /// may have crashed it.
-    void recordUpstreamDown(const std::string& address);
-
-    /// Called with each request that was in flight when an upstream went down.
-    void onCrashObservation(std::function<void(const CrashObservation&)> handler) { m_onCrashObservation = std::move(handler); }
     /// Called when an engine was found to be down, with its address.
     void onEngineDown(std::function<void(const std::string&)> handler) { m_onEngineDown = std::move(handler); }
     /// Called when an upstream said to this process that it leaves.
@@ -118,9 +108,6 @@
     void onCapacity(std::function<void()> handler) { m_onCapacity = std::move(handler); }
 
 private:
-    // Other answers, connections and tables need the rest of the process's memory.
-    static constexpr std::size_t answerMemoryDivisor = 4;
-
     bool markLeaving(const std::string& id, UnixMilliseconds startedAt, const char* source);
     bool isResting(const std::string& id, TimePoint now) const;
     bool isUsableEngine(const Upstream& upstream) const;
@@ -151,13 +138,11 @@
     std::optional<TimePoint> m_stopBy;
     std::map<std::string, UpstreamPool> m_plainPools;
     RetryBudget m_retryBudget;
-    CrashSuspicion m_suspicion;
+    CrashContainment m_crashes;
     RandomSource m_random;
-    std::map<std::string, std::vector<std::pair<Digest, TimePoint>>> m_lostCalls; // by upstream address
-    std::function<void(const CrashObservation&)> m_onCrashObservation;
     std::function<void(const std::string&)> m_onEngineDown;
     std::map<std::string, TimePoint> m_restingUntil; // by upstream id
-    std::size_t m_heldAnswerBytes = 0;
+    std::shared_ptr<AnswerMemory> m_answerMemory;
     std::function<void(const LeavingObservation&)> m_onLeaving;
     std::function<void()> m_onVersion;
     std::function<void()> m_onCapacity;
