Stale answers do not hide that the source had failed

What callers see: calls on old weights up to 1.6 s late at a process whose source lagged and which then read the store; found on review. Cause: any answer reset the count of failures, and an answer of a source that lags counted as none, so the next change was dated to its arrival. Class: a failure forgotten without news. Change: only a current answer resets the counts; a lag is a failure in this. Tests: ChangeAfterAStaleAnswerMayDateFromTheLastCurrentOne (new with this change).

--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
@@ -185,8 +185,10 @@
     const bool isNews = !m_hasAnswer || now - age > m_currentAsOf;
     if (isNews)
         m_currentAsOf = now - age;
-    m_failures = 0;
-    m_storeFailures = 0;
+    if (!isTooOld(age)) {
+        m_failures = 0;
+        m_storeFailures = 0;
+    }
     const bool isFirst = !m_hasAnswer;
     m_hasAnswer = true;
     if (isFirst && !m_seeds.empty()) {
@@ -229,6 +231,7 @@
 
 void ViewSourceDecision::recordLag(const ViewSource& source, TimePoint now)
 {
+    ++m_failures;
     if (!(source == this->source()) || returnToWorkingSource(now))
         return;
     m_isRegionAnswering = m_isRegionAnswering || m_position < m_regionalSources;
--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.h
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.h
@@ -70,6 +70,9 @@
     /// an outage of the store: after one, the result is now. Call before recordAnswer().
     TimePoint earliestChangeTime(TimePoint now) const;
 
+    /// Returns whether any source has answered.
+    bool hasAnswer() const { return m_hasAnswer; }
+
     /// Returns the age of this process's view of the store; one hour while there is no answer yet.
     Milliseconds age(TimePoint now) const;
 
@@ -99,7 +102,7 @@
     std::size_t m_leaveSlot = 0; // time at which this process may leave the region, in intervals after its views became stale
     std::size_t m_position = 0;
     std::optional<std::size_t> m_retriedFrom; // the position that worked, while the preferred one is tried again
-    unsigned m_failures = 0; // since the last answer of any source
+    unsigned m_failures = 0; // of any source since the last current answer, stale answers too
     unsigned m_storeFailures = 0; // those of the store among them
     std::optional<TimePoint> m_staleSince; // since when no source in the region is up to date
     bool m_isSourceNew = false; // it has not answered since it was selected
--- a/tests/DeploymentTests.cpp
+++ b/tests/DeploymentTests.cpp
@@ -268,6 +268,17 @@
     CHECK(decision.earliestChangeTime(at(19100)) == at(19100));
 }
 
+TEST(ViewSourceDecision, ChangeAfterAStaleAnswerMayDateFromTheLastCurrentOne)
+{
+    ViewSourceDecision decision(entry("agent", "north"), false);
+    decision.setEntries(fleet());
+    decision.recordAnswer(decision.source(), Milliseconds(0), at(10000));
+    decision.recordLag(decision.source(), at(11000));
+    CHECK(decision.earliestChangeTime(at(11200)) == at(10000));
+    decision.recordAnswer(decision.source(), Milliseconds(1200), at(11200));
+    CHECK(decision.earliestChangeTime(at(11400)) == at(10000));
+}
+
 // A watch whose connection goes silent ends after its wait and round trip.
 TEST(ViewSourceDecision, ChangeAfterASilentWatchMayDateFromItsStart)
 {
