Ages of versions that nobody measured are not passed on

What callers see: after a restart of an entry that reads the store, processes that start at its followers take all engines on old weights out at once; found on review. Cause: a process that finds a version at its start takes it for an hour old, served that age, and its followers kept the smaller of two times. Agents that start were told of replaced versions before they knew their service, and a version that comes in the ages of an answer without changes did not end a batch. The grace of restored records began at the cautious time of an answer. Change: such times are used by the process itself only; a measured one replaces them. Reported versions come after the records, and end a batch. Up to 32 versions are passed on. Restored records count from the answer's arrival.

--- a/modules/hyssopwick_deployment/view/VersionPublications.cpp
+++ b/modules/hyssopwick_deployment/view/VersionPublications.cpp
@@ -6,22 +6,28 @@
 namespace hyssopwick {
 
 namespace {
-    // The bounds of earlier ones have passed.
-    constexpr std::size_t maxReportedVersions = 8;
+    // Bounds the size of an answer's head.
+    constexpr std::size_t maxReportedVersions = 32;
 }
 
-TimePoint VersionPublications::record(const WeightsVersion& version, TimePoint earliestPublication)
+TimePoint VersionPublications::record(const WeightsVersion& version, TimePoint earliestPublication, bool isMeasured)
 {
-    auto& known = m_earliest.emplace(version, earliestPublication).first->second;
-    known = std::min(known, earliestPublication);
-    return known;
+    const Publication publication { earliestPublication, isMeasured };
+    auto& known = m_publications.emplace(version, publication).first->second;
+    if (isMeasured == known.isMeasured)
+        known.earliest = std::min(known.earliest, earliestPublication);
+    else if (isMeasured)
+        known = publication;
+    return known.earliest;
 }
 
 VersionAges VersionPublications::ages(TimePoint now) const
 {
     std::vector<std::pair<TimePoint, WeightsVersion>> latest;
-    for (const auto& [version, earliestPublication] : m_earliest)
-        latest.emplace_back(earliestPublication, version);
+    for (const auto& [version, publication] : m_publications) {
+        if (publication.isMeasured)
+            latest.emplace_back(publication.earliest, version);
+    }
     std::sort(latest.rbegin(), latest.rend());
     latest.resize(std::min(latest.size(), maxReportedVersions));
     VersionAges ages;
--- a/modules/hyssopwick_deployment/view/VersionPublications.h
+++ b/modules/hyssopwick_deployment/view/VersionPublications.h
@@ -15,17 +15,23 @@
 /// those of earlier eras of the store. Pure.
 class VersionPublications {
 public:
-    /// Records the earliest publication of a version; an earlier one that is known stays. Returns
-    /// the earliest of both.
-    TimePoint record(const WeightsVersion& version, TimePoint earliestPublication);
+    /// Records the earliest publication of a version and returns the earliest that is known.
+    /// \param isMeasured  false if this process has no view from before the version; such a time
+    ///                    is replaced by any measured one and not passed on
+    TimePoint record(const WeightsVersion& version, TimePoint earliestPublication, bool isMeasured);
 
-    bool contains(const WeightsVersion& version) const { return m_earliest.count(version) > 0; }
+    bool contains(const WeightsVersion& version) const { return m_publications.count(version) > 0; }
 
     /// Returns the ages of the latest versions, for other processes.
     VersionAges ages(TimePoint now) const;
 
 private:
-    std::map<WeightsVersion, TimePoint> m_earliest;
+    struct Publication {
+        TimePoint earliest;
+        bool isMeasured;
+    };
+
+    std::map<WeightsVersion, Publication> m_publications;
 };
 
 }
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -189,7 +189,7 @@
     transfer.bytes += response.body.size();
     if (transfer.beganAt != TimePoint())
         return transfer;
-    transfer.beganAt = response.beganAt;
+    transfer.beganAt = transfer.arrivedAt = response.beganAt;
     // So late, the answer may have waited for this process; all that is certain is that it was
     // current after the request.
     const bool isStore = std::holds_alternative<StoreSource>(source);
@@ -282,14 +282,13 @@
     if (isNewEra) {
         m_context.log.write("store.era-changed", { { "from", std::to_string(before.era) }, { "to", std::to_string(update.era) }, { "revision_before", std::to_string(before.revision) }, { "revision", std::to_string(update.revision) }, { "changed", std::to_string(changed.size()) } });
         m_context.metrics.count("store_era_changes_total");
-        m_restored.recordReturn(transfer.beganAt);
+        m_restored.recordReturn(transfer.arrivedAt);
         if (m_observer.onEra)
             m_observer.onEra(update.era);
     }
-    recordReportedVersions(transfer);
     for (const auto& record : changed) {
         if (isRestored && record.isDeleted) {
-            m_restored.recordMissing(record.key, transfer.beganAt);
+            m_restored.recordMissing(record.key, transfer.arrivedAt);
             continue;
         }
         m_restored.recordPresent(record.key);
@@ -297,7 +296,9 @@
     }
     if (isRestored)
         expireRestoration();
-    if (changed.empty())
+    // After the configuration, by which agents tell which versions concern them.
+    const bool hasNewVersions = recordReportedVersions(transfer);
+    if (changed.empty() && !hasNewVersions)
         return isNewEra;
     m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isSnapshot ? "true" : "false" }, { "bytes", std::to_string(transfer.bytes) }, { "age_ms", std::to_string(ageBefore.count()) } });
     if (m_observer.onBatchEnd)
@@ -307,23 +308,27 @@
 
 // A peer reports the version's maximum age, which stays right however late its answer comes.
 // Without that, the version is no older than the last time the view was known to be current.
-TimePoint ViewReplicator::earliestPublication(const WeightsVersion& version, const Transfer& transfer) const
+TimePoint ViewReplicator::recordPublication(const WeightsVersion& version, const Transfer& transfer)
 {
     const auto reported = transfer.versionAges.find(version);
     if (reported != transfer.versionAges.end())
-        return transfer.beganAt - reported->second;
-    return m_decision.earliestChangeTime(transfer.beganAt) - m_context.description.changeBatchPeriod();
+        return m_publications.record(version, transfer.beganAt - reported->second, true);
+    const auto earliest = m_decision.earliestChangeTime(transfer.beganAt) - m_context.description.changeBatchPeriod();
+    return m_publications.record(version, earliest, m_decision.hasAnswer());
 }
 
 // Those that a later version replaced have no record, but a bound.
-void ViewReplicator::recordReportedVersions(const Transfer& transfer)
+bool ViewReplicator::recordReportedVersions(const Transfer& transfer)
 {
+    bool hasNewVersions = false;
     for (const auto& [version, age] : transfer.versionAges) {
         const bool isNew = !m_publications.contains(version);
-        const auto earliestPublication = m_publications.record(version, transfer.beganAt - age);
+        const auto earliestPublication = m_publications.record(version, transfer.beganAt - age, true);
+        hasNewVersions = hasNewVersions || isNew;
         if (isNew && m_observer.onVersion)
             m_observer.onVersion(version, earliestPublication);
     }
+    return hasNewVersions;
 }
 
 // Removes the records whose owners did not write them again after the store's return.
@@ -393,7 +398,7 @@
         void operator()(const WeightsVersion& version) const
         {
             if (replicator.m_observer.onVersion)
-                replicator.m_observer.onVersion(version, replicator.m_publications.record(version, replicator.earliestPublication(version, transfer)));
+                replicator.m_observer.onVersion(version, replicator.recordPublication(version, transfer));
         }
         void operator()(const PromptBlockRecord& block) const
         {
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -55,6 +55,7 @@
     /// The progress of a request for the view.
     struct Transfer {
         TimePoint requestedAt;
+        TimePoint arrivedAt {}; ///< of the first answer's head
         TimePoint beganAt {}; ///< when the contents of the first answer were current: arrival of its head, or earlier
         std::uint64_t bytes = 0; ///< of the answer's body
         VersionAges versionAges {}; ///< as the peer reported them
@@ -79,8 +80,9 @@
     void notifyObserver(const StoreRecord& record, const Transfer& transfer, RegistrationSource source = RegistrationSource::Owner);
     void notifyRemoval(const std::string& key, RegistrationEnd end);
     void expireRestoration();
-    TimePoint earliestPublication(const WeightsVersion& version, const Transfer& transfer) const;
-    void recordReportedVersions(const Transfer& transfer);
+    TimePoint recordPublication(const WeightsVersion& version, const Transfer& transfer);
+    /// Returns whether one was not known.
+    bool recordReportedVersions(const Transfer& transfer);
     void answerPeer(const WaitingPeer& peer);
     void answerWaitingPeers();
     void answerAllWaitingPeers();
