Failing tests: a crash that closes an unframed stream is not counted

What callers see: while an engine's process that crashes closes streams with neither a length nor chunks inside an event or before the first one, the calls on it are repeated, but no crash is counted, so that neither the request nor a block of its prompt is ever suspected. Cause: CallFlow::handleEnd calls recordLost for ExchangeEnd::Lost only; such a close is Complete.

--- a/tests/platform/UnframedAnswerTests.cpp
+++ b/tests/platform/UnframedAnswerTests.cpp
@@ -65,6 +65,21 @@
         LONGS_EQUAL(1, requestCount());
         STRCMP_EQUAL(twoEvents.c_str(), exchange->body.c_str());
     }
+
+    // An upstream that is found down soon after it ended an answer so has crashed during the call.
+    void checkCountsAsCrash(const std::string& bytes, bool isReset)
+    {
+        route(CallKind::Stream, 1, false);
+        unsigned crashes = 0;
+        services.crashes().onObservation([&crashes](const PeerMessage& message) { crashes += std::holds_alternative<CrashObservation>(message); });
+        answerBoth(bytes, isReset);
+        send();
+        finish();
+        CHECK_FALSE(exchange->isFinished);
+        services.crashes().recordUpstreamDown(first.address());
+        services.crashes().recordUpstreamDown(second.address());
+        LONGS_EQUAL(1, crashes);
+    }
 };
 
 TEST(UnframedAnswer, AWholeAnswerIsDeliveredWhole)
@@ -188,3 +203,19 @@
     CHECK_FALSE(exchange->isStream);
     LONGS_EQUAL(1, requestCount());
 }
+
+// An engine's process that crashes closes its connections, which is all that shows of it here.
+TEST(UnframedAnswer, AStreamThatEndsInsideAnEventOfACrashedUpstreamCountsAsItsCrash)
+{
+    checkCountsAsCrash(head + "id: 1\ndata: a\n\nid: 2\nda", false);
+}
+
+TEST(UnframedAnswer, AStreamThatEndsWithoutAnEventOfACrashedUpstreamCountsAsItsCrash)
+{
+    checkCountsAsCrash(head, false);
+}
+
+TEST(UnframedAnswer, AStreamThatACrashedUpstreamResetsCountsAsItsCrash)
+{
+    checkCountsAsCrash(head + "id: 1\ndata: a\n\nid: 2\nda", true);
+}
