A crash counts however the answer ends, and until the call has shown that it runs on

What callers see: nothing new; crashes that were not counted keep a prompt block, or a request, from being refused. Cause: a lost call was recorded only when its exchange ended as lost. The end of a crashed engine closes an answer without length or chunks like a complete one. Class: an end taken for completeness, and discovery taken for the event.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -88,7 +88,7 @@
 
 void CallFlow::recordLost(const std::string& address)
 {
-    m_services.crashes().recordLost(address, { m_crashTraits, m_call.requestId, m_sentAt, m_firstEventDelay < 0 ? std::nullopt : std::optional(begunAt()) });
+    m_services.crashes().recordLost(address, { m_crashTraits, m_call.requestId, m_sentAt, m_isRecordedAsAnswered });
 }
 
 void CallFlow::place()
@@ -336,18 +336,17 @@
 {
     if (m_phase == Phase::Ended)
         return;
-    const auto upstream = m_upstream;
     const auto address = m_upstreamAddress;
     const bool isHealthy = end == ExchangeEnd::Complete && m_head.status < statusServerError;
     if (!isEngineCall() && m_service)
-        m_services.plainPool(m_service->name).recordResult(upstream, isHealthy, monotonicNow());
+        m_services.plainPool(m_service->name).recordResult(m_upstream, isHealthy, monotonicNow());
     releaseUpstream();
     if (end == ExchangeEnd::NotSent) {
-        m_services.crashes().recordUpstreamDown(address);
-        m_services.crashes().recordNotSent(m_crashTraits);
+        m_services.crashes().recordNotSent(address, m_crashTraits);
         return handleAttemptFailure(AttemptFailure::NotSent, exchangeEndName(end));
     }
-    if (end == ExchangeEnd::Lost)
+    const bool isCutStream = end == ExchangeEnd::Complete && m_isStreamAnswer && (m_splitter.hasPartialEvent() || m_eventsForwarded == 0);
+    if (end == ExchangeEnd::Lost || isCutStream)
         recordLost(address);
     ++m_sentAttempts;
     if (end != ExchangeEnd::Complete)
@@ -355,10 +354,13 @@
     if (m_answer.isNotRun)
         return handleAttemptFailure(AttemptFailure::Refused, m_answer.isWrongUpstream ? "other-upstream" : "upstream-busy");
     if (m_isStreamAnswer) {
-        if (m_splitter.hasPartialEvent() || m_eventsForwarded == 0)
+        if (isCutStream)
             return handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "cut-event");
         m_exchange->finish();
-        m_services.crashes().recordFinished(m_crashTraits, begunAt());
+        if (m_head.isFramed() || m_isRecordedAsAnswered)
+            m_services.crashes().recordFinished(m_crashTraits, begunAt());
+        else
+            recordLost(address); // may be a crash right after the first events
         return this->end("served", m_head.status);
     }
     if (m_eventsForwarded > 0)
--- a/modules/hyssopwick_gateway/entry/CrashContainment.cpp
+++ b/modules/hyssopwick_gateway/entry/CrashContainment.cpp
@@ -57,8 +57,9 @@
     announce(RecheckObservation { rechecked });
 }
 
-void CrashContainment::recordNotSent(const CrashTraits& call)
+void CrashContainment::recordNotSent(const std::string& address, const CrashTraits& call)
 {
+    recordUpstreamDown(address);
     for (const auto& block : call.promptBlocks) {
         if (m_ownRechecks.erase(block) > 0)
             m_quarantine.withdrawRecheck(block, monotonicNow());
@@ -68,9 +69,8 @@
 void CrashContainment::recordLost(const std::string& address, LostAttempt attempt)
 {
     const auto now = monotonicNow();
-    const bool hasBegunLongAgo = attempt.begunAt && now > *attempt.begunAt + maxCrashDelay;
     LostCall lost { std::move(attempt), now };
-    if (hasBegunLongAgo)
+    if (lost.attempt.isAnswered)
         lost.attempt.call.promptBlocks.clear();
     const auto down = m_downAt.find(address);
     if (down != m_downAt.end() && lost.attempt.sentAt < down->second && now <= down->second + crashWindow)
--- a/modules/hyssopwick_gateway/entry/CrashContainment.h
+++ b/modules/hyssopwick_gateway/entry/CrashContainment.h
@@ -22,7 +22,7 @@
     CrashTraits call;
     std::string requestId;
     TimePoint sentAt;
-    std::optional<TimePoint> begunAt; ///< when its first event arrived, if one did
+    bool isAnswered = false; ///< it showed before that its prompt crashes no engine
 };
 
 /// Relates lost calls to crashes of upstreams, and keeps what crashes them from further ones:
@@ -42,8 +42,8 @@
     /// Records that a call is sent to an upstream.
     void recordSend(const CrashTraits& call, const std::string& requestId);
 
-    /// Records that a call could not be sent after all.
-    void recordNotSent(const CrashTraits& call);
+    /// Records that a call could not be sent after all, since its upstream is down.
+    void recordNotSent(const std::string& address, const CrashTraits& call);
 
     /// Records that an upstream lost a call.
     void recordLost(const std::string& address, LostAttempt attempt);
--- a/modules/hyssopwick_gateway/http/HttpExchange.h
+++ b/modules/hyssopwick_gateway/http/HttpExchange.h
@@ -24,6 +24,10 @@
 struct ResponseHead {
     unsigned status = 0;
     HeaderFields fields;
+
+    /// Returns whether the body has a length or chunks; otherwise it ends with its connection, so
+    /// that the end of the server looks like that of the body.
+    bool isFramed() const { return !headerValue(fields, "Content-Length").empty() || !headerValue(fields, "Transfer-Encoding").empty(); }
 };
 
 /// Handlers of the events of an exchange. Any of them may be empty.
