--- a/tests/platform/FleetSupport.h
+++ b/tests/platform/FleetSupport.h
@@ -192,10 +192,13 @@
     unsigned call(std::size_t entry, const std::string& id, const std::string& promptPrefix)
     {
         HttpCall call { "POST", "/p/" + id, { { "Host", "a.example" }, { "Request-Id", id }, { "Authorization", "Bearer key" }, { "Deadline-Ms", "6000" }, { "Token-Counts", "500,20" }, { "Prompt-Prefix", promptPrefix } }, id };
-        const auto response = fetch(ipOf(entry) + ":" + std::to_string(callerPort), std::move(call));
+        const auto response = send(entry, std::move(call));
         return response.isComplete() ? response.status : 0;
     }
 
+    /// Sends a request to an entry VM.
+    WholeResponse send(std::size_t entry, HttpCall request) { return fetch(ipOf(entry) + ":" + std::to_string(callerPort), std::move(request)); }
+
     /// Starts a further entry VM.
     void addEntry()
     {
@@ -212,6 +215,15 @@
     }
 
     FleetStore& store() { return m_store; }
+    std::size_t size() const { return m_entries.size(); }
+
+    static std::string base64(const std::string& bytes)
+    {
+        std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+        const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()), reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+        text.resize(static_cast<std::size_t>(size));
+        return text;
+    }
 
     void runUntil(const std::function<bool()>& isDone)
     {
@@ -246,14 +258,6 @@
         return "127." + std::to_string(2 + process / octets % octets) + "." + std::to_string(process % octets) + "." + std::to_string(entry + 1);
     }
 
-    static std::string base64(const std::string& bytes)
-    {
-        std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-        const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()), reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
-        text.resize(static_cast<std::size_t>(size));
-        return text;
-    }
-
     void writeConfiguration()
     {
         m_store.set("op/config", base64(R"({"version":1,"routes":[{"name":"r","host":"a.example","prefix":"/p/","kind":"stream","canResume":true,"timeoutMs":6000,"goalMs":2000,"service":"s","attempts":2}],"services":[{"name":"s","engine":{"slots":16,"models":[{"name":"m"}]}}],"tenants":[{"name":"carrier","keys":["key"]}]})"));
