An entry that loses a call checks whether its upstream is down

Cause: a lost call counts as a crash only if the same entry finds that upstream down within 2 s. For engines their agents say so; for others only a further call to the same upstream does, and an entry sends about one a second. Class: evidence that depends on other traffic. Ruled out as needed for it: lost messages and entries that were away (the tests have neither).

Change: the entry connects to the upstream at once, and once more after 0.3 s if that works; a failure is what the upstream's end looks like. A lost call whose upstream was not found down gets a line of its own.

--- a/modules/hyssopwick_gateway/entry/CrashContainment.cpp
+++ b/modules/hyssopwick_gateway/entry/CrashContainment.cpp
@@ -76,6 +76,8 @@
     if (down != m_downAt.end() && lost.attempt.sentAt < down->second && now <= down->second + crashWindow)
         return recordCrash(address, lost);
     m_lostCalls[address].push_back(std::move(lost));
+    if (m_onUnexplainedLoss)
+        m_onUnexplainedLoss(address);
 }
 
 void CrashContainment::recordUpstreamDown(const std::string& address)
@@ -187,8 +189,15 @@
 void CrashContainment::expire(TimePoint now)
 {
     m_quarantine.expire(now);
-    for (auto lost = m_lostCalls.begin(); lost != m_lostCalls.end();)
-        lost = lost->second.back().lostAt + crashWindow < now ? m_lostCalls.erase(lost) : std::next(lost);
+    for (auto lost = m_lostCalls.begin(); lost != m_lostCalls.end();) {
+        if (lost->second.back().lostAt + crashWindow >= now) {
+            ++lost;
+            continue;
+        }
+        for (const auto& call : lost->second)
+            m_context.log.write("crash.unconfirmed", { { "request", call.attempt.requestId }, { "digest", call.attempt.call.fingerprint.shortHex() }, { "upstream", lost->first } });
+        lost = m_lostCalls.erase(lost);
+    }
     for (auto down = m_downAt.begin(); down != m_downAt.end();)
         down = down->second + crashWindow < now ? m_downAt.erase(down) : std::next(down);
 }
--- a/modules/hyssopwick_gateway/entry/CrashContainment.h
+++ b/modules/hyssopwick_gateway/entry/CrashContainment.h
@@ -73,6 +73,9 @@
 
     void expire(TimePoint now);
 
+    /// Called with the address of an upstream that lost a call and is not known to be down, which
+    /// recordUpstreamDown() should be told if it is.
+    void onUnexplainedLoss(std::function<void(const std::string&)> handler) { m_onUnexplainedLoss = std::move(handler); }
     /// Called with what the other entry VMs should know.
     void onObservation(std::function<void(const PeerMessage&)> handler) { m_onObservation = std::move(handler); }
     /// Called with a quarantine that should be recorded in the store.
@@ -100,6 +103,7 @@
     std::map<std::string, TimePoint> m_downAt; // by upstream address
     std::set<std::string> m_ownRechecks; // blocks that a call of this process rechecks
     std::set<std::string> m_recorded; // blocks that have a record in the store
+    std::function<void(const std::string&)> m_onUnexplainedLoss;
     std::function<void(const PeerMessage&)> m_onObservation;
     std::function<void(const PromptBlockRecord&)> m_onConfirmed;
     std::function<void(const std::string&)> m_onRefuted;
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -1,5 +1,7 @@
 #include "EntryServices.h"
 
+#include "../http/ConnectionCheck.h"
+
 namespace hyssopwick {
 
 namespace {
@@ -25,6 +27,12 @@
     // Longer waits are not believed, so that a malformed answer cannot take an upstream out of service.
     constexpr Milliseconds maxRest { 30000 };
 
+    // An upstream that lost a call is checked this often: one that has just crashed may still
+    // accept a connection.
+    constexpr unsigned checksAfterLoss = 2;
+    constexpr Milliseconds checkPeriod { 300 };
+    constexpr Milliseconds checkTimeout { 250 };
+
     const char* registrationEndName(RegistrationEnd end)
     {
         switch (end) {
@@ -58,6 +66,27 @@
     , m_random(stableHash(context.description.node) ^ context.incarnation)
     , m_answerMemory(std::make_shared<AnswerMemory>([&context] { return context.description.memoryBytes / answerMemoryDivisor; }))
 {
+    m_crashes.onUnexplainedLoss([this](const std::string& address) {
+        if (m_checkedAddresses.insert(address).second)
+            checkAfterLoss(address, checksAfterLoss);
+    });
+}
+
+// No later call of this process may reach an upstream soon enough to show that it is down.
+void EntryServices::checkAfterLoss(const std::string& address, unsigned checks)
+{
+    const auto now = monotonicNow();
+    m_context.metrics.count("upstream_checks_total");
+    checkConnection(m_context.loop, address, now + checkTimeout, [this, address, checks, nextCheck = now + checkPeriod](bool isAccepted) {
+        if (isAccepted && checks > 1) {
+            const auto timer = std::make_shared<LoopTimer>(m_context.loop, nextCheck);
+            timer->async_wait([this, timer, address, checks](boost::system::error_code) { checkAfterLoss(address, checks - 1); });
+            return;
+        }
+        m_checkedAddresses.erase(address);
+        if (!isAccepted)
+            m_crashes.recordUpstreamDown(address);
+    });
 }
 
 void EntryServices::setConfiguration(const DeploymentConfiguration& configuration)
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -108,6 +108,7 @@
     void onCapacity(std::function<void()> handler) { m_onCapacity = std::move(handler); }
 
 private:
+    void checkAfterLoss(const std::string& address, unsigned checks);
     bool markLeaving(const std::string& id, UnixMilliseconds startedAt, const char* source);
     bool isResting(const std::string& id, TimePoint now) const;
     bool isUsableEngine(const Upstream& upstream) const;
@@ -141,6 +142,7 @@
     CrashContainment m_crashes;
     RandomSource m_random;
     std::function<void(const std::string&)> m_onEngineDown;
+    std::set<std::string> m_checkedAddresses; // of upstreams that lost a call
     std::map<std::string, TimePoint> m_restingUntil; // by upstream id
     std::shared_ptr<AnswerMemory> m_answerMemory;
     std::function<void(const LeavingObservation&)> m_onLeaving;
