Entries compare what they suspect, and requests are quarantined like prompt blocks

Cause: sightings go once, by datagrams, to the peers that are alive then. Nothing repeats them, nor tells an entry that starts, wakes or was cut off; CrashSuspicion forgets a request with the first answer of any upstream and, at all entries at once, after two minutes. Class: shared knowledge that is sent as events only.

Change: CrashQuarantine (was PromptQuarantine) holds whole requests too: three upstreams that crashed with one in flight are enough, and the rechecks of blocks find out whether it is harmless. Each entry sends a digest of its suspects to one other every 0.4 s while it has any; on a difference both send theirs, and merging is idempotent. The quarantine of a request is recorded in the store at once. Entries recheck one after the other, so that one hears of another's recheck first.

CrashSuspicion loses a parameter that only this used.

--- a/modules/hyssopwick_gateway/entry/CrashContainment.cpp
+++ b/modules/hyssopwick_gateway/entry/CrashContainment.cpp
@@ -3,8 +3,6 @@
 namespace hyssopwick {
 
 namespace {
-    // A request is refused once it was in flight at three upstreams that crashed (the platform's rules).
-    constexpr unsigned crashesToRefuse = 3;
     // A crash shows first as a lost connection and, within this time, as an upstream that does not answer or has restarted.
     constexpr Milliseconds crashWindow { 2000 };
     // An engine that crashes on a prompt does so in its first passes over the answer.
@@ -12,11 +10,17 @@
     // A later recheck is too far away for a caller to wait for.
     constexpr Milliseconds maxRetryAfter { 10000 };
 
-    std::string join(const std::vector<std::string>& blocks)
+    // Time in milliseconds over which the entry VMs are spread that may recheck a confirmed quarantine:
+    // several times as long as one takes to hear of the recheck of another.
+    constexpr std::uint64_t recheckSpread = 4000;
+    // Suspects in one datagram, each with at most three crashes.
+    constexpr std::size_t maxSuspectsInUpdate = 6;
+
+    std::string join(const std::vector<std::string>& parts)
     {
         std::string text;
-        for (const auto& block : blocks)
-            text += (text.empty() ? "" : ",") + block;
+        for (const auto& part : parts)
+            text += (text.empty() ? "" : ",") + part;
         return text.empty() ? "none" : text;
     }
 
@@ -25,21 +29,17 @@
 
 CrashContainment::CrashContainment(GatewayContext& context)
     : m_context(context)
-    , m_suspicion(crashesToRefuse)
+    , m_quarantine(Milliseconds(static_cast<std::int64_t>(stableHash(context.description.node) % recheckSpread)))
 {
 }
 
 Milliseconds CrashContainment::crashDelay() { return maxCrashDelay; }
 
-bool CrashContainment::mayRun(const CrashTraits& call)
-{
-    const auto now = monotonicNow();
-    return m_suspicion.verdict(call.fingerprint, now) != CrashVerdict::Refuse && m_quarantine.verdict(call.promptBlocks, now) != PromptQuarantine::Verdict::Refuse;
-}
+bool CrashContainment::mayRun(const CrashTraits& call) { return m_quarantine.verdict(call.parts(), monotonicNow()) != CrashQuarantine::Verdict::Refuse; }
 
 std::optional<Milliseconds> CrashContainment::retryAfter(const CrashTraits& call) const
 {
-    const auto recheckAt = m_quarantine.nextRecheck(call.promptBlocks);
+    const auto recheckAt = m_quarantine.nextRecheck(call.parts());
     const auto now = monotonicNow();
     if (!recheckAt || *recheckAt > now + maxRetryAfter)
         return std::nullopt;
@@ -48,7 +48,7 @@
 
 void CrashContainment::recordSend(const CrashTraits& call, const std::string& requestId)
 {
-    const auto rechecked = m_quarantine.recordRecheck(call.promptBlocks, monotonicNow());
+    const auto rechecked = m_quarantine.recordRecheck(call.parts(), monotonicNow());
     if (rechecked.empty())
         return;
     m_ownRechecks.insert(rechecked.begin(), rechecked.end());
@@ -60,9 +60,9 @@
 void CrashContainment::recordNotSent(const std::string& address, const CrashTraits& call)
 {
     recordUpstreamDown(address);
-    for (const auto& block : call.promptBlocks) {
-        if (m_ownRechecks.erase(block) > 0)
-            m_quarantine.withdrawRecheck(block, monotonicNow());
+    for (const auto& part : call.parts()) {
+        if (m_ownRechecks.erase(part) > 0)
+            m_quarantine.withdrawRecheck(part, monotonicNow());
     }
 }
 
@@ -101,63 +101,70 @@
     const auto& call = lost.attempt.call;
     m_context.log.write("crash.sighted", { { "request", lost.attempt.requestId }, { "digest", call.fingerprint.shortHex() }, { "upstream", address }, { "blocks", join(call.promptBlocks) }, { "sent_ms_ago", std::to_string(ago(lost.attempt.sentAt, now).count()) }, { "lost_ms_ago", std::to_string(ago(lost.lostAt, now).count()) } });
     announce(CrashObservation { call.fingerprint.hex(), address, call.promptBlocks, ago(lost.attempt.sentAt, now), ago(lost.lostAt, now) });
-    count(call, lost.attempt.sentAt, lost.lostAt);
-    for (const auto& block : call.promptBlocks)
-        confirm(block);
+    const bool isRequestQuarantined = count(call, { address, lost.attempt.sentAt, lost.lostAt });
+    if (isRequestQuarantined && m_onConfirmed)
+        m_onConfirmed({ call.requestPart(), 0 });
+    for (const auto& part : call.parts())
+        confirm(part);
 }
 
-// A call of this process that rechecked the block was lost.
-void CrashContainment::confirm(const std::string& block)
+// A call of this process that rechecked the part was lost.
+void CrashContainment::confirm(const std::string& part)
 {
-    const auto rechecks = m_quarantine.rechecks(block);
-    if (m_ownRechecks.erase(block) == 0 || !rechecks)
+    const auto rechecks = m_quarantine.rechecks(part);
+    if (m_ownRechecks.erase(part) == 0 || !rechecks)
         return;
-    m_context.log.write("prompt.confirmed", { { "block", block }, { "rechecks", std::to_string(*rechecks) } });
+    m_context.log.write("prompt.confirmed", { { "block", part }, { "rechecks", std::to_string(*rechecks) } });
     if (m_onConfirmed)
-        m_onConfirmed({ block, *rechecks });
+        m_onConfirmed({ part, *rechecks });
 }
 
-void CrashContainment::count(const CrashTraits& call, TimePoint sentAt, TimePoint crashedAt)
+// Returns whether the whole request is quarantined from now on.
+bool CrashContainment::count(const CrashTraits& call, const UpstreamCrash& crash)
 {
     const auto now = monotonicNow();
-    m_suspicion.recordCrash({ call.fingerprint }, false, now);
-    const auto added = m_quarantine.recordCrash(call.promptBlocks, sentAt, crashedAt, now);
+    auto added = m_quarantine.recordCrash(call.promptBlocks, crash.sentAt, crash.crashedAt, now);
+    const bool isRequestQuarantined = m_quarantine.recordRequestCrash(call.requestPart(), crash, now);
+    if (isRequestQuarantined)
+        added.push_back(call.requestPart());
     if (added.empty())
-        return;
+        return false;
     m_context.metrics.count("prompt_blocks_quarantined_total");
     m_context.log.write("prompt.quarantined", { { "blocks", join(added) } });
+    return isRequestQuarantined;
 }
 
-void CrashContainment::recordAnswered(const CrashTraits& call, TimePoint begunAt)
+void CrashContainment::recordAnswered(const CrashTraits& call, TimePoint begunAt) { recordAnswered(call.promptBlocks, begunAt); }
+
+void CrashContainment::recordAnswered(const CrashQuarantine::Parts& parts, TimePoint begunAt)
 {
-    const auto cleared = clear(call.promptBlocks, begunAt);
+    const auto cleared = clear(parts, begunAt);
     if (!cleared.suspected.empty())
         announce(AnswerObservation { cleared.suspected, ago(begunAt, monotonicNow()) });
-    for (const auto& block : cleared.released) {
-        if (m_recorded.erase(block) > 0 && m_onRefuted)
-            m_onRefuted(block);
+    for (const auto& part : cleared.released) {
+        if (m_recorded.erase(part) > 0 && m_onRefuted)
+            m_onRefuted(part);
     }
 }
 
-PromptQuarantine::Cleared CrashContainment::clear(const std::vector<std::string>& blocks, TimePoint begunAt)
+CrashQuarantine::Cleared CrashContainment::clear(const CrashQuarantine::Parts& parts, TimePoint begunAt)
 {
-    const auto cleared = m_quarantine.recordAnswered(blocks, begunAt);
-    for (const auto& block : cleared.released)
-        recordRelease(block);
+    const auto cleared = m_quarantine.recordAnswered(parts, begunAt);
+    for (const auto& part : cleared.released)
+        recordRelease(part);
     return cleared;
 }
 
-void CrashContainment::recordRelease(const std::string& block)
+void CrashContainment::recordRelease(const std::string& part)
 {
-    m_ownRechecks.erase(block);
+    m_ownRechecks.erase(part);
     m_context.metrics.count("prompt_blocks_released_total");
-    m_context.log.write("prompt.released", { { "block", block } });
+    m_context.log.write("prompt.released", { { "block", part } });
 }
 
 void CrashContainment::recordFinished(const CrashTraits& call, TimePoint begunAt)
 {
-    m_suspicion.recordFinished(call.fingerprint);
-    recordAnswered(call, begunAt);
+    recordAnswered(call.parts(), begunAt);
 }
 
 void CrashContainment::receive(const CrashObservation& observation)
@@ -165,13 +172,52 @@
     const auto digest = Digest::fromHex(observation.digest);
     const auto now = monotonicNow();
     if (!digest.isEmpty())
-        count({ digest, observation.promptBlocks }, now - observation.sentAgo, now - observation.lostAgo);
+        count({ digest, observation.promptBlocks }, { observation.upstream, now - observation.sentAgo, now - observation.lostAgo });
 }
 
 void CrashContainment::receive(const RecheckObservation& observation) { m_quarantine.recordRecheck(observation.promptBlocks, monotonicNow()); }
 
 void CrashContainment::receive(const AnswerObservation& observation) { clear(observation.promptBlocks, monotonicNow() - observation.begunAgo); }
 
+std::optional<SuspicionDigest> CrashContainment::digest() const
+{
+    const auto digest = m_quarantine.sharedDigest();
+    return digest == 0 ? std::nullopt : std::optional<SuspicionDigest>({ digest, false });
+}
+
+std::vector<PeerMessage> CrashContainment::receive(const SuspicionDigest& theirs) const
+{
+    std::vector<PeerMessage> answers;
+    const auto digest = m_quarantine.sharedDigest();
+    if (digest == theirs.digest)
+        return answers;
+    if (!theirs.isAnswer)
+        answers.push_back(SuspicionDigest { digest, true });
+    const auto suspects = m_quarantine.shared();
+    for (std::size_t begin = 0; begin < suspects.size(); begin += maxSuspectsInUpdate) {
+        const auto end = std::min(begin + maxSuspectsInUpdate, suspects.size());
+        answers.push_back(SuspicionUpdate { { suspects.begin() + static_cast<std::ptrdiff_t>(begin), suspects.begin() + static_cast<std::ptrdiff_t>(end) } });
+    }
+    return answers;
+}
+
+std::vector<PeerMessage> CrashContainment::receive(const SuspicionUpdate& update)
+{
+    const auto now = monotonicNow();
+    std::vector<PeerMessage> answers;
+    for (const auto& suspect : update.suspects) {
+        const bool wasQuarantined = m_quarantine.rechecks(suspect.part).has_value();
+        if (const auto refutedAt = m_quarantine.merge(suspect, now)) {
+            answers.push_back(AnswerObservation { { suspect.part }, ago(*refutedAt, now) });
+            continue;
+        }
+        const auto rechecks = m_quarantine.rechecks(suspect.part);
+        if (!wasQuarantined && rechecks)
+            m_context.log.write("prompt.quarantined", { { "blocks", suspect.part }, { "rechecks", std::to_string(*rechecks) }, { "source", "peer" } });
+    }
+    return answers;
+}
+
 void CrashContainment::adopt(const PromptBlockRecord& record)
 {
     m_recorded.insert(record.block);
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -22,6 +22,9 @@
     // Time left before the bound on stopping when calls are aborted.
     constexpr Milliseconds stopMargin { 300 };
     constexpr Milliseconds stopCheckPeriod { 50 };
+    // With each of them comparing once a period, an entry that was away knows what the others know
+    // well before the bound within which it counts as back (3 s at least).
+    constexpr Milliseconds comparisonPeriod { 400 };
     // With fewer entries in the caller's failure domain, others are added to the answer.
     constexpr std::size_t minAddresses = 2;
 
@@ -222,10 +225,18 @@
         void operator()(const CrashObservation& observation) const { entry.m_services.crashes().receive(observation); }
         void operator()(const RecheckObservation& observation) const { entry.m_services.crashes().receive(observation); }
         void operator()(const AnswerObservation& observation) const { entry.m_services.crashes().receive(observation); }
+        void operator()(const SuspicionDigest& digest) const { answer(entry.m_services.crashes().receive(digest)); }
+        void operator()(const SuspicionUpdate& update) const { answer(entry.m_services.crashes().receive(update)); }
         void operator()(const LeavingObservation& observation) const { entry.m_services.recordLeaving(observation); }
         void operator()(const UpdateSubscription&) const { }
         void operator()(const ActivationUpdate&) const { }
         void operator()(const ChunksUpdate&) const { }
+
+        void answer(const std::vector<PeerMessage>& answers) const
+        {
+            for (const auto& message : answers)
+                entry.m_peerSocket.send(sender, message);
+        }
     };
     std::visit(Visitor { *this, sender }, message);
 }
@@ -238,6 +249,18 @@
     m_peerSocket.sendToAll(addresses, message);
 }
 
+// Entry VMs that missed observations learn of them from any other one.
+void EntryGateway::compareSuspicions()
+{
+    const auto now = monotonicNow();
+    const auto peers = m_gossip.livePeers();
+    const auto digest = m_services.crashes().digest();
+    if (now < m_compareAt || peers.empty() || !digest)
+        return;
+    m_compareAt = now + comparisonPeriod;
+    m_peerSocket.send(peers[m_services.random().below(peers.size())].address, *digest);
+}
+
 void EntryGateway::membersChanged()
 {
     const auto peers = m_gossip.livePeers();
@@ -259,6 +282,7 @@
 {
     const auto next = m_services.maintain();
     subscribeToAgents();
+    compareSuspicions();
     m_maintenanceTimer.expires_at(next);
     m_maintenanceTimer.async_wait([this](boost::system::error_code error) {
         if (!error)
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
@@ -1,5 +1,6 @@
 #include "PeerMessage.h"
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -69,6 +70,19 @@
         Json operator()(const LeavingObservation& message) const { return { message.upstream, message.startedAt }; }
         Json operator()(const RecheckObservation& message) const { return Json::array({ message.promptBlocks }); }
         Json operator()(const AnswerObservation& message) const { return { message.promptBlocks, message.begunAgo.count() }; }
+        Json operator()(const SuspicionDigest& message) const { return { message.digest, message.isAnswer }; }
+        Json operator()(const SuspicionUpdate& message) const
+        {
+            const auto now = monotonicNow();
+            Json suspects = Json::array();
+            for (const auto& suspect : message.suspects) {
+                Json crashes = Json::array();
+                for (const auto& crash : suspect.crashes)
+                    crashes.push_back(Json::array({ crash.upstream, millisecondsBetween(crash.sentAt, now), millisecondsBetween(crash.crashedAt, now) }));
+                suspects.push_back(Json::array({ suspect.part, std::move(crashes), millisecondsBetween(suspect.lastEvidence, now), suspect.isQuarantined, suspect.rechecks, millisecondsBetween(now, suspect.recheckAt) }));
+            }
+            return Json::array({ std::move(suspects) });
+        }
         Json operator()(const ChunksUpdate& message) const { return { message.node, message.model, message.version, message.held, message.wantsAnswer }; }
     };
 
@@ -112,6 +126,31 @@
         return observation;
     }
 
+    // A time that is unset, far away, or of a process whose clock runs apart is bounded.
+    Milliseconds boundedTime(const Json& json)
+    {
+        constexpr std::int64_t maxTime = std::chrono::duration_cast<Milliseconds>(std::chrono::hours(48)).count();
+        return Milliseconds(std::clamp(json.get<std::int64_t>(), -maxTime, maxTime));
+    }
+
+    SuspicionUpdate suspicionUpdateFromJson(const Json& json)
+    {
+        const auto now = monotonicNow();
+        SuspicionUpdate update;
+        for (const auto& item : json.at(1)) {
+            CrashSuspect suspect;
+            item.at(0).get_to(suspect.part);
+            for (const auto& crash : item.at(1))
+                suspect.crashes.push_back({ crash.at(0).get<std::string>(), now - boundedTime(crash.at(1)), now - boundedTime(crash.at(2)) });
+            suspect.lastEvidence = now - boundedTime(item.at(2));
+            item.at(3).get_to(suspect.isQuarantined);
+            item.at(4).get_to(suspect.rechecks);
+            suspect.recheckAt = now + boundedTime(item.at(5));
+            update.suspects.push_back(std::move(suspect));
+        }
+        return update;
+    }
+
     PeerMessage messageFromJson(const Json& json)
     {
         switch (json.at(0).get<int>()) {
@@ -140,6 +179,10 @@
             return RecheckObservation { json.at(1).get<std::vector<std::string>>() };
         case 10:
             return AnswerObservation { json.at(1).get<std::vector<std::string>>(), agoFromJson(json.at(2)) };
+        case 11:
+            return SuspicionDigest { json.at(1).get<std::uint64_t>(), json.at(2).get<bool>() };
+        case 12:
+            return suspicionUpdateFromJson(json);
         default:
             throw std::invalid_argument("unknown message type");
         }
@@ -149,7 +192,7 @@
 
 const char* peerMessageName(std::size_t index)
 {
-    constexpr const char* names[] = { "ping", "ping_answer", "ping_request", "engine_update", "subscription", "crash_observation", "activation_update", "chunks_update", "leaving_observation", "recheck_observation", "answer_observation" };
+    constexpr const char* names[] = { "ping", "ping_answer", "ping_request", "engine_update", "subscription", "crash_observation", "activation_update", "chunks_update", "leaving_observation", "recheck_observation", "answer_observation", "suspicion_digest", "suspicion_update" };
     static_assert(std::size(names) == std::variant_size_v<PeerMessage>);
     return names[index];
 }
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.h
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.h
@@ -2,6 +2,7 @@
 
 #include <hyssopwick_deployment.h>
 #include <hyssopwick_membership.h>
+#include <hyssopwick_requests.h>
 #include <variant>
 
 namespace hyssopwick {
@@ -93,7 +94,19 @@
     UnixMilliseconds startedAt = 0; ///< of the start that leaves; 0 when unknown
 };
 
-using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineUpdate, UpdateSubscription, CrashObservation, ActivationUpdate, ChunksUpdate, LeavingObservation, RecheckObservation, AnswerObservation>;
+/// A digest of what a process suspects to crash upstreams, from which another one finds whether
+/// it knows the same.
+struct SuspicionDigest {
+    std::uint64_t digest = 0; ///< CrashQuarantine::sharedDigest()
+    bool isAnswer = false; ///< to the digest of the receiver
+};
+
+/// What a process suspects to crash upstreams.
+struct SuspicionUpdate {
+    std::vector<CrashSuspect> suspects; ///< times are sent relative to the message
+};
+
+using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineUpdate, UpdateSubscription, CrashObservation, ActivationUpdate, ChunksUpdate, LeavingObservation, RecheckObservation, AnswerObservation, SuspicionDigest, SuspicionUpdate>;
 
 /// Returns the name of a kind of message in logs and metrics. \param index  of the alternative
 const char* peerMessageName(std::size_t index);
--- a/modules/hyssopwick_requests/retries/CrashSuspicion.cpp
+++ b/modules/hyssopwick_requests/retries/CrashSuspicion.cpp
@@ -36,11 +36,7 @@
     return isRefused(found->second) ? CrashVerdict::Refuse : CrashVerdict::RunAlone;
 }
 
-bool CrashSuspicion::isRefused(const Suspect& suspect) const
-{
-    const bool isProven = suspect.wasAlone && suspect.crashes >= crashesToRefuse;
-    return isProven || (m_crashesToRefuseUnproven > 0 && suspect.crashes >= m_crashesToRefuseUnproven);
-}
+bool CrashSuspicion::isRefused(const Suspect& suspect) { return suspect.wasAlone && suspect.crashes >= crashesToRefuse; }
 
 void CrashSuspicion::mergeRefused(const Digest& request, Milliseconds remaining, TimePoint now)
 {
--- a/modules/hyssopwick_requests/retries/CrashSuspicion.h
+++ b/modules/hyssopwick_requests/retries/CrashSuspicion.h
@@ -11,7 +11,7 @@
 enum class CrashVerdict {
     Run,
     RunAlone, ///< was in flight at a crash: runs on an upstream with nothing else in flight
-    Refuse, ///< crashed an upstream while it ran alone, or too often: not run until the suspicion expires
+    Refuse, ///< crashed an upstream while it ran alone: not run until the suspicion expires
 };
 
 /// Tracks the digests of requests that were in flight when an upstream crashed. Each of
@@ -19,13 +19,6 @@
 /// until the suspicion expires. Refused digests spread by gossip. Pure.
 class CrashSuspicion {
 public:
-    /// \param crashesToRefuseUnproven  crashes after which a request is refused even if it never
-    ///                                 ran alone; 0: only one that ran alone is refused
-    explicit CrashSuspicion(unsigned crashesToRefuseUnproven = 0)
-        : m_crashesToRefuseUnproven(crashesToRefuseUnproven)
-    {
-    }
-
     /// Records that an upstream crashed with these requests in flight.
     /// \param wasAlone  the upstream ran only one request, which was sent to run alone
     void recordCrash(const std::set<Digest>& inFlight, bool wasAlone, TimePoint now);
@@ -48,9 +41,8 @@
         TimePoint until;
     };
 
-    bool isRefused(const Suspect& suspect) const;
+    static bool isRefused(const Suspect& suspect);
 
-    unsigned m_crashesToRefuseUnproven;
     std::map<Digest, Suspect> m_suspects;
 };
 
