--- a/tests/platform/FleetSupport.h
+++ b/tests/platform/FleetSupport.h
@@ -138,12 +138,15 @@
 
     unsigned crashes = 0;
     unsigned answers = 0;
+    std::string limit; ///< that it names in its answers, in requests a second
 
 private:
     void serve(const ServerExchangePointer& exchange)
     {
         const auto& fields = exchange->request().fields;
-        const HeaderFields answer { { "Request-Id", std::string(headerValue(fields, "Request-Id")) }, { "Server-Seal", "s" } };
+        HeaderFields answer { { "Request-Id", std::string(headerValue(fields, "Request-Id")) }, { "Server-Seal", "s" } };
+        if (!limit.empty())
+            answer.emplace_back("Server-Limit", limit);
         const bool isCrash = headerValue(fields, "Prompt-Prefix").find(m_crashingBlock + ":") != std::string_view::npos;
         // Some engines crash before the first event leaves them, others after it.
         const bool hasFirstEvent = !isCrash || crashes % 2 == 0;
@@ -214,6 +217,7 @@
         return crashes;
     }
 
+    CrashingEngine& engine(std::size_t number) { return *m_engines.at(number); }
     FleetStore& store() { return m_store; }
     std::size_t size() const { return m_entries.size(); }
 
--- a/tests/platform/PlainServiceSupport.h
+++ b/tests/platform/PlainServiceSupport.h
@@ -27,12 +27,17 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
 
     unsigned crashes = 0;
+    unsigned requests = 0;
+    std::string limit; ///< that it names in its answers, in requests a second
     bool isFailing = false; ///< answers each request with a failure, without running it
 
 private:
     void serve(const ServerExchangePointer& exchange)
     {
-        const HeaderFields fields { { "Request-Id", std::string(headerValue(exchange->request().fields, "Request-Id")) }, { "Server-Seal", "s" } };
+        HeaderFields fields { { "Request-Id", std::string(headerValue(exchange->request().fields, "Request-Id")) }, { "Server-Seal", "s" } };
+        if (!limit.empty())
+            fields.emplace_back("Server-Limit", limit);
+        ++requests;
         if (isFailing)
             return exchange->respond(500, fields, "");
         if (exchange->request().target != m_crashingTarget)
@@ -79,10 +84,16 @@
     /// Sends a call to an entry VM and returns the status of the answer, 0 for an incomplete one.
     unsigned call(std::size_t entry, const std::string& target)
     {
-        const auto response = m_fleet.send(entry, { "GET", target, { { "Host", "a.example" }, { "Request-Id", "r" + std::to_string(++m_calls) }, { "Authorization", "Bearer key" }, { "Deadline-Ms", "3000" } }, "" });
+        const auto response = send(entry, target);
         return response.isComplete() ? response.status : 0;
     }
 
+    /// Sends a call to an entry VM.
+    WholeResponse send(std::size_t entry, const std::string& target)
+    {
+        return m_fleet.send(entry, { "GET", target, { { "Host", "a.example" }, { "Request-Id", "r" + std::to_string(++m_calls) }, { "Authorization", "Bearer key" }, { "Deadline-Ms", "3000" } }, "" });
+    }
+
     /// Starts the upstreams that crashed again, under new ids.
     void restartAll()
     {
