Entries keep the limits that upstreams name, together

Cause: nothing read Server-Limit. Weighed against a token bucket for each entry: 18 of them with one token each are 18 calls at once, where 11 in 4 s are allowed at a limit of 1 a second. Against one entry that grants places: a round trip before each call, and two granting ones while entries do not hear each other.

Change: UpstreamLimitShare divides time instead of a rate. Places begin at equal distances from a common origin, entries have them in turn, and one that is not used ends soon. UpstreamLimits keeps what answers and other entries say; a limit is told to all at once and repeated to one other each 0.4 s. Shares count all known entries, silent ones too, so they do not grow when entries do not hear each other. Retries take places like other calls; a plain service without any refuses at once, with the time of the next one. Rests moved from EntryServices to UpstreamAllowances beside them, unchanged.

--- a/modules/hyssopwick_deployment/model/Call.h
+++ b/modules/hyssopwick_deployment/model/Call.h
@@ -51,9 +51,11 @@
     bool isLeaving = false; ///< the upstream said that it leaves
     std::optional<Milliseconds> retryAfter; ///< within which the upstream wants no further call
     bool hasUnreadableRetryAfter = false;
+    std::optional<double> callLimit; ///< calls per second that the upstream takes from all entry VMs together
+    bool hasUnreadableCallLimit = false;
     std::uint64_t weightsVersion = 0; ///< that produced the answer; 0 when not stated
 
-    auto tied() const { return std::tie(requestId, isNotRun, isWrongUpstream, hasReceipt, isLeaving, retryAfter, hasUnreadableRetryAfter, weightsVersion); }
+    auto tied() const { return std::tie(requestId, isNotRun, isWrongUpstream, hasReceipt, isLeaving, retryAfter, hasUnreadableRetryAfter, callLimit, hasUnreadableCallLimit, weightsVersion); }
     bool operator==(const AnswerDescription& other) const { return tied() == other.tied(); }
     bool operator!=(const AnswerDescription& other) const { return !(*this == other); }
 };
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -394,6 +394,7 @@
         void operator()(const AnswerObservation&) const { }
         void operator()(const SuspicionDigest&) const { }
         void operator()(const SuspicionUpdate&) const { }
+        void operator()(const LimitObservation&) const { }
         void operator()(const UpdateSubscription&) const
         {
             const bool isNew = agent.m_subscribers.count(sender) == 0;
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -98,7 +98,7 @@
     if (isEngineCall())
         return enqueue();
     if (m_service) {
-        if (const auto choice = m_services.plainPool(m_service->name).choose(m_triedUpstreams, monotonicNow()))
+        if (const auto choice = m_services.choosePlain(m_service->name, m_triedUpstreams))
             return send(*choice, m_connectRounds);
     }
     // The upstreams that refused this call or others want none for a time.
@@ -209,6 +209,7 @@
         m_services.context().metrics.count("calls_sent_to_older_weights_total");
     m_services.context().log.write("call.sent", { { "request", m_call.requestId }, { "upstream", upstreamId }, { "attempt", std::to_string(m_sentAttempts + 1) }, { "left_ms", millisecondsText(forwarding.timeLeft) }, { "resume", m_lastEventId.empty() ? "no" : m_lastEventId }, { "held", std::to_string(m_services.loadedVersion(*upstream)) }, { "begin_within_ms", beginBy ? std::to_string(millisecondsBetween(now, *beginBy)) : "any" } });
     m_services.crashes().recordSend(m_crashTraits, m_call.requestId);
+    m_services.allowances().recordSend(upstreamId);
     m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), TransferLimits { now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), Milliseconds(0), TimePoint::max(), maxAnswerBytes }, std::move(handlers));
     m_loadedVersionsAtSend = m_services.loadedVersions(*upstream);
     armBeginTimer();
@@ -261,10 +262,7 @@
     m_isStreamAnswer = m_route->kind == CallKind::Stream && head.status == statusOk;
     if (!m_answer.requestId.empty() && m_answer.requestId != m_call.requestId)
         return cutAnswer("other-request");
-    if (m_answer.isLeaving && !m_answer.isWrongUpstream)
-        m_services.recordLeaving(m_upstream);
-    if (head.status == statusUnavailable) // no other answer asks for a rest
-        m_services.recordRest(m_upstream, m_answer);
+    m_services.recordAnswerHead(m_upstream, head.status, m_answer, m_sentAt);
 }
 
 // Ends an attempt whose answer cannot be used, without reading the rest of it.
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -22,9 +22,9 @@
     // Time left before the bound on stopping when calls are aborted.
     constexpr Milliseconds stopMargin { 300 };
     constexpr Milliseconds stopCheckPeriod { 50 };
-    // With each of them comparing once a period, an entry that was away knows what the others know
-    // well before the bound within which it counts as back (3 s at least).
-    constexpr Milliseconds comparisonPeriod { 400 };
+    // With each of them repeating to one other once a period, an entry that was away knows what the
+    // others know well before the bound within which it counts as back (3 s at least).
+    constexpr Milliseconds repeatPeriod { 400 };
     // With fewer entries in the caller's failure domain, others are added to the answer.
     constexpr std::size_t minAddresses = 2;
 
@@ -77,6 +77,7 @@
     m_services.crashes().onObservation([this](const PeerMessage& observation) { sendToEntries(observation); });
     m_services.crashes().onConfirmed([this](const PromptBlockRecord& record) { m_blockRecords.write(record); });
     m_services.crashes().onRefuted([this](const std::string& block) { m_blockRecords.remove(block); });
+    m_services.allowances().onLimit([this](const UpstreamLimit& limit) { sendToEntries(LimitObservation { limit }); });
     m_services.onLeaving([this](const LeavingObservation& observation) { sendToEntries(observation); });
     m_services.onEngineDown([this](const std::string& address) {
         const auto calls = m_calls;
@@ -228,6 +229,7 @@
         void operator()(const SuspicionDigest& digest) const { answer(entry.m_services.crashes().receive(digest)); }
         void operator()(const SuspicionUpdate& update) const { answer(entry.m_services.crashes().receive(update)); }
         void operator()(const LeavingObservation& observation) const { entry.m_services.recordLeaving(observation); }
+        void operator()(const LimitObservation& observation) const { entry.m_services.allowances().recordLimit(observation.limit); }
         void operator()(const UpdateSubscription&) const { }
         void operator()(const ActivationUpdate&) const { }
         void operator()(const ChunksUpdate&) const { }
@@ -250,22 +252,29 @@
 }
 
 // Entry VMs that missed observations learn of them from any other one.
-void EntryGateway::compareSuspicions()
+void EntryGateway::repeatToPeer()
 {
     const auto now = monotonicNow();
-    const auto peers = m_gossip.livePeers();
     const auto digest = m_services.crashes().digest();
-    if (now < m_compareAt || peers.empty() || !digest)
+    const auto limits = m_services.allowances().limits();
+    if (now < m_repeatAt || (!digest && limits.empty()))
+        return;
+    m_repeatAt = now + repeatPeriod;
+    const auto peers = m_gossip.livePeers();
+    if (peers.empty())
         return;
-    m_compareAt = now + comparisonPeriod;
-    m_peerSocket.send(peers[m_services.random().below(peers.size())].address, *digest);
+    const auto& address = peers[m_services.random().below(peers.size())].address;
+    if (digest)
+        m_peerSocket.send(address, *digest);
+    for (const auto& limit : limits)
+        m_peerSocket.send(address, LimitObservation { limit });
 }
 
 void EntryGateway::membersChanged()
 {
     const auto peers = m_gossip.livePeers();
     m_view.setEntries(peers);
-    m_services.setEntries(peers);
+    m_services.setEntries(peers, m_gossip.knownEntries());
 }
 
 void EntryGateway::updateReadiness()
@@ -282,7 +291,7 @@
 {
     const auto next = m_services.maintain();
     subscribeToAgents();
-    compareSuspicions();
+    repeatToPeer();
     m_maintenanceTimer.expires_at(next);
     m_maintenanceTimer.async_wait([this](boost::system::error_code error) {
         if (!error)
--- a/modules/hyssopwick_gateway/entry/EntryGateway.h
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.h
@@ -35,7 +35,7 @@
     void serveMetrics(const ServerExchangePointer& exchange);
     void receive(const PeerMessage& message, const std::string& sender);
     void sendToEntries(const PeerMessage& message);
-    void compareSuspicions();
+    void repeatToPeer();
     void membersChanged();
     void updateReadiness();
     void maintain();
@@ -66,7 +66,7 @@
     std::map<std::uint64_t, std::shared_ptr<CallFlow>> m_calls;
     std::uint64_t m_lease = 0;
     std::optional<std::uint64_t> m_leaseEra; // of the store when it granted the lease
-    TimePoint m_compareAt;
+    TimePoint m_repeatAt;
     bool m_isReady = false;
     bool m_isStopping = false;
     TimePoint m_stopBy;
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -24,9 +24,6 @@
     // Other answers, connections and tables need the rest of the process's memory.
     constexpr std::size_t answerMemoryDivisor = 4;
 
-    // Longer waits are not believed, so that a malformed answer cannot take an upstream out of service.
-    constexpr Milliseconds maxRest { 30000 };
-
     // An upstream that lost a call is checked this often: one that has just crashed may still
     // accept a connection.
     constexpr unsigned checksAfterLoss = 2;
@@ -64,8 +61,10 @@
     , m_retryBudget(context.description.retryRatio * budgetShare, context.description.retrySlack * budgetShare)
     , m_crashes(context)
     , m_random(stableHash(context.description.node) ^ context.incarnation)
+    , m_allowances(context)
     , m_answerMemory(std::make_shared<AnswerMemory>([&context] { return context.description.memoryBytes / answerMemoryDivisor; }))
 {
+    m_allowances.onChange([this] { refresh(); });
     m_crashes.onUnexplainedLoss([this](const std::string& address) {
         if (m_checkedAddresses.insert(address).second)
             checkAfterLoss(address, checksAfterLoss);
@@ -136,29 +135,22 @@
         refresh();
 }
 
-void EntryServices::recordRest(const std::string& id, const AnswerDescription& answer)
+void EntryServices::recordAnswerHead(const std::string& id, unsigned status, const AnswerDescription& answer, TimePoint sentAt)
 {
-    if (answer.hasUnreadableRetryAfter) {
-        m_context.metrics.count("retry_after_unreadable_total");
-        m_context.log.write("upstream.retry-after-unreadable", { { "request", answer.requestId.empty() ? "unknown" : answer.requestId }, { "upstream", id } });
-    }
-    const auto time = answer.retryAfter.value_or(Milliseconds(0));
-    if (time.count() <= 0)
+    if (answer.isWrongUpstream)
         return;
-    const auto bounded = std::min(time, maxRest);
-    if (bounded != time)
-        m_context.metrics.count("rests_bounded_total");
-    const auto until = monotonicNow() + bounded;
-    auto& restingUntil = m_restingUntil[id];
-    restingUntil = std::max(restingUntil, until);
-    m_context.log.write("upstream.resting", { { "upstream", id }, { "for_ms", std::to_string(bounded.count()) }, { "asked_ms", std::to_string(time.count()) } });
-    refresh();
+    if (answer.isLeaving)
+        recordLeaving(id);
+    if (status == statusUnavailable) // no other answer asks for a rest
+        m_allowances.recordRest(id, answer);
+    m_allowances.recordLimit(id, answer, sentAt);
 }
 
-bool EntryServices::isResting(const std::string& id, TimePoint now) const
+std::optional<std::string> EntryServices::choosePlain(const std::string& service, const std::set<std::string>& excluded)
 {
-    const auto resting = m_restingUntil.find(id);
-    return resting != m_restingUntil.end() && now < resting->second;
+    auto unavailable = m_allowances.withoutPlace();
+    unavailable.insert(excluded.begin(), excluded.end());
+    return plainPool(service).choose(unavailable, monotonicNow());
 }
 
 std::optional<Milliseconds> EntryServices::restOfAll(const std::string& service) const
@@ -166,10 +158,10 @@
     const auto now = monotonicNow();
     std::optional<TimePoint> until;
     for (const auto* upstream : m_registry.usable(service)) {
-        if (!isResting(upstream->id, now))
+        const auto availableFrom = m_allowances.availableAt(upstream->id, now);
+        if (availableFrom <= now)
             return std::nullopt;
-        const auto end = m_restingUntil.at(upstream->id);
-        until = std::min(until.value_or(end), end);
+        until = std::min(until.value_or(availableFrom), availableFrom);
     }
     if (!until)
         return std::nullopt;
@@ -268,7 +260,7 @@
             std::set<std::string> remote;
             const auto& used = usedEngines(name);
             for (const auto* upstream : used.upstreams) {
-                if (isResting(upstream->id, now) || !isUsableEngine(*upstream))
+                if (m_allowances.isResting(upstream->id, now) || !isUsableEngine(*upstream))
                     continue;
                 usable.insert(upstream->id);
                 if (regionOf(upstream->failureDomain) != m_context.description.region)
@@ -277,6 +269,7 @@
                     beginBy[upstream->id] = *until;
             }
             pool.setEngines(usable);
+            m_allowances.applyTo(pool, usable);
             pool.setReloadingSoon(std::move(beginBy));
             pool.setRemoteEngines(remote);
             queue(name).setEntryCount(used.subset.entriesPerEngine());
@@ -288,7 +281,7 @@
         } else if (service.originAddress.empty()) {
             std::map<std::string, unsigned> slots;
             for (const auto* upstream : m_registry.usable(name)) {
-                if (!isResting(upstream->id, now))
+                if (!m_allowances.isResting(upstream->id, now))
                     slots[upstream->id] = upstream->slots;
             }
             plainPool(name).setUpstreams(slots);
@@ -304,8 +297,8 @@
     std::optional<TimePoint> soonest;
     const auto now = monotonicNow();
     for (const auto* upstream : engines) {
-        if (isResting(upstream->id, now)) {
-            const auto restEnd = m_restingUntil.at(upstream->id);
+        if (m_allowances.isResting(upstream->id, now)) {
+            const auto restEnd = m_allowances.availableAt(upstream->id, now);
             soonest = std::min(soonest.value_or(restEnd), restEnd);
         }
         const auto* status = engineAt(upstream->address);
@@ -356,19 +349,11 @@
 {
     const auto now = monotonicNow();
     m_crashes.expire(now);
-    auto firstRestEnd = TimePoint::max();
-    for (auto resting = m_restingUntil.begin(); resting != m_restingUntil.end();) {
-        if (resting->second <= now) {
-            resting = m_restingUntil.erase(resting);
-            continue;
-        }
-        firstRestEnd = std::min(firstRestEnd, resting->second);
-        ++resting;
-    }
+    const auto available = m_allowances.expire(now);
     if (m_registry.expire(now))
         m_context.log.write("upstream.grace-ended", {});
     refresh();
-    auto next = std::min(firstRestEnd, now + maxMaintenanceDelay);
+    auto next = std::min(available, now + maxMaintenanceDelay);
     if (const auto expiry = m_registry.nextExpiry())
         next = std::min(next, *expiry);
     for (const auto& [model, versions] : m_publishedVersions) {
@@ -381,8 +366,9 @@
     return next;
 }
 
-void EntryServices::setEntries(const std::vector<VmIdentity>& entries)
+void EntryServices::setEntries(const std::vector<VmIdentity>& entries, const std::vector<std::string>& known)
 {
+    m_allowances.setEntries(known);
     std::map<std::string, std::string> regions;
     for (const auto& entry : entries)
         regions[entry.id] = entry.region;
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -4,6 +4,7 @@
 #include "../runtime/PeerSocket.h"
 #include "CrashContainment.h"
 #include "HeldAnswer.h"
+#include "UpstreamAllowances.h"
 
 #include <hyssopwick_requests.h>
 
@@ -33,11 +34,16 @@
     /// Records what another process observed.
     void recordLeaving(const LeavingObservation& observation);
 
-    /// Records for how long an upstream that refused a call with \p answer wants no further ones.
-    void recordRest(const std::string& id, const AnswerDescription& answer);
+    /// Records what an upstream says of itself in the head of an answer: that it leaves, for how long
+    /// it wants no further calls, and how many it takes.
+    /// \param sentAt  when the answered call was sent
+    void recordAnswerHead(const std::string& id, unsigned status, const AnswerDescription& answer, TimePoint sentAt);
 
-    /// Returns for how long all upstreams of a service want no calls, or nothing if one takes
-    /// calls or none is registered.
+    /// Chooses an upstream of a plain service that has a place for a call, or nothing.
+    std::optional<std::string> choosePlain(const std::string& service, const std::set<std::string>& excluded);
+
+    /// Returns for how long no upstream of a service takes a call of this entry, or nothing if one
+    /// takes calls or none is registered.
     std::optional<Milliseconds> restOfAll(const std::string& service) const;
 
     const std::shared_ptr<AnswerMemory>& answerMemory() const { return m_answerMemory; }
@@ -49,7 +55,8 @@
     TimePoint maintain();
 
     /// Sets the other entry VMs, which share the retry budget and the engines.
-    void setEntries(const std::vector<VmIdentity>& entries);
+    /// \param known  ids of all that may serve, which share the limits of upstreams
+    void setEntries(const std::vector<VmIdentity>& entries, const std::vector<std::string>& known);
 
     /// Returns the active configuration, or nullptr before the first.
     const RouteTablePointer& routes() const { return m_routes; }
@@ -95,6 +102,7 @@
 
     RetryBudget& budget() { return m_retryBudget; }
     CrashContainment& crashes() { return m_crashes; }
+    UpstreamAllowances& allowances() { return m_allowances; }
     RandomSource& random() { return m_random; }
     GatewayContext& context() { return m_context; }
 
@@ -110,7 +118,6 @@
 private:
     void checkAfterLoss(const std::string& address, unsigned checks);
     bool markLeaving(const std::string& id, UnixMilliseconds startedAt, const char* source);
-    bool isResting(const std::string& id, TimePoint now) const;
     bool isUsableEngine(const Upstream& upstream) const;
     std::string regionOf(const std::string& failureDomain) const;
     std::optional<TimePoint> usableUntil(const std::map<std::string, std::uint64_t>& loadedVersions) const;
@@ -143,7 +150,7 @@
     RandomSource m_random;
     std::function<void(const std::string&)> m_onEngineDown;
     std::set<std::string> m_checkedAddresses; // of upstreams that lost a call
-    std::map<std::string, TimePoint> m_restingUntil; // by upstream id
+    UpstreamAllowances m_allowances;
     std::shared_ptr<AnswerMemory> m_answerMemory;
     std::function<void(const LeavingObservation&)> m_onLeaving;
     std::function<void()> m_onVersion;
--- a/modules/hyssopwick_gateway/members/MemberGossip.cpp
+++ b/modules/hyssopwick_gateway/members/MemberGossip.cpp
@@ -218,6 +218,14 @@
     return peers;
 }
 
+std::vector<std::string> MemberGossip::knownEntries() const
+{
+    auto ids = m_table.deadEntries();
+    for (const auto& id : m_table.liveEntries(true))
+        ids.push_back(id);
+    return ids;
+}
+
 std::vector<VmIdentity> MemberGossip::servingEntries() const
 {
     std::vector<VmIdentity> entries;
--- a/modules/hyssopwick_gateway/members/MemberGossip.h
+++ b/modules/hyssopwick_gateway/members/MemberGossip.h
@@ -33,6 +33,10 @@
     /// Returns the entry VMs that are alive, including leaving ones but not this one.
     std::vector<VmIdentity> livePeers() const;
 
+    /// Returns the ids of all entry VMs that may serve, including those that were not heard for
+    /// some time.
+    std::vector<std::string> knownEntries() const;
+
     /// Returns the entry VMs that accept callers, including this one if it does.
     std::vector<VmIdentity> servingEntries() const;
 
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
@@ -36,6 +36,8 @@
         return *sender;
     }
 
+    constexpr double noLimit = -1;
+
     // Each encoder writes an array; its first element is the index of the alternative.
     struct Encoder {
         Json operator()(const PingMessage& message) const
@@ -70,6 +72,12 @@
         Json operator()(const LeavingObservation& message) const { return { message.upstream, message.startedAt }; }
         Json operator()(const RecheckObservation& message) const { return Json::array({ message.promptBlocks }); }
         Json operator()(const AnswerObservation& message) const { return { message.promptBlocks, message.begunAgo.count() }; }
+        Json operator()(const LimitObservation& message) const
+        {
+            const auto now = monotonicNow();
+            const auto& limit = message.limit;
+            return { limit.upstream, limit.callsPerSecond.value_or(noLimit), millisecondsBetween(limit.origin, now), millisecondsBetween(limit.namedAt, now) };
+        }
         Json operator()(const SuspicionDigest& message) const { return { message.digest, message.isAnswer }; }
         Json operator()(const SuspicionUpdate& message) const
         {
@@ -151,6 +159,18 @@
         return update;
     }
 
+    LimitObservation limitObservationFromJson(const Json& json)
+    {
+        const auto now = monotonicNow();
+        UpstreamLimit limit { json.at(1).get<std::string>(), std::nullopt, now - boundedTime(json.at(3)), now - boundedTime(json.at(4)) };
+        const auto callsPerSecond = json.at(2).get<double>();
+        if (!std::isfinite(callsPerSecond))
+            throw std::invalid_argument("malformed limit");
+        if (callsPerSecond >= 0)
+            limit.callsPerSecond = callsPerSecond;
+        return { limit };
+    }
+
     PeerMessage messageFromJson(const Json& json)
     {
         switch (json.at(0).get<int>()) {
@@ -183,6 +203,8 @@
             return SuspicionDigest { json.at(1).get<std::uint64_t>(), json.at(2).get<bool>() };
         case 12:
             return suspicionUpdateFromJson(json);
+        case 13:
+            return limitObservationFromJson(json);
         default:
             throw std::invalid_argument("unknown message type");
         }
@@ -192,7 +214,7 @@
 
 const char* peerMessageName(std::size_t index)
 {
-    constexpr const char* names[] = { "ping", "ping_answer", "ping_request", "engine_update", "subscription", "crash_observation", "activation_update", "chunks_update", "leaving_observation", "recheck_observation", "answer_observation", "suspicion_digest", "suspicion_update" };
+    constexpr const char* names[] = { "ping", "ping_answer", "ping_request", "engine_update", "subscription", "crash_observation", "activation_update", "chunks_update", "leaving_observation", "recheck_observation", "answer_observation", "suspicion_digest", "suspicion_update", "limit_observation" };
     static_assert(std::size(names) == std::variant_size_v<PeerMessage>);
     return names[index];
 }
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.h
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.h
@@ -106,7 +106,12 @@
     std::vector<CrashSuspect> suspects; ///< times are sent relative to the message
 };
 
-using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineUpdate, UpdateSubscription, CrashObservation, ActivationUpdate, ChunksUpdate, LeavingObservation, RecheckObservation, AnswerObservation, SuspicionDigest, SuspicionUpdate>;
+/// The limit that an upstream named, as an entry VM knows it.
+struct LimitObservation {
+    UpstreamLimit limit; ///< times are sent relative to the message
+};
+
+using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineUpdate, UpdateSubscription, CrashObservation, ActivationUpdate, ChunksUpdate, LeavingObservation, RecheckObservation, AnswerObservation, SuspicionDigest, SuspicionUpdate, LimitObservation>;
 
 /// Returns the name of a kind of message in logs and metrics. \param index  of the alternative
 const char* peerMessageName(std::size_t index);
--- a/modules/hyssopwick_requests/admission/CallQueue.cpp
+++ b/modules/hyssopwick_requests/admission/CallQueue.cpp
@@ -79,7 +79,7 @@
 double CallQueue::millisecondsUntilEngines(TimePoint now) const
 {
     if (!m_engines.isEmpty())
-        return 0;
+        return double(millisecondsBetween(now, m_engines.nextPlace(now)));
     return m_expectedEnginesAt ? double(std::max<std::int64_t>(0, millisecondsBetween(now, *m_expectedEnginesAt))) : double(defaultEngineWait.count());
 }
 
--- a/modules/hyssopwick_requests/hyssopwick_requests.h
+++ b/modules/hyssopwick_requests/hyssopwick_requests.h
@@ -9,6 +9,8 @@
 #include "admission/CallQueue.h"
 #include "admission/ConcurrencyDecision.h"
 #include "admission/RateLimitShareDecision.h"
+#include "admission/UpstreamLimitShare.h"
+#include "admission/UpstreamLimits.h"
 #include "claims/ClaimBucket.h"
 #include "claims/ClaimIdentity.h"
 #include "placing/EnginePool.h"
--- a/modules/hyssopwick_requests/placing/EnginePool.cpp
+++ b/modules/hyssopwick_requests/placing/EnginePool.cpp
@@ -44,6 +44,24 @@
         m_engines[upstream];
 }
 
+void EnginePool::setCallLimits(std::map<std::string, CallLimit> limits, std::optional<TimePoint> nextPlace)
+{
+    m_callLimits = std::move(limits);
+    m_nextPlace = nextPlace;
+}
+
+bool EnginePool::hasPlace(const std::string& upstream) const
+{
+    const auto limit = m_callLimits.find(upstream);
+    return limit == m_callLimits.end() || limit->second.callsLeft > 0;
+}
+
+TimePoint EnginePool::nextPlace(TimePoint now) const
+{
+    const bool hasAnyPlace = std::any_of(m_engines.begin(), m_engines.end(), [this](const auto& engine) { return hasPlace(engine.first); });
+    return hasAnyPlace || m_engines.empty() ? now : std::max(now, m_nextPlace.value_or(now));
+}
+
 void EnginePool::recordReport(const std::string& upstream, const EngineReport& report, TimePoint reportedAt)
 {
     const auto found = m_engines.find(upstream);
@@ -72,6 +90,9 @@
     m_recentSendTimes.push_back(now);
     while (!m_recentSendTimes.empty() && m_recentSendTimes.front() + maxReportAge < now)
         m_recentSendTimes.pop_front();
+    const auto limit = m_callLimits.find(upstream);
+    if (limit != m_callLimits.end() && limit->second.callsLeft > 0)
+        --limit->second.callsLeft;
     const auto found = m_engines.find(upstream);
     if (found != m_engines.end()) {
         found->second.calls.insert(call);
@@ -117,8 +138,11 @@
 double EnginePool::callsPerMillisecond() const
 {
     double rate = 0;
-    for (const auto& [id, engine] : m_engines)
-        rate += 1 / (slotIntervalMilliseconds(m_speed.slots) * std::max(1.0, engine.report.slowdownFactor));
+    for (const auto& [id, engine] : m_engines) {
+        const double engineRate = 1 / (slotIntervalMilliseconds(m_speed.slots) * std::max(1.0, engine.report.slowdownFactor));
+        const auto limit = m_callLimits.find(id);
+        rate += limit == m_callLimits.end() ? engineRate : std::min(engineRate, limit->second.callsPerMillisecond);
+    }
     return rate;
 }
 
@@ -192,7 +216,7 @@
 {
     std::vector<std::string> candidates;
     for (const auto& [id, engine] : m_engines) {
-        if (excluded.count(id) == 0 && (!isContended || engine.sendAllowance >= 1))
+        if (excluded.count(id) == 0 && hasPlace(id) && (!isContended || engine.sendAllowance >= 1))
             candidates.push_back(id);
     }
     const auto count = std::min(sampleSize, candidates.size());
--- a/modules/hyssopwick_requests/placing/EnginePool.h
+++ b/modules/hyssopwick_requests/placing/EnginePool.h
@@ -25,6 +25,16 @@
     double pendingPromptTokens = 0; ///< prompt tokens to process before those of the call
 };
 
+/// What an engine that limits its calls takes.
+struct CallLimit {
+    std::size_t callsLeft = 0; ///< that this entry may send now
+    double callsPerMillisecond = 0; ///< of all entry VMs together
+
+    auto tied() const { return std::tie(callsLeft, callsPerMillisecond); }
+    bool operator==(const CallLimit& other) const { return tied() == other.tied(); }
+    bool operator!=(const CallLimit& other) const { return !(*this == other); }
+};
+
 /// The engine chosen for a call.
 struct EngineChoice {
     std::string upstream;
@@ -53,6 +63,13 @@
     /// Sets the engines in other regions than this entry.
     void setRemoteEngines(const std::set<std::string>& upstreams) { m_remoteEngines = upstreams; }
 
+    /// Sets the engines that take a limited number of calls, and when one of those without a place
+    /// has one again, if that is known. Valid until the next call of this.
+    void setCallLimits(std::map<std::string, CallLimit> limits, std::optional<TimePoint> nextPlace);
+
+    /// Returns when an engine takes a call: \p now, unless none has a place under its limit.
+    TimePoint nextPlace(TimePoint now) const;
+
     void recordReport(const std::string& upstream, const EngineReport& report, TimePoint reportedAt);
 
     void recordSend(const std::string& upstream, std::uint64_t call, const CallSize& size, TimePoint now);
@@ -114,6 +131,7 @@
         double pendingPromptTokens = 0;
     };
 
+    bool hasPlace(const std::string& upstream) const;
     double spareCalls(const Engine& engine, TimePoint now) const;
     std::vector<std::string> sampleEngines(const std::set<std::string>& excluded, bool isContended);
     Load loadOf(const Engine& engine, TimePoint now) const;
@@ -126,6 +144,8 @@
     std::map<std::string, Engine> m_engines;
     std::map<std::string, TimePoint> m_reloadingSoon;
     std::set<std::string> m_remoteEngines;
+    std::map<std::string, CallLimit> m_callLimits;
+    std::optional<TimePoint> m_nextPlace;
     std::map<std::uint64_t, SentCall> m_calls;
     double m_entryCount = 1;
     std::deque<TimePoint> m_recentSendTimes; // of this entry, to any engine
