Departures of upstreams are repeated to entries that missed them

Cause: LeavingObservation went once, to the peers alive then. An entry that started, woke or was cut off meanwhile sent its first call to the upstream that leaves, until the store or an answer said so.

Result: AnEntryThatStartsLaterHearsThatAnUpstreamLeaves and ...HearsOfALimit fail with the two lines that repeat switched off (no news in 20 s) and pass with them.

--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -257,7 +257,8 @@
     const auto now = monotonicNow();
     const auto digest = m_services.crashes().digest();
     const auto limits = m_services.allowances().limits();
-    if (now < m_repeatAt || (!digest && limits.empty()))
+    const auto departures = m_services.recentDepartures();
+    if (now < m_repeatAt || (!digest && limits.empty() && departures.empty()))
         return;
     m_repeatAt = now + repeatPeriod;
     const auto peers = m_gossip.livePeers();
@@ -268,6 +269,8 @@
         m_peerSocket.send(address, *digest);
     for (const auto& limit : limits)
         m_peerSocket.send(address, LimitObservation { limit });
+    for (const auto& departure : departures)
+        m_peerSocket.send(address, departure);
 }
 
 void EntryGateway::membersChanged()
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -13,6 +13,9 @@
     constexpr double budgetShare = 0.8;
     // Agents send updates at least twice a second.
     constexpr Milliseconds maxUpdateAge { 1500 };
+    // An upstream that leaves serves for the bound on draining and a little longer; by then the store
+    // has said so too.
+    constexpr Milliseconds departureRepeatTime { 10000 };
     constexpr Milliseconds maxMaintenanceDelay { 500 };
     // Agents forget a subscription after 5 s; one that was lost or forgotten at a restart is renewed before.
     constexpr Milliseconds subscriptionPeriod { 1000 };
@@ -113,6 +116,7 @@
 {
     if (!m_registry.recordLeaving(id, startedAt, monotonicNow()))
         return false;
+    m_recentDepartures[id] = { { id, startedAt }, monotonicNow() + departureRepeatTime };
     m_context.metrics.count("upstreams_leaving_total", source);
     m_context.log.write("upstream.leaving", { { "upstream", id }, { "source", source }, { "started_at", std::to_string(startedAt) } });
     return true;
@@ -135,6 +139,14 @@
         refresh();
 }
 
+std::vector<LeavingObservation> EntryServices::recentDepartures() const
+{
+    std::vector<LeavingObservation> departures;
+    for (const auto& [id, departure] : m_recentDepartures)
+        departures.push_back(departure.first);
+    return departures;
+}
+
 void EntryServices::recordAnswerHead(const std::string& id, unsigned status, const AnswerDescription& answer, TimePoint sentAt)
 {
     if (answer.isWrongUpstream)
@@ -350,6 +362,8 @@
     const auto now = monotonicNow();
     m_crashes.expire(now);
     const auto available = m_allowances.expire(now);
+    for (auto departure = m_recentDepartures.begin(); departure != m_recentDepartures.end();)
+        departure = departure->second.second < now ? m_recentDepartures.erase(departure) : std::next(departure);
     if (m_registry.expire(now))
         m_context.log.write("upstream.grace-ended", {});
     refresh();
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -34,6 +34,9 @@
     /// Records what another process observed.
     void recordLeaving(const LeavingObservation& observation);
 
+    /// Returns the departures that an entry VM which missed messages should know.
+    std::vector<LeavingObservation> recentDepartures() const;
+
     /// Records what an upstream says of itself in the head of an answer: that it leaves, for how long
     /// it wants no further calls, and how many it takes.
     /// \param sentAt  when the answered call was sent
@@ -150,6 +153,7 @@
     RandomSource m_random;
     std::function<void(const std::string&)> m_onEngineDown;
     std::set<std::string> m_checkedAddresses; // of upstreams that lost a call
+    std::map<std::string, std::pair<LeavingObservation, TimePoint>> m_recentDepartures; // by upstream id: and until when to repeat it
     UpstreamAllowances m_allowances;
     std::shared_ptr<AnswerMemory> m_answerMemory;
     std::function<void(const LeavingObservation&)> m_onLeaving;
--- a/modules/hyssopwick_gateway/entry/UpstreamAllowances.cpp
+++ b/modules/hyssopwick_gateway/entry/UpstreamAllowances.cpp
@@ -61,6 +61,7 @@
 
 void UpstreamAllowances::changed(const UpstreamLimit& limit, const char* source)
 {
+    m_context.metrics.count("upstreams_limited_total", source);
     m_context.log.write("upstream.limited", { { "upstream", limit.upstream }, { "calls_per_second", limit.callsPerSecond ? std::to_string(*limit.callsPerSecond) : "none" }, { "source", source } });
     if (m_onChange)
         m_onChange();
--- a/tests/platform/FleetSupport.h
+++ b/tests/platform/FleetSupport.h
@@ -220,6 +220,7 @@
     CrashingEngine& engine(std::size_t number) { return *m_engines.at(number); }
     FleetStore& store() { return m_store; }
     std::size_t size() const { return m_entries.size(); }
+    std::string metrics(std::size_t entry) const { return m_entries.at(entry)->metrics.prometheusText(); }
 
     static std::string base64(const std::string& bytes)
     {
--- a/tests/platform/PlainServiceSupport.h
+++ b/tests/platform/PlainServiceSupport.h
@@ -29,6 +29,7 @@
     unsigned crashes = 0;
     unsigned requests = 0;
     std::string limit; ///< that it names in its answers, in requests a second
+    bool isLeaving = false; ///< says so in its answers
     bool isFailing = false; ///< answers each request with a failure, without running it
 
 private:
@@ -37,6 +38,8 @@
         HeaderFields fields { { "Request-Id", std::string(headerValue(exchange->request().fields, "Request-Id")) }, { "Server-Seal", "s" } };
         if (!limit.empty())
             fields.emplace_back("Server-Limit", limit);
+        if (isLeaving)
+            fields.emplace_back("Server-Leaving", "1");
         ++requests;
         if (isFailing)
             return exchange->respond(500, fields, "");
--- a/tests/platform/UpstreamLimitTests.cpp
+++ b/tests/platform/UpstreamLimitTests.cpp
@@ -29,7 +29,7 @@
     PlainService service { loop, fleet, 2, "safe", 2 };
     service.upstream(0).limit = "2";
     const auto call = [&](std::size_t entry) { return service.call(entry, "/q/sound"); };
-    fleet.runUntil([&] { return service.upstream(0).requests > 0 && call(0) == 200; });
+    fleet.runUntil([&] { return call(0) == 200; });
     const auto before = service.upstream(0).requests;
     LONGS_EQUAL(0, callAllEntries(call));
     CHECK_COMPARE(service.upstream(0).requests - before, <=, allowed(2) + fleet.size()); // one each that had not been told
@@ -76,3 +76,31 @@
         refused += service.call(static_cast<std::size_t>(round) % fleet.size(), "/q/sound") != 200;
     LONGS_EQUAL(0, refused);
 }
+
+TEST(UpstreamLimit, AnEntryThatStartsLaterHearsThatAnUpstreamLeaves)
+{
+    PlainService service { loop, fleet, 2, "safe", 2 };
+    service.upstream(0).isLeaving = true;
+    const auto leaving = [this](std::size_t entry) { return fleet.metrics(entry).find("upstreams_leaving_total") != std::string::npos; };
+    fleet.runUntil([&] { return service.call(0, "/q/sound") == 200 && leaving(0); });
+    fleet.addEntry();
+    fleet.runUntil([&] { return leaving(6); });
+    const auto before = service.upstream(0).requests;
+    for (int number = 0; number < 20; ++number)
+        LONGS_EQUAL(200, service.call(6, "/q/sound"));
+    LONGS_EQUAL(before, service.upstream(0).requests);
+}
+
+TEST(UpstreamLimit, AnEntryThatStartsLaterHearsOfALimit)
+{
+    PlainService service { loop, fleet, 2, "safe", 2 };
+    service.upstream(0).limit = "0.05";
+    const auto limited = [this](std::size_t entry) { return fleet.metrics(entry).find("upstreams_limited_total") != std::string::npos; };
+    fleet.runUntil([&] { return service.call(0, "/q/sound") == 200 && limited(0); });
+    fleet.addEntry();
+    fleet.runUntil([&] { return limited(6); });
+    const auto before = service.upstream(0).requests;
+    for (int number = 0; number < 20; ++number)
+        LONGS_EQUAL(200, service.call(6, "/q/sound"));
+    CHECK_COMPARE(service.upstream(0).requests, <=, before + 1); // its place may have come
+}
--- a/tests/platform/UpstreamSignalTests.cpp
+++ b/tests/platform/UpstreamSignalTests.cpp
@@ -181,3 +181,39 @@
     call();
     LONGS_EQUAL(200, exchange->status);
 }
+
+TEST(UpstreamSignal, ALimitIsADecimalNumberOfAtLeastZero)
+{
+    const auto limitOf = [this](const std::string& text) { return context.ports.calls->decodeAnswer(200, { { "Server-Limit", text } }); };
+    DOUBLES_EQUAL(1.7, limitOf("1.7").callLimit.value(), 0);
+    DOUBLES_EQUAL(0, limitOf("0").callLimit.value(), 0);
+    for (const std::string malformed : { "-1", "nan", "inf", "1.7/s", "many" }) {
+        CHECK_FALSE(limitOf(malformed).callLimit.has_value());
+        CHECK(limitOf(malformed).hasUnreadableCallLimit);
+    }
+    CHECK_FALSE(context.ports.calls->decodeAnswer(200, {}).hasUnreadableCallLimit);
+}
+
+TEST(UpstreamSignal, AnUnreadableLimitDoesNotEndTheOneBefore)
+{
+    route(CallKind::Idempotent, 1, false);
+    services.allowances().recordLimit(UpstreamLimit { "i-1", 0.05, monotonicNow(), monotonicNow() - Milliseconds(1000) });
+    const auto limits = services.allowances().limits();
+    services.recordAnswerHead("i-1", 200, context.ports.calls->decodeAnswer(200, { { "Server-Limit", "many" } }), monotonicNow());
+    CHECK(limits == services.allowances().limits());
+    services.recordAnswerHead("i-1", 200, context.ports.calls->decodeAnswer(200, {}), monotonicNow());
+    CHECK_FALSE(services.allowances().limits().front().callsPerSecond.has_value());
+}
+
+TEST(UpstreamSignal, WhatAnotherEntryKnowsOfALimitArrives)
+{
+    const auto now = monotonicNow();
+    const UpstreamLimit limit { "i-1", 1.7, now - Milliseconds(3000), now - Milliseconds(100) };
+    const auto message = decodePeerMessage(encodePeerMessage(LimitObservation { limit }));
+    CHECK(message.has_value());
+    const auto& received = std::get<LimitObservation>(message.value()).limit;
+    CHECK(received.callsPerSecond == limit.callsPerSecond);
+    CHECK_COMPARE(std::abs(millisecondsBetween(limit.origin, received.origin)), <=, 1000);
+    const auto ended = decodePeerMessage(encodePeerMessage(LimitObservation { { "i-1", std::nullopt, now, now } }));
+    CHECK_FALSE(std::get<LimitObservation>(ended.value()).limit.callsPerSecond.has_value());
+}
