The share of the retry budget does not grow while other entries are not heard

Cause: the common slack was divided by the entries that are heard. Entries that do not hear each other took it once for each side.

Change: it is divided by all known entries, as limits of upstreams are.

--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -386,7 +386,7 @@
     std::map<std::string, std::string> regions;
     for (const auto& entry : entries)
         regions[entry.id] = entry.region;
-    m_retryBudget.setCapacity(m_context.description.retrySlack * budgetShare / double(entries.size() + 1));
+    m_retryBudget.setCapacity(m_context.description.retrySlack * budgetShare / double(std::max(known.size(), entries.size() + 1)));
     if (regions == m_entries)
         return;
     m_entries = std::move(regions);
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -57,8 +57,9 @@
     /// Drops what has expired. Returns when to call this next.
     TimePoint maintain();
 
-    /// Sets the other entry VMs, which share the retry budget and the engines.
-    /// \param known  ids of all that may serve, which share the limits of upstreams
+    /// Sets the other entry VMs, which share the engines.
+    /// \param known  ids of all that may serve, heard or not, which share the retry budget and the
+    ///               limits of upstreams
     void setEntries(const std::vector<VmIdentity>& entries, const std::vector<std::string>& known);
 
     /// Returns the active configuration, or nullptr before the first.
--- a/tests/platform/CallFlowTests.cpp
+++ b/tests/platform/CallFlowTests.cpp
@@ -337,3 +337,25 @@
         }
     }
 }
+
+// Entries that do not hear each other would exceed the common budget together.
+TEST(CallFlow, AnEntryThatHearsNoOtherKeepsItsShareOfTheRetryBudget)
+{
+    context.description.retrySlack = 180;
+    context.description.retryRatio = 0.2;
+    EntryServices entry { context };
+    const auto retries = [&entry] {
+        unsigned count = 0;
+        while (entry.budget().tryTake())
+            ++count;
+        return count;
+    };
+    const std::vector<std::string> known { "entry-1", "entry-2", "entry-3", "entry-4", "entry-5", "entry-6", "entry-7", "entry-8", "entry-9", context.description.node };
+    entry.setEntries({}, known);
+    const auto atFirst = retries();
+    CHECK_COMPARE(atFirst, <=, 18u);
+    for (int call = 0; call < 10'000; ++call)
+        entry.budget().recordFirstAttempt();
+    const auto later = retries();
+    CHECK_COMPARE(later, <=, 18u);
+}
