Tests of limited engines in the queue

Cause: none; the pool's and the queue's part of the limits of upstreams had no tests of their own.

Result: an engine with one place gets one call in one round, and a call for which no engine has a place in time is refused at once with the time of the next place.

--- a/tests/LoadTests.cpp
+++ b/tests/LoadTests.cpp
@@ -294,3 +294,33 @@
     budget.setCapacity(1);
     CHECK(budget.tryTake() + budget.tryTake() <= 1);
 }
+
+TEST(CallQueue, AnEngineThatLimitsItsCallsGetsNoMoreInOneRound)
+{
+    EnginePool pool(1);
+    pool.setSpeed(platformSpeed());
+    pool.setEngines({ "free", "limited" });
+    pool.setCallLimits({ { "limited", { 1, 0.001 } } }, at(500));
+    CallQueue queue(pool);
+    for (std::uint64_t call = 1; call <= 12; ++call)
+        queue.add({ call, { 900, 90 }, 5, at(4000), at(6000), {}, false }, at(0));
+    const auto sent = queue.advance(at(0)).sent;
+    const auto atLimited = std::count_if(sent.begin(), sent.end(), [](const auto& send) { return send.upstream == "limited"; });
+    CHECK_COMPARE(atLimited, <=, 1);
+    CHECK_COMPARE(sent.size(), >, 4u);
+}
+
+// Waiting until its deadline would not help the caller.
+TEST(CallQueue, ACallIsRefusedAtOnceWhenNoEngineHasAPlaceInTime)
+{
+    EnginePool pool(1);
+    pool.setSpeed(platformSpeed());
+    pool.setEngines({ "limited" });
+    pool.setCallLimits({ { "limited", { 0, 0.001 } } }, at(9000));
+    CallQueue queue(pool);
+    queue.setExpectedEngines(std::nullopt, 1);
+    queue.add({ 1, { 900, 90 }, 5, at(500), at(6000), {}, false }, at(0));
+    const auto decisions = queue.advance(at(0));
+    LONGS_EQUAL(1, decisions.refused.size());
+    CHECK_COMPARE(decisions.retryAfter.count(), >=, 9000);
+}
