A returned call is as old as its caller's first attempt

Cause: a caller that returns after a refusal has waited since its first attempt, but got a whole new latency objective, so that it competed as a new call although it was late already.

Change: CallerTimeouts learns, for each route, what first attempts state as the time for which they will wait, and dates a call that states clearly less back to its caller's first attempt. CallQueue counts its objective from then. Mutation: an age of zero for every call makes the test of CallerTimeouts fail.

--- a/fakes/hyssopwick_fakes/LoadSimulation.cpp
+++ b/fakes/hyssopwick_fakes/LoadSimulation.cpp
@@ -10,6 +10,8 @@
 
     // Longest answer relative to the typical one, from the platform's data sheets.
     constexpr double maxAnswerRatio = 2.5;
+    // Over which completed calls are counted after an outage.
+    constexpr Milliseconds settledPeriod { 3000 };
 
     struct SimulatedCall {
         std::size_t entry = 0;
@@ -43,12 +45,8 @@
             , m_random(seed)
             , m_start(TimePoint() + std::chrono::hours(1))
         {
-            for (unsigned i = 0; i < settings.entries; ++i) {
-                m_entries.push_back(std::make_unique<Entry>(m_random.next()));
-                m_entries.back()->pool.setSpeed(settings.speed);
-                m_entries.back()->queue.setEntryCount(settings.entries);
-                m_entries.back()->queue.setExpectedEngines(m_start + settings.enginesFrom, settings.engines);
-            }
+            for (unsigned i = 0; i < settings.entries; ++i)
+                m_entries.push_back(newEntry(settings.enginesFrom));
             for (unsigned i = 0; i < settings.engines; ++i) {
                 m_engineNames.push_back("engine" + std::to_string(i));
                 m_engines.emplace_back(settings.speed, m_start);
@@ -71,6 +69,15 @@
         }
 
     private:
+        std::unique_ptr<Entry> newEntry(Milliseconds enginesFrom)
+        {
+            auto entry = std::make_unique<Entry>(m_random.next());
+            entry->pool.setSpeed(m_settings.speed);
+            entry->queue.setEntryCount(m_settings.entries);
+            entry->queue.setExpectedEngines(m_start + enginesFrom, m_settings.engines);
+            return entry;
+        }
+
         void step(TimePoint now)
         {
             if (now == m_start + m_settings.enginesFrom) {
@@ -119,7 +126,8 @@
                 // Prompt sizes are uniform; answer sizes have a long tail (exponential, capped).
                 call.size.promptTokens = m_settings.speed.typicalPromptTokens * (0.4 + 1.2 * m_random.unit());
                 call.size.answerTokens = m_settings.speed.typicalAnswerTokens * std::min(maxAnswerRatio, -std::log(1 - m_random.unit()));
-                call.deadline = now + m_settings.deadline;
+                const double patience = m_settings.shortestPatience < 1 ? m_settings.shortestPatience + (1 - m_settings.shortestPatience) * m_random.unit() : 1;
+                call.deadline = now + std::chrono::duration_cast<Milliseconds>(m_settings.deadline * patience);
                 ++m_result.calls;
                 auto& entry = *m_entries[call.entry];
                 if (m_settings.usesQueue) {
@@ -136,7 +144,7 @@
         void enqueue(std::uint64_t id, TimePoint now)
         {
             const auto& call = m_calls.at(id);
-            m_entries[call.entry]->queue.add({ id, { call.size.promptTokens, m_settings.speed.typicalAnswerTokens }, 0, call.arrivedAt + m_settings.objective, call.deadline, {}, false }, now);
+            m_entries[call.entry]->queue.add({ id, { call.size.promptTokens, m_settings.speed.typicalAnswerTokens }, 0, (m_settings.returnsCountAsNew ? now : call.arrivedAt) + m_settings.objective, call.deadline, {}, false, "route", m_settings.callersStateTimeouts ? Milliseconds(millisecondsBetween(now, call.deadline)) : Milliseconds(0) }, now);
         }
 
         void addReturns(TimePoint now)
@@ -157,11 +165,18 @@
             if (!begins && !ends)
                 return;
             for (auto& entry : m_entries) {
+                if (begins && m_settings.entriesRestart)
+                    entry = newEntry(m_settings.outageUntil);
                 entry->pool.setEngines(begins ? std::set<std::string>() : std::set<std::string>(m_engineNames.begin(), m_engineNames.end()));
                 entry->queue.setExpectedEngines(m_start + m_settings.outageUntil, m_settings.engines);
             }
             for (auto call = m_calls.begin(); begins && call != m_calls.end();) {
                 if (call->second.engine < 0) {
+                    if (m_settings.entriesRestart && m_entries[call->second.entry]->queue.size() == 0 && !call->second.hasReturned) {
+                        call->second.hasReturned = true;
+                        ++m_result.returned;
+                        m_returns.emplace(now + Milliseconds(500 + m_random.below(1000)), call->first);
+                    }
                     ++call;
                     continue;
                 }
@@ -222,6 +237,11 @@
                 return;
             }
             ++(call.isInTime ? m_result.inTime : m_result.late);
+            const auto settledFrom = m_start + m_settings.outageUntil + m_settings.settledAfter;
+            if (event.at >= settledFrom && event.at < settledFrom + settledPeriod) {
+                ++m_result.settledCompleted;
+                m_result.settledInTime += call.isInTime;
+            }
             pool.recordEnd(event.call, event.at);
             m_calls.erase(found);
         }
--- a/fakes/hyssopwick_fakes/LoadSimulation.h
+++ b/fakes/hyssopwick_fakes/LoadSimulation.h
@@ -23,6 +23,11 @@
     Milliseconds outageFrom { 0 }; ///< start of a loss of power of all engines, whose calls end
     Milliseconds outageUntil { 0 };
     bool callersReturn = false; ///< a refused caller returns once, after a third of its time at the latest
+    bool returnsCountAsNew = false; ///< an entry gives a returned call a whole new objective, unless it can tell its age
+    bool callersStateTimeouts = false; ///< callers state how long they will still wait
+    double shortestPatience = 1; ///< callers wait for at least this part of the deadline, uniformly up to all of it
+    bool entriesRestart = false; ///< all entries lose their state and their calls, whose callers return, when the outage begins
+    Milliseconds settledAfter { 0 }; ///< after the outage; from then on, completed calls are counted apart
     bool usesQueue = true; ///< false: calls go to the chosen engine immediately
 };
 
@@ -37,6 +42,8 @@
     unsigned broken = 0; ///< ended by the loss of power
     unsigned returned = 0; ///< callers that returned after a refusal
     unsigned refusedAgain = 0; ///< part of refused: callers that had returned
+    unsigned settledCompleted = 0; ///< calls that engines completed within 3 s from LoadSimulationSettings::settledAfter
+    unsigned settledInTime = 0; ///< part of settledCompleted that was in time
     double medianPredictionError = 0; ///< |predicted - observed| / observed time to the first event
 
     double shareInTime() const { return double(inTime) / calls; }
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -127,7 +127,7 @@
     m_attempt.reset();
     m_phase = m_eventsForwarded > 0 ? Phase::Answering : Phase::Waiting;
     const auto firstEventDeadline = m_exchange->request().receivedAt + m_route->latencyObjective;
-    m_services.queue(m_service->name).add({ m_id, m_size, m_priority, firstEventDeadline, m_deadline, m_triedUpstreams, m_eventsForwarded > 0 }, monotonicNow());
+    m_services.queue(m_service->name).add({ m_id, m_size, m_priority, firstEventDeadline, m_deadline, m_triedUpstreams, m_eventsForwarded > 0, m_route->name, m_call.callerTimeout.value_or(Milliseconds(0)) }, monotonicNow());
     m_onQueued(m_service->name);
 }
 
--- a/modules/hyssopwick_requests/admission/CallQueue.cpp
+++ b/modules/hyssopwick_requests/admission/CallQueue.cpp
@@ -48,7 +48,13 @@
 {
     m_recentArrivals = arrivalRate(now) * double(arrivalWindow.count()) + 1;
     m_recentArrivalsAt = now;
-    m_calls[call.id].call = call;
+    auto& queued = m_calls[call.id].call;
+    queued = call;
+    if (call.statedTimeout.count() == 0 || call.hasPartialAnswer)
+        return;
+    if (call.excluded.empty()) // not sent before, so new here
+        m_callerTimeouts.record(call.route, call.statedTimeout);
+    queued.firstEventDeadline -= m_callerTimeouts.age(call.route, call.statedTimeout);
 }
 
 void CallQueue::remove(std::uint64_t call) { m_calls.erase(call); }
--- a/modules/hyssopwick_requests/admission/CallQueue.h
+++ b/modules/hyssopwick_requests/admission/CallQueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../placing/EnginePool.h"
+#include "CallerTimeouts.h"
 
 #include <vector>
 
@@ -15,6 +16,8 @@
     TimePoint deadline; ///< when its caller times out
     std::set<std::string> excluded; ///< engines to which it was already sent
     bool hasPartialAnswer = false; ///< its caller already received part of the answer
+    std::string route {}; ///< "" when not known
+    Milliseconds statedTimeout { 0 }; ///< for which its caller said it would wait when the call arrived; zero for none
 };
 
 /// The calls to send and to refuse now.
@@ -40,6 +43,8 @@
 /// capacity left over: engines with little load, or the part of the engines' call rate that
 /// new arrivals leave, but never less than a small share of it. Giving late calls more would
 /// make the calls behind them late too.
+/// A call whose caller returns after a refusal elsewhere is as old as the caller's first attempt, as
+/// far as that can be told (CallerTimeouts).
 /// A call whose caller already received part of the answer goes to the best engine at once.
 /// A call that cannot be served before its deadline is refused as soon as that is known,
 /// with the time at which a slot should be free. Pure.
@@ -89,6 +94,7 @@
     bool takeLateCredit(TimePoint now);
 
     EnginePool& m_engines;
+    CallerTimeouts m_callerTimeouts;
     double m_entryCount = 1;
     std::optional<TimePoint> m_expectedEnginesAt;
     std::size_t m_expectedEngineCount = 0;
--- a/modules/hyssopwick_requests/hyssopwick_requests.h
+++ b/modules/hyssopwick_requests/hyssopwick_requests.h
@@ -7,6 +7,7 @@
 
 #include "admission/AdmissionDecision.h"
 #include "admission/CallQueue.h"
+#include "admission/CallerTimeouts.h"
 #include "admission/ConcurrencyDecision.h"
 #include "admission/RateLimitShareDecision.h"
 #include "admission/UpstreamLimitShare.h"
--- a/tests/LoadTests.cpp
+++ b/tests/LoadTests.cpp
@@ -151,6 +151,59 @@
         STRCMP_EQUAL("b", sent.upstream.c_str());
 }
 
+// 62 entries restart together before 115 engines that are away for 4 s; callers wait 5.1 to 6 s and return
+// once. Guards against giving a returned call, which is late already, a whole new objective.
+TEST(CallQueue, CallsThatCanBeInTimeComeFirstAfterARestartOfEverything)
+{
+    auto settings = typicalLoad();
+    settings.entries = 62;
+    settings.engines = 115;
+    settings.callsPerSecond = 620;
+    settings.objective = Milliseconds(400);
+    settings.outageFrom = Milliseconds(3000);
+    settings.outageUntil = Milliseconds(7000);
+    settings.length = Milliseconds(14000);
+    settings.callersReturn = true;
+    settings.entriesRestart = true;
+    settings.returnsCountAsNew = true;
+    settings.shortestPatience = 0.85;
+    settings.settledAfter = Milliseconds(2000);
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+        settings.callersStateTimeouts = false;
+        const auto before = simulateLoad(settings, seed);
+        settings.callersStateTimeouts = true;
+        const auto after = simulateLoad(settings, seed);
+        CHECK_COMPARE(double(after.settledInTime), >=, 0.9 * after.settledCompleted);
+        CHECK_COMPARE(after.inTime, >=, before.inTime);
+    }
+}
+
+TEST_GROUP(CallerTimeouts) {};
+
+// Callers of one route wait 5.1 to 6 s. Guards against taking an impatient first attempt for a return.
+TEST(CallerTimeouts, OnlyCallsBelowWhatFirstAttemptsStateAreReturns)
+{
+    CallerTimeouts timeouts;
+    LONGS_EQUAL(0, timeouts.age("a", Milliseconds(1000)).count());
+    for (int i = 0; i < 200; ++i)
+        timeouts.record("a", Milliseconds(5100 + (i * 37) % 901));
+    LONGS_EQUAL(0, timeouts.age("a", Milliseconds(5100)).count());
+    LONGS_EQUAL(0, timeouts.age("a", Milliseconds(7000)).count());
+    const auto age = timeouts.age("a", Milliseconds(4000));
+    CHECK(age >= Milliseconds(1100));
+    CHECK(age <= Milliseconds(2000));
+    LONGS_EQUAL(0, timeouts.age("other", Milliseconds(4000)).count());
+}
+
+// Guards against treating all calls as late where more of them are returns than first attempts.
+TEST(CallerTimeouts, ManyReturnsMakeFewerCallsCountAsReturns)
+{
+    CallerTimeouts timeouts;
+    for (int i = 0; i < 200; ++i)
+        timeouts.record("a", Milliseconds(i % 2 == 0 ? 6000 : 3900 + i));
+    LONGS_EQUAL(0, timeouts.age("a", Milliseconds(4000)).count());
+}
+
 TEST_GROUP(PrefillEstimate) {};
 
 // An engine that returns to service fills all of its slots at once.
