--- a/modules/hyssopwick_deployment/model/DeploymentConfiguration.h
+++ b/modules/hyssopwick_deployment/model/DeploymentConfiguration.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "RegionSet.h"
+
 #include <cstdint>
 #include <hyssopwick_core.h>
 #include <map>
@@ -39,10 +41,11 @@
     bool allowsAnonymous = false; ///< calls need no key
     bool isResumable = false; ///< a broken stream may be resumed at another upstream
     std::vector<RouteTarget> targets;
+    RegionSet allowedRegions {}; ///< in which its calls may run
 
     auto tied() const
     {
-        return std::tie(name, host, pathPrefix, kind, answerTimeout, latencyObjective, eventGapObjective, priority, maxUpstreams, allowsAnonymous, isResumable, targets);
+        return std::tie(name, host, pathPrefix, kind, answerTimeout, latencyObjective, eventGapObjective, priority, maxUpstreams, allowsAnonymous, isResumable, targets, allowedRegions);
     }
     bool operator==(const CallRoute& other) const { return tied() == other.tied(); }
     bool operator!=(const CallRoute& other) const { return !(*this == other); }
@@ -97,8 +100,9 @@
     std::string name;
     std::vector<std::string> keys;
     std::optional<unsigned> priority; ///< overrides the route's
+    RegionSet allowedRegions {}; ///< in which its calls may run, in addition to the route's restriction
 
-    auto tied() const { return std::tie(name, keys, priority); }
+    auto tied() const { return std::tie(name, keys, priority, allowedRegions); }
     bool operator==(const ClientAccount& other) const { return tied() == other.tied(); }
     bool operator!=(const ClientAccount& other) const { return !(*this == other); }
 };
--- a/modules/hyssopwick_deployment/routes/RouteTable.cpp
+++ b/modules/hyssopwick_deployment/routes/RouteTable.cpp
@@ -44,6 +44,16 @@
     return found == m_configuration.services.end() ? nullptr : &found->second;
 }
 
+std::set<std::string> RouteTable::restrictedRegions() const
+{
+    std::set<std::string> regions;
+    for (const auto& route : m_configuration.routes)
+        regions.merge(route.allowedRegions.regions());
+    for (const auto& account : m_configuration.accounts)
+        regions.merge(account.allowedRegions.regions());
+    return regions;
+}
+
 const std::string& RouteTable::chooseTarget(const CallRoute& route, double draw)
 {
     static const std::string none;
--- a/modules/hyssopwick_deployment/routes/RouteTable.h
+++ b/modules/hyssopwick_deployment/routes/RouteTable.h
@@ -26,6 +26,9 @@
     /// Returns the service, or nullptr.
     const ServiceDescription* service(const std::string& name) const;
 
+    /// Returns all regions that a route or an account is restricted to.
+    std::set<std::string> restrictedRegions() const;
+
     /// Chooses one of a route's services by weight. \param draw  random number in [0, 1)
     static const std::string& chooseTarget(const CallRoute& route, double draw);
 
--- a/modules/hyssopwick_deployment/routes/UpstreamRegistry.cpp
+++ b/modules/hyssopwick_deployment/routes/UpstreamRegistry.cpp
@@ -148,6 +148,16 @@
     return upstreams;
 }
 
+std::vector<const Upstream*> UpstreamRegistry::known(const std::string& service) const
+{
+    std::vector<const Upstream*> upstreams;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.upstream.service == service)
+            upstreams.push_back(&entry.upstream);
+    }
+    return upstreams;
+}
+
 const Upstream* UpstreamRegistry::find(const std::string& id) const
 {
     const auto found = m_entries.find(id);
--- a/modules/hyssopwick_deployment/routes/UpstreamRegistry.h
+++ b/modules/hyssopwick_deployment/routes/UpstreamRegistry.h
@@ -57,6 +57,10 @@
     /// Returns the upstreams of a service whose registration has not ended, draining ones too.
     std::vector<const Upstream*> registered(const std::string& service) const;
 
+    /// Returns the upstreams of a service in any state, those whose registration has ended but which are
+    /// still used too.
+    std::vector<const Upstream*> known(const std::string& service) const;
+
     /// Returns the upstreams at an address that may be sent calls.
     std::vector<const Upstream*> usableAt(const std::string& address) const;
 
--- a/modules/hyssopwick_gateway/entry/CallAdmission.cpp
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.cpp
@@ -39,6 +39,7 @@
     }
     admitted.service = routes.service(RouteTable::chooseTarget(route, draw));
     admitted.deadline = deadlineOf(call, route, request.receivedAt);
+    admitted.allowedRegions = allowedRegionsOf(request, call.accountKey, routes).value_or(route.allowedRegions);
     admitted.size = { double(call.promptTokens), double(call.answerTokensHint > 0 ? call.answerTokensHint : call.maxAnswerTokens) };
     admitted.crashTraits = { Digest::of(request.method + " " + request.host + request.target + "\n" + admitted.account + "\n" + request.body), call.sharedPromptBlocks };
     return admitted;
--- a/modules/hyssopwick_gateway/entry/CallAdmission.h
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../http/ServerExchange.h"
+#include "CallRegions.h"
 #include "CrashContainment.h"
 
 #include <hyssopwick_requests.h>
@@ -16,6 +17,7 @@
     unsigned priority = 0; ///< 0 is the most urgent
     TimePoint deadline; ///< when the caller stops waiting or the route's time ends
     CallSize size;
+    RegionSet allowedRegions;
     CrashTraits crashTraits;
 };
 
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -1,6 +1,7 @@
 #include "CallFlow.h"
 
 #include "CallLimits.h"
+#include "WeakHandler.h"
 
 namespace hyssopwick {
 
@@ -25,21 +26,13 @@
 {
 }
 
-CallFlow::~CallFlow() = default;
-
 void CallFlow::start()
 {
-    m_exchange->onCallerLeft([weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->handleCallerLeft();
-    });
+    m_exchange->onCallerLeft(weakHandler(weak_from_this(), &CallFlow::handleCallerLeft));
     if (!admit())
         return;
     m_deadlineTimer.expires_at(m_deadline);
-    m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-        if (!error)
-            self->handleDeadline();
-    });
+    m_deadlineTimer.async_wait(weakTimerHandler(weak_from_this(), &CallFlow::handleDeadline));
     m_services.budget().recordFirstAttempt();
     place();
 }
@@ -65,6 +58,7 @@
     m_account = admitted.account;
     m_priority = admitted.priority;
     m_deadline = admitted.deadline;
+    m_regions.set(admitted.allowedRegions, m_routes);
     m_size = admitted.size;
     m_crashTraits = admitted.crashTraits;
     const auto stopBy = m_services.stopBy();
@@ -95,39 +89,62 @@
 {
     if (m_phase == Phase::Ended)
         return;
+    m_regions.update(m_exchange->request(), m_call.accountKey, m_services.routes());
+    if (refuseWithoutUpstream())
+        return;
     if (isEngineCall())
         return enqueue();
     if (m_service) {
-        if (const auto choice = m_services.choosePlain(m_service->name, m_triedUpstreams))
+        if (const auto choice = m_services.choosePlain(m_service->name, m_triedUpstreams, m_regions.allowed()))
             return send(*choice, m_connectRounds);
     }
     // The upstreams that refused this call or others want none for a time.
-    if (const auto rest = m_service ? m_services.restOfAll(m_service->name) : std::nullopt; rest && m_sentAttempts == 0)
+    const auto rest = m_service ? m_services.restOfAll(m_service->name, m_regions.allowed()) : std::nullopt;
+    if (rest && m_sentAttempts == 0)
         return refuse(RefusalReason::UpstreamBusy, statusUnavailable, *rest);
     // No upstream accepted a connection: another round, with a longer timeout.
     if (!m_triedUpstreams.empty() && m_sentAttempts == 0 && m_connectRounds < lastConnectRound) {
         m_triedUpstreams.clear();
         ++m_connectRounds;
         m_retryTimer.expires_after(connectRoundDelay);
-        m_retryTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-            if (!error)
-                self->place();
-        });
+        m_retryTimer.async_wait(weakTimerHandler(weak_from_this(), &CallFlow::place));
         return;
     }
-    if (m_sentAttempts > 0 && !mayRunAgain() && !m_answer.isNotRun)
+    if (m_mayHaveRun)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
-    const auto rest = m_service ? m_services.restOfAll(m_service->name) : std::nullopt;
     refuse(RefusalReason::NoUpstream, statusUnavailable, rest.value_or(overloadRetryAfter));
 }
 
+bool CallFlow::refuseWithoutUpstream()
+{
+    const auto reason = m_service ? m_services.eligibility().refusalFor(m_service->name, m_regions.allowed()) : std::nullopt;
+    if (reason)
+        refuse(*reason, m_mayHaveRun ? statusBadGateway : statusUnavailable, m_mayHaveRun ? Milliseconds(0) : overloadRetryAfter);
+    return reason.has_value();
+}
+
+void CallFlow::reconsider()
+{
+    if (m_phase == Phase::Ended)
+        return;
+    const bool isChanged = m_regions.update(m_exchange->request(), m_call.accountKey, m_services.routes());
+    if (m_upstream.empty()) {
+        if (!refuseWithoutUpstream() && isChanged && m_isQueued)
+            m_services.queue(m_service->name).setAllowedRegions(m_id, m_regions.allowed());
+    } else if (!m_attempt->isSent() && !m_services.eligibility().isEligible(m_service->name, m_upstream, m_regions.allowed())) {
+        m_attempt->cancel();
+        releaseUpstream();
+        place();
+    }
+}
+
 void CallFlow::enqueue()
 {
     m_isQueued = true;
     m_attempt.reset();
     m_phase = m_eventsForwarded > 0 ? Phase::Answering : Phase::Waiting;
     const auto firstEventDeadline = m_exchange->request().receivedAt + m_route->latencyObjective;
-    m_services.queue(m_service->name).add({ m_id, m_size, m_priority, firstEventDeadline, m_deadline, m_triedUpstreams, m_eventsForwarded > 0 }, monotonicNow());
+    m_services.queue(m_service->name).add({ m_id, m_size, m_priority, firstEventDeadline, m_deadline, m_triedUpstreams, m_eventsForwarded > 0, m_regions.allowed() }, monotonicNow());
     m_onQueued(m_service->name);
 }
 
@@ -151,9 +168,8 @@
 void CallFlow::refuseUnservable(Milliseconds retryAfter)
 {
     m_isQueued = false;
-    const auto& queue = m_services.queue(m_service->name);
-    m_services.context().log.write("call.unservable", { { "request", m_call.requestId }, { "waiting", std::to_string(queue.size()) }, { "engines", std::to_string(m_services.enginePool(m_service->name)->size()) }, { "left_ms", std::to_string(millisecondsBetween(monotonicNow(), m_deadline)) }, { "retry_after_ms", millisecondsText(retryAfter) } });
-    if (m_sentAttempts > 0 && !m_answer.isNotRun)
+    m_services.context().log.write("call.unservable", { { "request", m_call.requestId }, { "waiting", std::to_string(m_services.queue(m_service->name).size()) }, { "engines", std::to_string(m_services.enginePool(m_service->name)->size()) }, { "left_ms", std::to_string(millisecondsBetween(monotonicNow(), m_deadline)) }, { "retry_after_ms", millisecondsText(retryAfter) } });
+    if (m_mayHaveRun)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
     refuse(RefusalReason::DeadlineUnreachable, statusUnavailable, retryAfter);
 }
@@ -178,32 +194,14 @@
     m_hasHead = false;
     m_body.clear();
     m_splitter = {};
-    CallForwarding forwarding;
-    forwarding.timeLeft = std::max(Milliseconds(1), Milliseconds(millisecondsBetween(now, m_deadline)) - answerMargin);
-    forwarding.expectedUpstream = upstreamId;
-    forwarding.account = m_account;
-    forwarding.lastEventId = m_lastEventId;
-    if (isEngineCall()) {
-        forwarding.priority = m_priority;
-    } else {
+    const auto timeLeft = std::max(Milliseconds(1), Milliseconds(millisecondsBetween(now, m_deadline)) - answerMargin);
+    const CallForwarding forwarding { timeLeft, upstreamId, m_account, m_lastEventId, std::nullopt, isEngineCall() ? std::optional<unsigned>(m_priority) : std::nullopt };
+    if (!isEngineCall())
         m_services.plainPool(m_service->name).recordSend(upstreamId);
-    }
     const auto& request = m_exchange->request();
     HttpCall call { request.method, request.target, m_services.context().ports.calls->encodeForwarding(request.fields, forwarding), request.body };
-    ExchangeHandlers handlers;
-    const std::weak_ptr<CallFlow> weak = weak_from_this();
-    handlers.onHead = [weak](const ResponseHead& head) {
-        if (const auto self = weak.lock())
-            self->handleHead(head);
-    };
-    handlers.onBody = [weak](std::string_view bytes) {
-        if (const auto self = weak.lock())
-            self->handleBody(bytes);
-    };
-    handlers.onEnd = [weak](ExchangeEnd end) {
-        if (const auto self = weak.lock())
-            self->handleEnd(end);
-    };
+    const auto self = weak_from_this();
+    ExchangeHandlers handlers { weakHandler(self, &CallFlow::handleHead), weakHandler(self, &CallFlow::handleBody), weakHandler(self, &CallFlow::handleEnd) };
     const auto beginBy = isEngineCall() ? m_services.usableUntil(*upstream) : std::nullopt;
     if (beginBy)
         m_services.context().metrics.count("calls_sent_to_older_weights_total");
@@ -249,9 +247,7 @@
     m_attempt->cancel();
     releaseUpstream();
     m_sentAttempts += isSent;
-    handleAttemptFailure(!isSent ? AttemptFailure::NotSent : m_eventsForwarded > 0 ? AttemptFailure::StreamBroken
-                                                                                   : AttemptFailure::Lost,
-        "old-weights");
+    handleAttemptFailure(isSent ? lostAttempt() : AttemptFailure::NotSent, "old-weights");
 }
 
 void CallFlow::handleHead(const ResponseHead& head)
@@ -275,7 +271,7 @@
         m_services.plainPool(m_service->name).recordResult(m_upstream, false, monotonicNow());
     releaseUpstream();
     ++m_sentAttempts;
-    handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, reason);
+    handleAttemptFailure(lostAttempt(), reason);
 }
 
 void CallFlow::handleBody(std::string_view bytes)
@@ -348,12 +344,12 @@
         recordLost(address);
     ++m_sentAttempts;
     if (end != ExchangeEnd::Complete)
-        return handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, exchangeEndName(end));
+        return handleAttemptFailure(lostAttempt(), exchangeEndName(end));
     if (m_answer.isNotRun)
         return handleAttemptFailure(AttemptFailure::Refused, m_answer.isWrongUpstream ? "other-upstream" : "upstream-busy");
     if (m_isStreamAnswer) {
         if (isCutStream)
-            return handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "cut-event");
+            return handleAttemptFailure(lostAttempt(), "cut-event");
         m_exchange->finish();
         if (m_head.isFramed() || m_isRecordedAsAnswered)
             m_services.crashes().recordFinished(m_crashTraits, begunAt());
@@ -378,6 +374,7 @@
     auto& context = m_services.context();
     context.metrics.count("attempts_failed_total", attemptFailureName(failure));
     context.log.write("call.attempt-failed", { { "request", m_call.requestId }, { "failure", attemptFailureName(failure) }, { "reason", reason }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "after_ms", millisecondsText(elapsed()) } });
+    m_mayHaveRun = m_mayHaveRun || failure == AttemptFailure::Lost || failure == AttemptFailure::StreamBroken;
     if (failure == AttemptFailure::NotSent && isEngineCall() && ++m_connectRounds > maxEngineConnects)
         return refuse(RefusalReason::NoUpstream, statusUnavailable, overloadRetryAfter);
     if (failure == AttemptFailure::NotSent)
@@ -392,7 +389,7 @@
     if (m_eventsForwarded > 0)
         return abortStream("broken");
     if (failure == AttemptFailure::Refused)
-        return refuse(RefusalReason::UpstreamBusy, statusUnavailable, m_services.restOfAll(m_service->name).value_or(overloadRetryAfter));
+        return refuse(RefusalReason::UpstreamBusy, statusUnavailable, m_services.restOfAll(m_service->name, m_regions.allowed()).value_or(overloadRetryAfter));
     refuse(isRetrySafe && isRetryAllowed ? RefusalReason::RetryBudgetSpent : RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
 }
 
@@ -422,9 +419,7 @@
         return abortStream(refusalReasonName(reason));
     auto& context = m_services.context();
     context.metrics.count("refusals_total", refusalReasonName(reason));
-    HeaderFields fields;
-    if (retryAfter.count() > 0)
-        fields = context.ports.calls->encodeRetryAfter(retryAfter);
+    auto fields = retryAfter.count() > 0 ? context.ports.calls->encodeRetryAfter(retryAfter) : HeaderFields();
     m_exchange->respond(status, std::move(fields), std::string(refusalReasonName(reason)) + "\n");
     end(refusalReasonName(reason), status);
 }
@@ -438,9 +433,7 @@
     if (m_eventsForwarded > 0)
         return abortStream("deadline-in-stream");
     const bool isNotRun = m_sentAttempts == 0 && !(m_attempt && m_attempt->isSent());
-    if (isNotRun)
-        return refuse(RefusalReason::DeadlinePassed, statusUnavailable, Milliseconds(0));
-    refuse(RefusalReason::DeadlinePassed, statusGatewayTimeout, Milliseconds(0));
+    refuse(RefusalReason::DeadlinePassed, isNotRun ? statusUnavailable : statusGatewayTimeout, Milliseconds(0));
 }
 
 void CallFlow::handleCallerLeft()
@@ -461,7 +454,7 @@
     recordLost(address);
     releaseUpstream();
     ++m_sentAttempts;
-    handleAttemptFailure(m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost, "engine-down");
+    handleAttemptFailure(lostAttempt(), "engine-down");
 }
 
 void CallFlow::abort()
@@ -488,7 +481,7 @@
     m_retryTimer.cancel();
     m_beginTimer.cancel();
     auto& context = m_services.context();
-    context.log.write("call.ended", { { "request", m_call.requestId }, { "route", m_route ? m_route->name : "none" }, { "account", m_account.empty() ? "none" : m_account }, { "outcome", outcome }, { "status", std::to_string(status) }, { "took_ms", millisecondsText(elapsed()) }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "predicted_ms", std::to_string(static_cast<int>(m_predictedFirstEventDelay)) }, { "first_ms", std::to_string(m_firstEventDelay) }, { "answered_version", std::to_string(m_answer.weightsVersion) }, { "configuration", m_routes ? std::to_string(m_routes->configuration().version) : "none" } });
+    context.log.write("call.ended", { { "request", m_call.requestId }, { "route", m_route ? m_route->name : "none" }, { "account", m_account.empty() ? "none" : m_account }, { "regions", m_regions.allowed().text() }, { "outcome", outcome }, { "status", std::to_string(status) }, { "took_ms", millisecondsText(elapsed()) }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "predicted_ms", std::to_string(static_cast<int>(m_predictedFirstEventDelay)) }, { "first_ms", std::to_string(m_firstEventDelay) }, { "answered_version", std::to_string(m_answer.weightsVersion) }, { "configuration", m_routes ? std::to_string(m_routes->configuration().version) : "none" } });
     context.metrics.count("calls_total", outcome);
     const auto self = shared_from_this();
     if (m_onEnd)
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -18,7 +18,6 @@
     using QueuedHandler = std::function<void(const std::string& service)>;
 
     CallFlow(EntryServices& services, ServerExchangePointer exchange, QueuedHandler onQueued, EndHandler onEnd);
-    ~CallFlow();
 
     void start();
 
@@ -30,6 +29,10 @@
     /// was published.
     void armBeginTimer();
 
+    /// Applies changed regions or upstreams to a call that no upstream has received: it waits for those
+    /// that it may use now, or is refused at once if there is none.
+    void reconsider();
+
     /// Ends the call now because the process stops.
     void abort();
 
@@ -64,6 +67,7 @@
     void forwardWholeAnswer();
     void refuse(RefusalReason reason, unsigned status, Milliseconds retryAfter);
     bool refuseIfCrashSuspected();
+    bool refuseWithoutUpstream();
     void recordLost(const std::string& address);
     void abortStream(const char* outcome);
     void handleDeadline();
@@ -73,6 +77,7 @@
     bool isWaitingAtEngine() const;
     void withdraw();
     bool mayRunAgain() const;
+    AttemptFailure lostAttempt() const { return m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost; }
     bool isEngineCall() const { return m_service && m_service->engine.has_value(); }
     /// Returns when the first event of the attempt arrived.
     TimePoint begunAt() const { return m_sentAt + Milliseconds(m_firstEventDelay); }
@@ -94,6 +99,7 @@
     std::string m_account;
     unsigned m_priority = 0;
     TimePoint m_deadline;
+    CallRegions m_regions;
     CallSize m_size;
     CrashTraits m_crashTraits;
 
@@ -101,6 +107,7 @@
     std::string m_upstream; // id of the attempt's upstream
     std::string m_upstreamAddress;
     unsigned m_sentAttempts = 0; // attempts with a byte that may have left this VM
+    bool m_mayHaveRun = false; // in an attempt before the present one
     unsigned m_connectRounds = 0;
     std::set<std::string> m_triedUpstreams;
     ResponseHead m_head;
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -102,6 +102,7 @@
     observer.onNode = [this](const RegisteredNode& node) { m_gossip.addRegisteredNode(node); };
     observer.onBatchEnd = [this] {
         m_services.refresh();
+        reconsiderCalls();
         subscribeToAgents();
         updateReadiness();
     };
@@ -145,7 +146,7 @@
     for (const auto id : decisions.refused) {
         const auto call = m_calls.find(id);
         if (call != m_calls.end())
-            std::shared_ptr<CallFlow>(call->second)->refuseUnservable(decisions.retryAfter);
+            std::shared_ptr<CallFlow>(call->second)->refuseUnservable(decisions.retryAfterOf(id));
     }
     const auto wake = queue.nextWake();
     if (!wake)
@@ -174,7 +175,8 @@
 
 std::vector<std::string> EntryGateway::callerAddresses(const AddressQuery& query) const
 {
-    auto entries = m_gossip.servingEntries();
+    const auto allowed = m_services.routes() ? addressRegions(query.host, *m_services.routes()) : RegionSet();
+    auto entries = entriesForQuery(m_gossip.servingEntries(), query, allowed);
     const auto port = m_context.description.callerAddress.substr(m_context.description.callerAddress.find(':'));
     const auto rank = [&query](const VmIdentity& vm) { return vm.failureDomain == query.failureDomain ? 0 : vm.region == query.region ? 1
                                                                                                                                       : 2; };
@@ -293,6 +295,7 @@
 void EntryGateway::maintain()
 {
     const auto next = m_services.maintain();
+    reconsiderCalls();
     subscribeToAgents();
     repeatToPeer();
     m_maintenanceTimer.expires_at(next);
@@ -302,6 +305,13 @@
     });
 }
 
+void EntryGateway::reconsiderCalls()
+{
+    const auto calls = m_calls;
+    for (const auto& [id, call] : calls)
+        call->reconsider();
+}
+
 void EntryGateway::subscribeToAgents()
 {
     for (const auto& address : m_services.agentsToSubscribe())
--- a/modules/hyssopwick_gateway/entry/EntryGateway.h
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.h
@@ -40,6 +40,7 @@
     void updateReadiness();
     void maintain();
     void subscribeToAgents();
+    void reconsiderCalls();
     void registerInStore();
     void renewRegistration();
     void scheduleRegistration(Milliseconds delay);
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -1,7 +1,5 @@
 #include "EntryServices.h"
 
-#include "../http/ConnectionCheck.h"
-
 namespace hyssopwick {
 
 namespace {
@@ -27,12 +25,6 @@
     // Other answers, connections and tables need the rest of the process's memory.
     constexpr std::size_t answerMemoryDivisor = 4;
 
-    // An upstream that lost a call is checked this often: one that has just crashed may still
-    // accept a connection.
-    constexpr unsigned checksAfterLoss = 2;
-    constexpr Milliseconds checkPeriod { 300 };
-    constexpr Milliseconds checkTimeout { 250 };
-
     const char* registrationEndName(RegistrationEnd end)
     {
         switch (end) {
@@ -61,42 +53,26 @@
 EntryServices::EntryServices(GatewayContext& context)
     : m_context(context)
     , m_registry(context.description.drainBound / removalGraceDivisor)
+    , m_eligibility(context.description)
     , m_retryBudget(context.description.retryRatio * budgetShare, context.description.retrySlack * budgetShare)
     , m_crashes(context)
     , m_random(stableHash(context.description.node) ^ context.incarnation)
+    , m_checks(context, [this](const std::string& address) { m_crashes.recordUpstreamDown(address); })
     , m_allowances(context)
     , m_answerMemory(std::make_shared<AnswerMemory>([&context] { return context.description.memoryBytes / answerMemoryDivisor; }))
 {
     m_allowances.onChange([this] { refresh(); });
-    m_crashes.onUnexplainedLoss([this](const std::string& address) {
-        if (m_checkedAddresses.insert(address).second)
-            checkAfterLoss(address, checksAfterLoss);
-    });
-}
-
-// No later call of this process may reach an upstream soon enough to show that it is down.
-void EntryServices::checkAfterLoss(const std::string& address, unsigned checks)
-{
-    const auto now = monotonicNow();
-    m_context.metrics.count("upstream_checks_total");
-    checkConnection(m_context.loop, address, now + checkTimeout, [this, address, checks, nextCheck = now + checkPeriod](bool isAccepted) {
-        if (isAccepted && checks > 1) {
-            const auto timer = std::make_shared<LoopTimer>(m_context.loop, nextCheck);
-            timer->async_wait([this, timer, address, checks](boost::system::error_code) { checkAfterLoss(address, checks - 1); });
-            return;
-        }
-        m_checkedAddresses.erase(address);
-        if (!isAccepted)
-            m_crashes.recordUpstreamDown(address);
-    });
+    m_crashes.onUnexplainedLoss([this](const std::string& address) { m_checks.start(address); });
 }
 
 void EntryServices::setConfiguration(const DeploymentConfiguration& configuration)
 {
     if (m_routes && configuration.version < m_routes->configuration().version)
         return;
+    const auto before = m_routes ? m_routes->restrictedRegions() : std::set<std::string>();
     m_routes = std::make_shared<RouteTable>(configuration);
-    m_context.log.write("configuration.in-force", { { "version", std::to_string(configuration.version) }, { "routes", std::to_string(configuration.routes.size()) }, { "accounts", std::to_string(configuration.accounts.size()) } });
+    m_usedEnginesRevision += m_routes->restrictedRegions() != before;
+    m_context.log.write("configuration.in-force", { { "version", std::to_string(configuration.version) }, { "routes", std::to_string(configuration.routes.size()) }, { "accounts", std::to_string(configuration.accounts.size()) }, { "restricted_regions", std::to_string(m_routes->restrictedRegions().size()) } });
 }
 
 void EntryServices::setUpstream(const Upstream& upstream, RegistrationSource source)
@@ -158,18 +134,21 @@
     m_allowances.recordLimit(id, answer, sentAt);
 }
 
-std::optional<std::string> EntryServices::choosePlain(const std::string& service, const std::set<std::string>& excluded)
+std::optional<std::string> EntryServices::choosePlain(const std::string& service, const std::set<std::string>& excluded, const RegionSet& allowed)
 {
     auto unavailable = m_allowances.withoutPlace();
+    unavailable.merge(m_eligibility.excludedFor(service, allowed));
     unavailable.insert(excluded.begin(), excluded.end());
     return plainPool(service).choose(unavailable, monotonicNow());
 }
 
-std::optional<Milliseconds> EntryServices::restOfAll(const std::string& service) const
+std::optional<Milliseconds> EntryServices::restOfAll(const std::string& service, const RegionSet& allowed) const
 {
     const auto now = monotonicNow();
     std::optional<TimePoint> until;
     for (const auto* upstream : m_registry.usable(service)) {
+        if (!allowed.allows(m_eligibility.regionOf(upstream->failureDomain)))
+            continue;
         const auto availableFrom = m_allowances.availableAt(upstream->id, now);
         if (availableFrom <= now)
             return std::nullopt;
@@ -251,11 +230,10 @@
 
 Milliseconds EntryServices::oldWeightsGracePeriod() const { return m_context.description.versionBound - versionMargin; }
 
-std::string EntryServices::regionOf(const std::string& failureDomain) const
+void EntryServices::updateEligibility(const std::string& service)
 {
-    const auto& regions = m_context.description.regionOfFailureDomain;
-    const auto found = regions.find(failureDomain);
-    return found == regions.end() ? failureDomain : found->second;
+    if (m_eligibility.setService(service, m_registry.known(service)))
+        m_context.log.write("service.regions", { { "service", service }, { "regions", m_eligibility.servedRegions(service).text() }, { "upstreams", std::to_string(m_eligibility.regionsOf(service).size()) }, { "configuration", std::to_string(m_routes->configuration().version) } });
 }
 
 void EntryServices::refresh()
@@ -264,6 +242,7 @@
         return;
     const auto now = monotonicNow();
     for (const auto& [name, service] : m_routes->configuration().services) {
+        updateEligibility(name);
         if (service.engine) {
             auto& pool = m_enginePools.try_emplace(name, m_random.next()).first->second;
             pool.setSpeed(*service.engine);
@@ -275,17 +254,18 @@
                 if (m_allowances.isResting(upstream->id, now) || !isUsableEngine(*upstream))
                     continue;
                 usable.insert(upstream->id);
-                if (regionOf(upstream->failureDomain) != m_context.description.region)
+                if (m_eligibility.regionOf(upstream->failureDomain) != m_context.description.region)
                     remote.insert(upstream->id);
                 if (const auto until = usableUntil(*upstream))
                     beginBy[upstream->id] = *until;
             }
             pool.setEngines(usable);
+            pool.setRegions(m_eligibility.regionsOf(name));
             m_allowances.applyTo(pool, usable);
             pool.setReloadingSoon(std::move(beginBy));
             pool.setRemoteEngines(remote);
             queue(name).setEntryCount(used.subset.entriesPerEngine());
-            queue(name).setExpectedEngines(enginesExpectedAt(used.upstreams), used.upstreams.size());
+            queue(name).setExpectedEngines(expectedEngines(used.upstreams));
             for (const auto& id : usable) {
                 if (const auto* status = engineAt(m_registry.find(id)->address))
                     pool.recordReport(id, status->update.report, status->receivedAt);
@@ -303,12 +283,14 @@
         m_onCapacity();
 }
 
-// The earliest of the times at which engines that rest or have no weights are expected to serve.
-std::optional<TimePoint> EntryServices::enginesExpectedAt(const std::vector<const Upstream*>& engines) const
+// The earliest of the times at which engines that rest or have no weights are expected to serve, by region.
+std::map<std::string, ExpectedEngines> EntryServices::expectedEngines(const std::vector<const Upstream*>& engines) const
 {
-    std::optional<TimePoint> soonest;
+    std::map<std::string, ExpectedEngines> expected;
     const auto now = monotonicNow();
     for (const auto* upstream : engines) {
+        auto& [soonest, count] = expected[m_eligibility.regionOf(upstream->failureDomain)];
+        ++count;
         if (m_allowances.isResting(upstream->id, now)) {
             const auto restEnd = m_allowances.availableAt(upstream->id, now);
             soonest = std::min(soonest.value_or(restEnd), restEnd);
@@ -317,10 +299,9 @@
         if (!status || !status->update.readyIn)
             continue;
         const auto at = status->receivedAt + *status->update.readyIn;
-        if (!soonest || at < *soonest)
-            soonest = at;
+        soonest = std::min(soonest.value_or(at), at);
     }
-    return soonest;
+    return expected;
 }
 
 void EntryServices::recordEngineUpdate(const EngineUpdate& update)
@@ -390,7 +371,7 @@
     if (regions == m_entries)
         return;
     m_entries = std::move(regions);
-    ++m_entriesRevision;
+    ++m_usedEnginesRevision;
     refresh();
 }
 
@@ -398,16 +379,16 @@
 {
     const auto& description = m_context.description;
     auto& used = m_usedEngines.try_emplace(service, UsedEngines { EngineSubset(description.node, description.region), {} }).first->second;
-    if (used.registryRevision == m_registry.revision() && used.entriesRevision == m_entriesRevision)
+    if (used.registryRevision == m_registry.revision() && used.entriesRevision == m_usedEnginesRevision)
         return used;
     used.registryRevision = m_registry.revision();
-    used.entriesRevision = m_entriesRevision;
+    used.entriesRevision = m_usedEnginesRevision;
     // By address, so that the restart of an engine does not move others.
     const auto registered = m_registry.usable(service);
     std::map<std::string, std::string> regions;
     for (const auto* upstream : registered)
-        regions[upstream->address] = regionOf(upstream->failureDomain);
-    used.subset.update(m_entries, regions);
+        regions[upstream->address] = m_eligibility.regionOf(upstream->failureDomain);
+    used.subset.update(m_entries, regions, m_routes->restrictedRegions());
     used.upstreams.clear();
     for (const auto* upstream : registered) {
         if (used.subset.contains(upstream->address))
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -5,6 +5,7 @@
 #include "CrashContainment.h"
 #include "HeldAnswer.h"
 #include "UpstreamAllowances.h"
+#include "UpstreamChecks.h"
 
 #include <hyssopwick_requests.h>
 
@@ -43,11 +44,11 @@
     void recordAnswerHead(const std::string& id, unsigned status, const AnswerDescription& answer, TimePoint sentAt);
 
     /// Chooses an upstream of a plain service that has a place for a call, or nothing.
-    std::optional<std::string> choosePlain(const std::string& service, const std::set<std::string>& excluded);
+    std::optional<std::string> choosePlain(const std::string& service, const std::set<std::string>& excluded, const RegionSet& allowed);
 
-    /// Returns for how long no upstream of a service takes a call of this entry, or nothing if one
-    /// takes calls or none is registered.
-    std::optional<Milliseconds> restOfAll(const std::string& service) const;
+    /// Returns for how long no upstream of a service in the allowed regions takes a call of this entry, or
+    /// nothing if one takes calls or none is registered.
+    std::optional<Milliseconds> restOfAll(const std::string& service, const RegionSet& allowed) const;
 
     const std::shared_ptr<AnswerMemory>& answerMemory() const { return m_answerMemory; }
 
@@ -107,6 +108,7 @@
     RetryBudget& budget() { return m_retryBudget; }
     CrashContainment& crashes() { return m_crashes; }
     UpstreamAllowances& allowances() { return m_allowances; }
+    const UpstreamEligibility& eligibility() const { return m_eligibility; }
     RandomSource& random() { return m_random; }
     GatewayContext& context() { return m_context; }
 
@@ -120,10 +122,8 @@
     void onCapacity(std::function<void()> handler) { m_onCapacity = std::move(handler); }
 
 private:
-    void checkAfterLoss(const std::string& address, unsigned checks);
     bool markLeaving(const std::string& id, UnixMilliseconds startedAt, const char* source);
     bool isUsableEngine(const Upstream& upstream) const;
-    std::string regionOf(const std::string& failureDomain) const;
     std::optional<TimePoint> usableUntil(const std::map<std::string, std::uint64_t>& loadedVersions) const;
     // The engines of a service that this entry uses, computed at changes of the registry or of the entries.
     struct UsedEngines {
@@ -134,17 +134,19 @@
     };
 
     const UsedEngines& usedEngines(const std::string& service);
-    std::optional<TimePoint> enginesExpectedAt(const std::vector<const Upstream*>& engines) const;
+    std::map<std::string, ExpectedEngines> expectedEngines(const std::vector<const Upstream*>& engines) const;
+    void updateEligibility(const std::string& service);
 
     GatewayContext& m_context;
     RouteTablePointer m_routes;
     UpstreamRegistry m_registry;
+    UpstreamEligibility m_eligibility;
     std::map<std::string, EngineStatus> m_engineStatus; // by engine address
     std::map<std::string, std::map<std::uint64_t, TimePoint>> m_publishedVersions; // by model and version: earliest publication
     std::map<std::string, EnginePool> m_enginePools;
     std::map<std::string, CallQueue> m_queues;
     std::map<std::string, std::string> m_entries; // the others' regions, by id
-    std::uint64_t m_entriesRevision = 1;
+    std::uint64_t m_usedEnginesRevision = 1; // changes with the entries and the restricted regions
     std::map<std::string, UsedEngines> m_usedEngines; // by service
     std::map<std::string, TimePoint> m_subscribedAt; // by agent's address
     std::optional<TimePoint> m_stopBy;
@@ -153,7 +155,7 @@
     CrashContainment m_crashes;
     RandomSource m_random;
     std::function<void(const std::string&)> m_onEngineDown;
-    std::set<std::string> m_checkedAddresses; // of upstreams that lost a call
+    UpstreamChecks m_checks;
     std::map<std::string, std::pair<LeavingObservation, TimePoint>> m_recentDepartures; // by upstream id: and until when to repeat it
     UpstreamAllowances m_allowances;
     std::shared_ptr<AnswerMemory> m_answerMemory;
--- a/modules/hyssopwick_gateway/entry/UpstreamAllowances.cpp
+++ b/modules/hyssopwick_gateway/entry/UpstreamAllowances.cpp
@@ -99,8 +99,8 @@
         const auto callsPerSecond = m_limits.callsPerSecond(id);
         if (!callsPerSecond)
             continue;
-        limits[id] = { m_limits.availableCalls(id, now).value_or(0), *callsPerSecond / millisecondsPerSecond };
         const auto place = m_limits.nextPlace(id, now);
+        limits[id] = { m_limits.availableCalls(id, now).value_or(0), *callsPerSecond / millisecondsPerSecond, place };
         nextPlace = std::min(nextPlace.value_or(place), place);
     }
     pool.setCallLimits(std::move(limits), nextPlace);
--- a/modules/hyssopwick_requests/admission/CallQueue.h
+++ b/modules/hyssopwick_requests/admission/CallQueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../placing/EnginePool.h"
+#include "RegionalCalls.h"
 
 #include <vector>
 
@@ -15,6 +16,17 @@
     TimePoint deadline; ///< when its caller times out
     std::set<std::string> excluded; ///< engines to which it was already sent
     bool hasPartialAnswer = false; ///< its caller already received part of the answer
+    RegionSet allowedRegions {}; ///< of the engines that it may use
+};
+
+/// Engines of one region that serve now or will soon.
+struct ExpectedEngines {
+    std::optional<TimePoint> at {}; ///< when one is expected to serve, if none serves now
+    std::size_t count = 0;
+
+    auto tied() const { return std::tie(at, count); }
+    bool operator==(const ExpectedEngines& other) const { return tied() == other.tied(); }
+    bool operator!=(const ExpectedEngines& other) const { return !(*this == other); }
 };
 
 /// The calls to send and to refuse now.
@@ -27,7 +39,10 @@
 
     std::vector<Send> sent;
     std::vector<std::uint64_t> refused;
-    Milliseconds retryAfter { 0 }; ///< for refused calls: how long until a slot should be free
+    Milliseconds retryAfter { 0 }; ///< for refused calls that may use any engine: how long until a slot should be free
+    std::map<std::uint64_t, Milliseconds> restrictedRetryAfter; ///< the same for the others, by call
+
+    Milliseconds retryAfterOf(std::uint64_t call) const;
 };
 
 /// Decides which calls an entry VM sends to the engines now, which wait and which are
@@ -42,7 +57,9 @@
 /// make the calls behind them late too.
 /// A call whose caller already received part of the answer goes to the best engine at once.
 /// A call that cannot be served before its deadline is refused as soon as that is known,
-/// with the time at which a slot should be free. Pure.
+/// with the time at which a slot should be free.
+/// A call with allowed regions counts the engines there only, and the calls that compete for them;
+/// calls that wait for one region's engines do not delay those that may use others. Pure.
 class CallQueue {
 public:
     explicit CallQueue(EnginePool& engines);
@@ -52,11 +69,16 @@
 
     /// \param at     when an engine is expected to serve, if none serves now
     /// \param count  engines that serve now or will soon
-    void setExpectedEngines(std::optional<TimePoint> at, std::size_t count);
+    void setExpectedEngines(std::optional<TimePoint> at, std::size_t count) { setExpectedEngines({ { "", { at, count } } }); }
+    /// Sets the same by region.
+    void setExpectedEngines(std::map<std::string, ExpectedEngines> byRegion);
 
     void add(const QueuedCall& call, TimePoint now);
     void remove(std::uint64_t call);
 
+    /// Replaces the regions that a waiting call may use. What was decided of it before is reviewed.
+    void setAllowedRegions(std::uint64_t call, const RegionSet& allowed);
+
     /// Decides about all queued calls. Call after each change and at nextWake().
     QueueDecisions advance(TimePoint now);
 
@@ -72,6 +94,12 @@
         bool isAcceptedLate = false; ///< waits to be served as a late call
     };
 
+    // Late calls that may be sent although all engines are loaded.
+    struct LateCredit {
+        double calls = 1;
+        TimePoint at;
+    };
+
     enum class Verdict {
         Wait,
         Send,
@@ -81,25 +109,25 @@
     Verdict decide(WaitingCall& waiting, std::optional<EngineChoice>& choice, TimePoint now);
     bool canBeInTime(const QueuedCall& call, TimePoint now) const;
     bool canBeServedLate(const QueuedCall& call, TimePoint now) const;
-    double millisecondsUntilEngines(TimePoint now) const;
-    double ownCallRate() const;
-    double ownCallRateAfterReloads() const;
-    double lateCallRate(TimePoint now, double rate) const;
-    double arrivalRate(TimePoint now) const;
-    bool takeLateCredit(TimePoint now);
+    double millisecondsUntilEngines(TimePoint now, const RegionSet& allowed) const;
+    double ownCallRate(const RegionSet& allowed) const;
+    double ownCallRateAfterReloads(const RegionSet& allowed) const;
+    double lateCallRate(TimePoint now, const RegionSet& allowed, double rate) const;
+    bool takeLateCredit(TimePoint now, const RegionSet& allowed);
+    ExpectedEngines expectedEngines(const RegionSet& allowed) const;
+    const std::set<std::string>& engineRegions() const { return m_engines.isEmpty() ? m_expectedRegions : m_engines.regions(); }
+    Milliseconds retryAfter(const RegionSet& allowed, TimePoint now) const;
 
     EnginePool& m_engines;
     double m_entryCount = 1;
-    std::optional<TimePoint> m_expectedEnginesAt;
-    std::size_t m_expectedEngineCount = 0;
+    std::map<std::string, ExpectedEngines> m_expectedEngines; // by region
+    std::set<std::string> m_expectedRegions;
     std::map<std::uint64_t, WaitingCall> m_calls; // by id, in order of arrival
-    std::size_t m_inTimeAhead = 0; // calls before the one that advance() reviews
-    std::size_t m_lateAhead = 0;
-    bool m_isContended = false; // calls that may be in time had to wait
-    double m_recentArrivals = 0; // decaying count
-    TimePoint m_recentArrivalsAt;
-    double m_lateCredits = 1; // late calls that may be sent although all engines are loaded
-    TimePoint m_lateCreditsAt;
+    RegionalCalls m_inTimeAhead; // calls before the one that advance() reviews
+    RegionalCalls m_lateAhead;
+    RegionalCalls m_contending; // calls that may be in time and had to wait
+    RegionalArrivals m_arrivals;
+    std::map<RegionSet, LateCredit> m_lateCredits;
     std::optional<TimePoint> m_nextWake;
 };
 
--- a/modules/hyssopwick_requests/placing/EnginePool.cpp
+++ b/modules/hyssopwick_requests/placing/EnginePool.cpp
@@ -44,6 +44,22 @@
         m_engines[upstream];
 }
 
+void EnginePool::setRegions(const std::map<std::string, std::string>& regions)
+{
+    m_regions.clear();
+    for (auto& [id, engine] : m_engines) {
+        const auto known = regions.find(id);
+        engine.region = known == regions.end() ? "" : known->second;
+        if (!engine.region.empty())
+            m_regions.insert(engine.region);
+    }
+}
+
+bool EnginePool::isEmpty(const RegionSet& allowed) const
+{
+    return m_engines.empty() || (!allowed.isAny() && std::none_of(m_engines.begin(), m_engines.end(), [&allowed](const auto& engine) { return allowed.allows(engine.second.region); }));
+}
+
 void EnginePool::setCallLimits(std::map<std::string, CallLimit> limits, std::optional<TimePoint> nextPlace)
 {
     m_callLimits = std::move(limits);
@@ -56,10 +72,18 @@
     return limit == m_callLimits.end() || limit->second.callsLeft > 0;
 }
 
-TimePoint EnginePool::nextPlace(TimePoint now) const
+TimePoint EnginePool::nextPlace(TimePoint now, const RegionSet& allowed) const
 {
-    const bool hasAnyPlace = std::any_of(m_engines.begin(), m_engines.end(), [this](const auto& engine) { return hasPlace(engine.first); });
-    return hasAnyPlace || m_engines.empty() ? now : std::max(now, m_nextPlace.value_or(now));
+    std::optional<TimePoint> next;
+    for (const auto& [id, engine] : m_engines) {
+        if (!allowed.allows(engine.region))
+            continue;
+        if (hasPlace(id))
+            return now;
+        const auto place = m_callLimits.at(id).nextPlace.value_or(m_nextPlace.value_or(now));
+        next = std::min(next.value_or(place), place);
+    }
+    return std::max(now, next.value_or(now));
 }
 
 void EnginePool::recordReport(const std::string& upstream, const EngineReport& report, TimePoint reportedAt)
@@ -84,12 +108,13 @@
     return std::max(0.0, std::min(sparePromptCalls, spareSlotCalls));
 }
 
-void EnginePool::recordSend(const std::string& upstream, std::uint64_t call, const CallSize& size, TimePoint now)
+void EnginePool::recordSend(const std::string& upstream, std::uint64_t call, const CallSize& size, TimePoint now, const RegionSet& allowed)
 {
     m_calls[call] = { upstream, size, now };
-    m_recentSendTimes.push_back(now);
-    while (!m_recentSendTimes.empty() && m_recentSendTimes.front() + maxReportAge < now)
-        m_recentSendTimes.pop_front();
+    auto& times = m_recentSendTimes[allowed];
+    times.push_back(now);
+    while (times.front() + maxReportAge < now)
+        times.pop_front();
     const auto limit = m_callLimits.find(upstream);
     if (limit != m_callLimits.end() && limit->second.callsLeft > 0)
         --limit->second.callsLeft;
@@ -135,10 +160,12 @@
     return prefill + m_speed.typicalAnswerTokens * stepMilliseconds(running) / m_speed.slots;
 }
 
-double EnginePool::callsPerMillisecond() const
+double EnginePool::callsPerMillisecond(const RegionSet& allowed) const
 {
     double rate = 0;
     for (const auto& [id, engine] : m_engines) {
+        if (!allowed.allows(engine.region))
+            continue;
         const double engineRate = 1 / (slotIntervalMilliseconds(m_speed.slots) * std::max(1.0, engine.report.slowdownFactor));
         const auto limit = m_callLimits.find(id);
         rate += limit == m_callLimits.end() ? engineRate : std::min(engineRate, limit->second.callsPerMillisecond);
@@ -146,6 +173,22 @@
     return rate;
 }
 
+// Since the engine's report. Assumes that each other entry sends as much as this one, evenly over all
+// engines that the calls may use.
+double EnginePool::sendsOfOthers(const Engine& engine) const
+{
+    double sends = 0;
+    for (const auto& [allowed, times] : m_recentSendTimes) {
+        if (!allowed.allows(engine.region))
+            continue;
+        const auto isAllowed = [&regions = allowed](const auto& other) { return regions.allows(other.second.region); };
+        const auto engines = allowed.isAny() ? std::ptrdiff_t(m_engines.size()) : std::count_if(m_engines.begin(), m_engines.end(), isAllowed);
+        const auto since = std::lower_bound(times.begin(), times.end(), engine.reportedAt);
+        sends += double(times.end() - since) * (m_entryCount - 1) / double(std::max<std::ptrdiff_t>(1, engines));
+    }
+    return sends;
+}
+
 EnginePool::Load EnginePool::loadOf(const Engine& engine, TimePoint now) const
 {
     Load load;
@@ -154,10 +197,7 @@
         load.running = std::max(0.0, double(engine.report.runningCalls) - engine.endedSinceReport);
         load.waiting = engine.report.waitingCalls;
         load.pendingPromptTokens = engine.report.pendingPromptTokens + load.waiting * m_speed.typicalPromptTokens;
-        // Assumes that each other entry sends as much as this one, evenly over all engines.
-        const auto since = std::lower_bound(m_recentSendTimes.begin(), m_recentSendTimes.end(), engine.reportedAt);
-        const double ownSends = double(m_recentSendTimes.end() - since);
-        const double others = ownSends * (m_entryCount - 1) / double(std::max<std::size_t>(1, m_engines.size()));
+        const double others = sendsOfOthers(engine);
         load.waiting += others;
         load.pendingPromptTokens += others * m_speed.typicalPromptTokens;
     }
@@ -212,11 +252,11 @@
 
 EnginePrediction EnginePool::predictBusy(const CallSize& size) const { return predictWith({ double(m_speed.slots) - 1, 0, 0 }, 1, size); }
 
-std::vector<std::string> EnginePool::sampleEngines(const std::set<std::string>& excluded, bool isContended)
+std::vector<std::string> EnginePool::sampleEngines(const std::set<std::string>& excluded, bool isContended, const RegionSet& allowed)
 {
     std::vector<std::string> candidates;
     for (const auto& [id, engine] : m_engines) {
-        if (excluded.count(id) == 0 && hasPlace(id) && (!isContended || engine.sendAllowance >= 1))
+        if (allowed.allows(engine.region) && excluded.count(id) == 0 && hasPlace(id) && (!isContended || engine.sendAllowance >= 1))
             candidates.push_back(id);
     }
     const auto count = std::min(sampleSize, candidates.size());
@@ -226,11 +266,11 @@
     return candidates;
 }
 
-std::optional<EngineChoice> EnginePool::choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now, bool isContended)
+std::optional<EngineChoice> EnginePool::choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now, bool isContended, const RegionSet& allowed)
 {
     std::optional<EngineChoice> best;
     double bestScore = 0;
-    for (const auto& id : sampleEngines(excluded, isContended)) {
+    for (const auto& id : sampleEngines(excluded, isContended, allowed)) {
         const auto prediction = predict(id, size, now);
         const auto reloadingSoon = m_reloadingSoon.find(id);
         const bool isReloadingSoon = reloadingSoon != m_reloadingSoon.end();
--- a/modules/hyssopwick_requests/placing/EnginePool.h
+++ b/modules/hyssopwick_requests/placing/EnginePool.h
@@ -29,8 +29,9 @@
 struct CallLimit {
     std::size_t callsLeft = 0; ///< that this entry may send now
     double callsPerMillisecond = 0; ///< of all entry VMs together
+    std::optional<TimePoint> nextPlace {}; ///< when this entry has a place again, if that is known
 
-    auto tied() const { return std::tie(callsLeft, callsPerMillisecond); }
+    auto tied() const { return std::tie(callsLeft, callsPerMillisecond, nextPlace); }
     bool operator==(const CallLimit& other) const { return tied() == other.tied(); }
     bool operator!=(const CallLimit& other) const { return !(*this == other); }
 };
@@ -63,16 +64,23 @@
     /// Sets the engines in other regions than this entry.
     void setRemoteEngines(const std::set<std::string>& upstreams) { m_remoteEngines = upstreams; }
 
+    /// Sets the regions of the engines. Without it, calls with allowed regions have no engine.
+    void setRegions(const std::map<std::string, std::string>& regions);
+
+    /// Returns the regions that have engines.
+    const std::set<std::string>& regions() const { return m_regions; }
+
     /// Sets the engines that take a limited number of calls, and when one of those without a place
     /// has one again, if that is known. Valid until the next call of this.
     void setCallLimits(std::map<std::string, CallLimit> limits, std::optional<TimePoint> nextPlace);
 
-    /// Returns when an engine takes a call: \p now, unless none has a place under its limit.
-    TimePoint nextPlace(TimePoint now) const;
+    /// Returns when an engine in the allowed regions takes a call: \p now, unless none has a place under its limit.
+    TimePoint nextPlace(TimePoint now, const RegionSet& allowed = {}) const;
 
     void recordReport(const std::string& upstream, const EngineReport& report, TimePoint reportedAt);
 
-    void recordSend(const std::string& upstream, std::uint64_t call, const CallSize& size, TimePoint now);
+    /// \param allowed  regions that the call may use
+    void recordSend(const std::string& upstream, std::uint64_t call, const CallSize& size, TimePoint now, const RegionSet& allowed = {});
     void recordFirstEvent(std::uint64_t call);
     /// Records that a call ended, successfully or not.
     void recordEnd(std::uint64_t call, TimePoint now);
@@ -85,8 +93,8 @@
     /// Predicts a call that takes the last slot of an engine.
     EnginePrediction predictBusy(const CallSize& size) const;
 
-    /// Returns how many typical calls all engines together can complete per millisecond.
-    double callsPerMillisecond() const;
+    /// Returns how many typical calls all engines in the allowed regions together can complete per millisecond.
+    double callsPerMillisecond(const RegionSet& allowed = {}) const;
 
     /// Returns how many typical calls one healthy engine can complete per millisecond.
     double callsPerMillisecondPerEngine() const { return 1 / slotIntervalMilliseconds(m_speed.slots); }
@@ -102,9 +110,11 @@
     /// \param isContended  calls wait for engines. All entries would send to an engine as
     ///                     soon as its report shows spare capacity, so each uses only its
     ///                     share of it, randomly rounded
-    std::optional<EngineChoice> choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now, bool isContended = false);
+    /// \param allowed  regions whose engines the call may use
+    std::optional<EngineChoice> choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now, bool isContended = false, const RegionSet& allowed = {});
 
-    bool isEmpty() const { return m_engines.empty(); }
+    /// Returns whether no engine is in the allowed regions.
+    bool isEmpty(const RegionSet& allowed = {}) const;
 
     std::size_t size() const { return m_engines.size(); }
 
@@ -117,6 +127,7 @@
     };
 
     struct Engine {
+        std::string region;
         EngineReport report;
         TimePoint reportedAt;
         bool hasReport = false;
@@ -132,8 +143,9 @@
     };
 
     bool hasPlace(const std::string& upstream) const;
+    double sendsOfOthers(const Engine& engine) const;
     double spareCalls(const Engine& engine, TimePoint now) const;
-    std::vector<std::string> sampleEngines(const std::set<std::string>& excluded, bool isContended);
+    std::vector<std::string> sampleEngines(const std::set<std::string>& excluded, bool isContended, const RegionSet& allowed);
     Load loadOf(const Engine& engine, TimePoint now) const;
     EnginePrediction predictWith(const Load& load, double slowdownFactor, const CallSize& size) const;
     double stepMilliseconds(double running) const;
@@ -144,11 +156,12 @@
     std::map<std::string, Engine> m_engines;
     std::map<std::string, TimePoint> m_reloadingSoon;
     std::set<std::string> m_remoteEngines;
+    std::set<std::string> m_regions; // that have engines
     std::map<std::string, CallLimit> m_callLimits;
     std::optional<TimePoint> m_nextPlace;
     std::map<std::uint64_t, SentCall> m_calls;
     double m_entryCount = 1;
-    std::deque<TimePoint> m_recentSendTimes; // of this entry, to any engine
+    std::map<RegionSet, std::deque<TimePoint>> m_recentSendTimes; // of this entry, by the regions of the calls
 };
 
 }
--- a/modules/hyssopwick_requests/placing/EngineSubset.h
+++ b/modules/hyssopwick_requests/placing/EngineSubset.h
@@ -31,7 +31,8 @@
     /// Replaces the entries that use the engines, and the regions of both.
     /// \param entries  id and region, with or without this entry
     /// \param engines  key and region of the engines that may take calls
-    void update(const std::map<std::string, std::string>& entries, const std::map<std::string, std::string>& engines);
+    /// \param restrictedRegions  regions that calls may be restricted to; some engines of each are used
+    void update(const std::map<std::string, std::string>& entries, const std::map<std::string, std::string>& engines, const std::set<std::string>& restrictedRegions = {});
 
     bool contains(const std::string& engine) const { return m_isWhole || m_engines.count(engine) != 0; }
 
--- a/modules/hyssopwick_requests/routing/Refusal.cpp
+++ b/modules/hyssopwick_requests/routing/Refusal.cpp
@@ -24,6 +24,7 @@
         { RefusalReason::RateLimited, "rate-limited", 429 },
         { RefusalReason::Overloaded, "overloaded", 503 },
         { RefusalReason::NoUpstream, "no-upstream", 503 },
+        { RefusalReason::NoUpstreamInRegion, "no-upstream-in-region", 503 },
         { RefusalReason::UpstreamBusy, "upstream-busy", 503 },
         { RefusalReason::UpstreamFailed, "upstream-failed", 502 },
         { RefusalReason::UpstreamLeaving, "upstream-leaving", 503 },
--- a/modules/hyssopwick_requests/routing/Refusal.h
+++ b/modules/hyssopwick_requests/routing/Refusal.h
@@ -26,6 +26,7 @@
     RateLimited,
     Overloaded,
     NoUpstream,
+    NoUpstreamInRegion,
     UpstreamBusy,
     UpstreamFailed,
     UpstreamLeaving,
