--- a/fakes/hyssopwick_fakes/LoadSimulation.cpp
+++ b/fakes/hyssopwick_fakes/LoadSimulation.cpp
@@ -144,7 +144,7 @@
         void enqueue(std::uint64_t id, TimePoint now)
         {
             const auto& call = m_calls.at(id);
-            m_entries[call.entry]->queue.add({ id, { call.size.promptTokens, m_settings.speed.typicalAnswerTokens }, 0, (m_settings.returnsCountAsNew ? now : call.arrivedAt) + m_settings.objective, call.deadline, {}, false, "route", m_settings.callersStateTimeouts ? Milliseconds(millisecondsBetween(now, call.deadline)) : Milliseconds(0) }, now);
+            m_entries[call.entry]->queue.add({ id, { call.size.promptTokens, m_settings.speed.typicalAnswerTokens }, 0, (m_settings.returnsCountAsNew ? now : call.arrivedAt) + m_settings.objective, call.deadline, {}, false, {}, "route", m_settings.callersStateTimeouts ? Milliseconds(millisecondsBetween(now, call.deadline)) : Milliseconds(0) }, now);
         }
 
         void addReturns(TimePoint now)
