After a restart of all processes, engines with older weights serve until bounds hold

Cause: a process that starts does not know when a version was published and dates it to an hour ago, so that the bound on older weights has passed.

Change: OldWeightsBounds (moved out of EntryServices) lets a process use older weights until contactMs less 0.5 s after its start where the newer version was published before it. The bound holds only for processes that ran for that long. Without the setting nothing changes.

Conclusion: a record of the store that tells the age of a version would cover the rest of the bound; not built.

--- a/modules/hyssopwick_deployment/model/ProcessDescription.h
+++ b/modules/hyssopwick_deployment/model/ProcessDescription.h
@@ -33,6 +33,7 @@
     Milliseconds stopBound { 8000 }; ///< from SIGTERM to SIGKILL
     Milliseconds versionBound { 8000 }; ///< from publishing a weights version in the store to its use everywhere
     Milliseconds configurationBound { 2000 };
+    Milliseconds contactBound { 0 }; ///< after its start, until the bounds hold for a process
 
     /// Returns how long changes of the store may be batched before they are applied: a
     /// tenth of the time in which they must take effect, so that the rest is left for
@@ -51,7 +52,7 @@
     {
         return std::tie(node, ip, region, failureDomain, regionOfFailureDomain, callerAddress, readyAddress, directoryAddress, internalPort,
             metricsPort, seedIps, storeAddress, engineAddress, engineService, linkBytesPerSecond, memoryBytes, drainBound, stopBound, versionBound,
-            configurationBound, addressLifetime, retryRatio, retrySlack, retryWindow);
+            configurationBound, contactBound, addressLifetime, retryRatio, retrySlack, retryWindow);
     }
     bool operator==(const ProcessDescription& other) const { return tied() == other.tied(); }
     bool operator!=(const ProcessDescription& other) const { return !(*this == other); }
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -161,7 +161,7 @@
 
 void EntryServices::addVersion(const WeightsVersion& version, TimePoint earliestPublication)
 {
-    if (!m_publishedVersions[version.model].emplace(version.version, earliestPublication).second)
+    if (!m_oldWeights.add(version, earliestPublication))
         return;
     m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) }, { "at_most_ms_ago", std::to_string(millisecondsBetween(earliestPublication, monotonicNow())) } });
     if (m_onVersion)
@@ -201,35 +201,22 @@
     return loaded.empty() ? 0 : loaded.begin()->second;
 }
 
-std::optional<TimePoint> EntryServices::usableUntil(const Upstream& upstream) const { return usableUntil(loadedVersions(upstream)); }
+std::optional<TimePoint> EntryServices::usableUntil(const Upstream& upstream) const { return m_oldWeights.usableUntil(loadedVersions(upstream), oldWeightsGrace()); }
 
 std::optional<TimePoint> EntryServices::usableUntil(const std::string& upstreamId, const std::map<std::string, std::uint64_t>& loadedVersionsAtSend) const
 {
     const auto* registered = upstream(upstreamId);
     const auto loaded = registered ? loadedVersions(*registered) : loadedVersionsAtSend;
-    return usableUntil(loaded.empty() ? loadedVersionsAtSend : loaded);
+    return m_oldWeights.usableUntil(loaded.empty() ? loadedVersionsAtSend : loaded, oldWeightsGrace());
 }
 
-// Calls may not begin on a version once the bound of any later one has passed; publishing yet
-// another version does not extend it.
-std::optional<TimePoint> EntryServices::usableUntil(const std::map<std::string, std::uint64_t>& loadedVersions) const
+Milliseconds EntryServices::oldWeightsGracePeriod() const { return m_context.description.versionBound - versionMargin; }
+
+OldWeightsGrace EntryServices::oldWeightsGrace() const
 {
-    std::optional<TimePoint> until;
-    for (const auto& [model, loaded] : loadedVersions) {
-        const auto published = m_publishedVersions.find(model);
-        if (published == m_publishedVersions.end())
-            continue;
-        for (auto later = published->second.upper_bound(loaded); later != published->second.end(); ++later) {
-            const auto end = later->second + oldWeightsGracePeriod();
-            if (!until || end < *until)
-                until = end;
-        }
-    }
-    return until;
+    return { oldWeightsGracePeriod(), std::max(Milliseconds(0), m_context.description.contactBound - versionMargin) };
 }
 
-Milliseconds EntryServices::oldWeightsGracePeriod() const { return m_context.description.versionBound - versionMargin; }
-
 void EntryServices::updateEligibility(const std::string& service)
 {
     if (m_eligibility.setService(service, m_registry.known(service)))
@@ -351,13 +338,8 @@
     auto next = std::min(available, now + maxMaintenanceDelay);
     if (const auto expiry = m_registry.nextExpiry())
         next = std::min(next, *expiry);
-    for (const auto& [model, versions] : m_publishedVersions) {
-        for (const auto& [version, earliestPublication] : versions) {
-            const auto olderVersionsEnd = earliestPublication + oldWeightsGracePeriod();
-            if (olderVersionsEnd > now)
-                next = std::min(next, olderVersionsEnd);
-        }
-    }
+    if (const auto bound = m_oldWeights.nextBound(now, oldWeightsGrace()))
+        next = std::min(next, *bound);
     return next;
 }
 
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -124,7 +124,7 @@
 private:
     bool markLeaving(const std::string& id, UnixMilliseconds startedAt, const char* source);
     bool isUsableEngine(const Upstream& upstream) const;
-    std::optional<TimePoint> usableUntil(const std::map<std::string, std::uint64_t>& loadedVersions) const;
+    OldWeightsGrace oldWeightsGrace() const;
     // The engines of a service that this entry uses, computed at changes of the registry or of the entries.
     struct UsedEngines {
         EngineSubset subset;
@@ -142,7 +142,7 @@
     UpstreamRegistry m_registry;
     UpstreamEligibility m_eligibility;
     std::map<std::string, EngineStatus> m_engineStatus; // by engine address
-    std::map<std::string, std::map<std::uint64_t, TimePoint>> m_publishedVersions; // by model and version: earliest publication
+    OldWeightsBounds m_oldWeights { monotonicNow() };
     std::map<std::string, EnginePool> m_enginePools;
     std::map<std::string, CallQueue> m_queues;
     std::map<std::string, std::string> m_entries; // the others' regions, by id
--- a/tests/platform/VersionBoundTests.cpp
+++ b/tests/platform/VersionBoundTests.cpp
@@ -180,6 +180,22 @@
     LONGS_EQUAL(1, older.m_disconnects);
 }
 
+// Guards against a restart of all processes that takes all engines with older weights out of service.
+TEST(VersionBound, AStartedProcessMayUseOldWeightsUntilTheBoundsHoldForIt)
+{
+    context.description.contactBound = Milliseconds(4000);
+    addEngine("i-1", older, 1);
+    services.addVersion({ "m", 2 }, monotonicNow() - std::chrono::hours(1));
+    services.refresh();
+    LONGS_EQUAL(1, services.enginePool("models")->size());
+    const auto left = millisecondsBetween(monotonicNow(), *usableUntil());
+    CHECK_COMPARE(left, <=, 3500);
+    CHECK_COMPARE(left, >, 2500);
+    // What is published after the start has its own bound.
+    services.addVersion({ "m", 3 }, monotonicNow());
+    CHECK_COMPARE(millisecondsBetween(monotonicNow(), *usableUntil()), <=, 3500);
+}
+
 TEST(VersionBound, TheBoundOfAVersionLearntLateStartsAtItsEarliestPublication)
 {
     addEngine("i-1", older, 1);
