Cold upstreams: entries share what an upstream takes after a start

Cause: an upstream is slow for some seconds after a start and crashes well above a number of calls a second from all entries together. Nothing read coldS, coldPerS, coldLeftMs or Cold-Ms, so all entries sent to an empty engine at once.

Change: ColdUpstreams decides from registrations, agents' reports (with the health check's Cold-Ms), evacuation ends and silence whether an upstream is cold, and has a share of its places in turn, with the class that serves limits that upstreams name. Places are counted from an origin that entries agree on before anything is cold (CommonOrigin). Entries that are not in step with others use a third of their places; one that has just started assumes many others. UpstreamAllowances applies the smaller of two limits to engines and plain pools, wakes at places and logs changes.

--- a/modules/hyssopwick_deployment/model/DeploymentConfiguration.h
+++ b/modules/hyssopwick_deployment/model/DeploymentConfiguration.h
@@ -83,10 +83,15 @@
     unsigned chunkCount = 0; ///< of one version of the weights; 0 without weights
     unsigned chunkBytes = 0;
     std::vector<std::string> models; ///< that its engines serve
+    Milliseconds coldTime { 0 }; ///< for which an upstream is cold after a start; zero for never
+    double coldCallsPerSecond = 0; ///< that a cold upstream takes from all entry VMs together
+    std::string healthPath; ///< of its upstreams' health checks
+
+    bool mayBeCold() const { return coldTime.count() > 0 && coldCallsPerSecond > 0; }
 
     auto tied() const
     {
-        return std::tie(name, maxConnections, engine, originAddress, originFailureDomain, originBytesPerSecond, chunkCount, chunkBytes, models);
+        return std::tie(name, maxConnections, engine, originAddress, originFailureDomain, originBytesPerSecond, chunkCount, chunkBytes, models, coldTime, coldCallsPerSecond, healthPath);
     }
     bool operator==(const ServiceDescription& other) const { return tied() == other.tied(); }
     bool operator!=(const ServiceDescription& other) const { return !(*this == other); }
--- a/modules/hyssopwick_deployment/model/EngineReport.h
+++ b/modules/hyssopwick_deployment/model/EngineReport.h
@@ -17,12 +17,13 @@
     double pendingPromptTokens = 0; ///< of running calls, not prefilled yet; an estimate (PrefillEstimate), since engines do not report it
     double slowdownFactor = 1; ///< 1 for a healthy engine, above 1 for a slow one
     UnixMilliseconds startedAt = 0;
+    Milliseconds coldLeft { 0 }; ///< how long it is still cold
     bool isLeaving = false; ///< accepts no further calls and ends soon
     std::map<std::string, std::uint64_t> loadedVersions; ///< by model, only fully loaded ones
 
     auto tied() const
     {
-        return std::tie(orderSequence, isOrderRunning, waitingCalls, runningCalls, usedTokens, tokenCapacity, pendingPromptTokens, slowdownFactor, startedAt, isLeaving, loadedVersions);
+        return std::tie(orderSequence, isOrderRunning, waitingCalls, runningCalls, usedTokens, tokenCapacity, pendingPromptTokens, slowdownFactor, startedAt, coldLeft, isLeaving, loadedVersions);
     }
     bool operator==(const EngineReport& other) const { return tied() == other.tied(); }
     bool operator!=(const EngineReport& other) const { return !(*this == other); }
--- a/modules/hyssopwick_deployment/model/ProcessDescription.h
+++ b/modules/hyssopwick_deployment/model/ProcessDescription.h
@@ -46,12 +46,14 @@
     double retryRatio = 0.2; ///< retries for each first attempt, over all nodes
     double retrySlack = 100; ///< further retries in each window, over all nodes
     Milliseconds retryWindow { 10000 };
+    double coldOvershoot = 1.5; ///< factor by which the calls to a cold upstream may exceed what it takes, in any second
+    double coldSlack = 5; ///< further calls in any second
 
     auto tied() const
     {
         return std::tie(node, ip, region, failureDomain, regionOfFailureDomain, callerAddress, readyAddress, directoryAddress, internalPort,
             metricsPort, seedIps, storeAddress, engineAddress, engineService, linkBytesPerSecond, memoryBytes, drainBound, stopBound, versionBound,
-            configurationBound, addressLifetime, retryRatio, retrySlack, retryWindow);
+            configurationBound, addressLifetime, retryRatio, retrySlack, retryWindow, coldOvershoot, coldSlack);
     }
     bool operator==(const ProcessDescription& other) const { return tied() == other.tied(); }
     bool operator!=(const ProcessDescription& other) const { return !(*this == other); }
--- a/modules/hyssopwick_deployment/model/Upstream.h
+++ b/modules/hyssopwick_deployment/model/Upstream.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <hyssopwick_core.h>
 #include <map>
+#include <optional>
 
 namespace hyssopwick {
 
@@ -22,8 +23,9 @@
     unsigned slots = 1; ///< calls that it runs concurrently
     std::map<std::string, std::uint64_t> loadedVersions; ///< weights by model, only fully loaded ones
     UnixMilliseconds startedAt = 0; ///< 0 when unknown
+    std::optional<Milliseconds> coldLeft; ///< how long it was still cold when it registered; nothing when it does not say
 
-    auto tied() const { return std::tie(id, service, address, failureDomain, state, slots, loadedVersions, startedAt); }
+    auto tied() const { return std::tie(id, service, address, failureDomain, state, slots, loadedVersions, startedAt, coldLeft); }
     bool operator==(const Upstream& other) const { return tied() == other.tied(); }
     bool operator!=(const Upstream& other) const { return !(*this == other); }
 };
--- a/modules/hyssopwick_deployment/ports/EngineCodec.h
+++ b/modules/hyssopwick_deployment/ports/EngineCodec.h
@@ -36,6 +36,11 @@
     /// Decodes a report, and from the answer's header fields whether the engine leaves.
     virtual Outcome<EngineReport> decodeReport(const HeaderFields& fields, const std::string& body) const = 0;
 
+    /// Encodes a health check of an engine. \param path  ServiceDescription::healthPath
+    virtual HttpCall encodeHealthCall(const std::string& path) const = 0;
+    /// Decodes how long an engine says in the answer that it is still cold; nothing when it does not say.
+    virtual std::optional<Milliseconds> decodeColdLeft(const HeaderFields& fields) const = 0;
+
     virtual HttpCall encodeOrder(const LoadOrder& order) const = 0;
     virtual OrderResult decodeOrderAnswer(unsigned status) const = 0;
 
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -101,7 +101,7 @@
 
 void AgentGateway::poll()
 {
-    m_engine.fetchReport([this](const Outcome<EngineReport>& report) { recordReport(report); });
+    m_engine.fetchReport(m_service, [this](const Outcome<EngineReport>& report) { recordReport(report); });
 }
 
 void AgentGateway::schedulePoll(Milliseconds delay)
--- a/modules/hyssopwick_gateway/agent/EngineClient.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineClient.cpp
@@ -6,6 +6,8 @@
     // The engine is on the same VM: it answers at once or not at all.
     constexpr Milliseconds connectTimeout { 100 };
     constexpr Milliseconds answerTimeout { 300 };
+    // An engine may turn cold at any moment; entry VMs get updates at most five times a second.
+    constexpr Milliseconds healthPeriod { 200 };
     // A chunk is the longest answer.
     constexpr std::uint64_t maxAnswerBytes = std::uint64_t(4) << 20;
 
@@ -28,13 +30,31 @@
     fetchWhole(m_context.loop, m_context.description.engineAddress, std::move(call), TransferLimits { now + connectTimeout, now + answerTimeout, Milliseconds(0), now + answerTimeout, maxAnswerBytes }, std::move(handler), std::move(kept));
 }
 
-void EngineClient::fetchReport(std::function<void(Outcome<EngineReport>)> handler)
+void EngineClient::checkHealth(const std::string& path)
 {
+    m_checkHealthAt = monotonicNow() + healthPeriod;
+    fetch(
+        m_context.ports.engines->encodeHealthCall(path), [this](const WholeResponse& response) {
+            if (!response.isComplete())
+                return;
+            if (const auto left = m_context.ports.engines->decodeColdLeft(response.fields))
+                m_coldUntil = monotonicNow() + *left;
+        },
+        m_kept);
+}
+
+void EngineClient::fetchReport(const std::optional<ServiceDescription>& service, std::function<void(Outcome<EngineReport>)> handler)
+{
+    if (service && service->mayBeCold() && !service->healthPath.empty() && monotonicNow() >= m_checkHealthAt)
+        checkHealth(service->healthPath);
     fetch(
         m_context.ports.engines->encodeReportCall(), [this, handler = std::move(handler)](const WholeResponse& response) {
             if (!response.isComplete() || response.status != statusOk)
                 return handler(boost::outcome_v2::failure(errorOf(response, "engine's report")));
-            handler(m_context.ports.engines->decodeReport(response.fields, response.body));
+            auto report = m_context.ports.engines->decodeReport(response.fields, response.body);
+            if (report)
+                report.value().coldLeft = std::max(Milliseconds(0), Milliseconds(millisecondsBetween(monotonicNow(), m_coldUntil)));
+            handler(report);
         },
         m_kept);
 }
--- a/modules/hyssopwick_gateway/agent/EngineClient.h
+++ b/modules/hyssopwick_gateway/agent/EngineClient.h
@@ -10,7 +10,9 @@
 public:
     explicit EngineClient(GatewayContext& context);
 
-    void fetchReport(std::function<void(Outcome<EngineReport>)> handler);
+    /// Fetches a report. That of an engine that may be cold has from its health checks how long it is.
+    /// \param service  of the engine, when it is known
+    void fetchReport(const std::optional<ServiceDescription>& service, std::function<void(Outcome<EngineReport>)> handler);
 
     /// Reads a staged chunk. Fails with ErrorCode::NotFound when there is none.
     void readStaged(const std::string& model, unsigned chunk, std::function<void(Outcome<std::string>)> handler);
@@ -21,9 +23,12 @@
     void order(const LoadOrder& order, std::function<void(OrderResult)> handler);
 
 private:
+    void checkHealth(const std::string& path);
     void fetch(HttpCall call, std::function<void(WholeResponse)> handler, std::shared_ptr<KeptConnections> kept = nullptr);
 
     GatewayContext& m_context;
+    TimePoint m_coldUntil; // as the engine last said
+    TimePoint m_checkHealthAt;
     std::shared_ptr<KeptConnections> m_kept = std::make_shared<KeptConnections>(); // for requests that may be repeated
 };
 
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -77,7 +77,7 @@
     m_services.crashes().onObservation([this](const PeerMessage& observation) { sendToEntries(observation); });
     m_services.crashes().onConfirmed([this](const PromptBlockRecord& record) { m_blockRecords.write(record); });
     m_services.crashes().onRefuted([this](const std::string& block) { m_blockRecords.remove(block); });
-    m_services.allowances().onLimit([this](const UpstreamLimit& limit) { sendToEntries(LimitObservation { limit }); });
+    m_services.allowances().onLimit([this](const LimitObservation& limit) { sendToEntries(limit); });
     m_services.onLeaving([this](const LeavingObservation& observation) { sendToEntries(observation); });
     m_services.onEngineDown([this](const std::string& address) {
         const auto calls = m_calls;
@@ -89,9 +89,18 @@
             call->armBeginTimer();
     });
     ViewReplicator::Observer observer;
-    observer.onConfiguration = [this](const DeploymentConfiguration& configuration) { m_services.setConfiguration(configuration); };
-    observer.onUpstream = [this](const Upstream& upstream, RegistrationSource source) { m_services.setUpstream(upstream, source); };
-    observer.onUpstreamGone = [this](const std::string& id, RegistrationEnd end) { m_services.removeUpstream(id, end); };
+    observer.onConfiguration = [this](const DeploymentConfiguration& configuration) {
+        m_services.setConfiguration(configuration);
+        m_services.allowances().setConfiguration(m_services.routes()->configuration());
+    };
+    observer.onUpstream = [this](const Upstream& upstream, RegistrationSource source) {
+        m_services.allowances().recordRegistration(upstream);
+        m_services.setUpstream(upstream, source);
+    };
+    observer.onUpstreamGone = [this](const std::string& id, RegistrationEnd end) {
+        m_services.allowances().recordRemoval(id);
+        m_services.removeUpstream(id, end);
+    };
     observer.onEra = [this](std::uint64_t era) {
         restoreRegistration(era);
         m_blockRecords.restore();
@@ -101,6 +110,7 @@
     observer.onVersion = [this](const WeightsVersion& version, TimePoint earliestPublication) { m_services.addVersion(version, earliestPublication); };
     observer.onNode = [this](const RegisteredNode& node) { m_gossip.addRegisteredNode(node); };
     observer.onBatchEnd = [this] {
+        m_services.allowances().completeFirstView();
         m_services.refresh();
         subscribeToAgents();
         updateReadiness();
@@ -222,14 +232,18 @@
         void operator()(const PingMessage& ping) const { entry.m_gossip.receive(ping, sender); }
         void operator()(const PingAnswer& answer) const { entry.m_gossip.receive(answer); }
         void operator()(const PingRequest& request) const { entry.m_gossip.receive(request, sender); }
-        void operator()(const EngineUpdate& update) const { entry.m_services.recordEngineUpdate(update); }
+        void operator()(const EngineUpdate& update) const
+        {
+            entry.m_services.allowances().recordUpdate(update);
+            entry.m_services.recordEngineUpdate(update);
+        }
         void operator()(const CrashObservation& observation) const { entry.m_services.crashes().receive(observation); }
         void operator()(const RecheckObservation& observation) const { entry.m_services.crashes().receive(observation); }
         void operator()(const AnswerObservation& observation) const { entry.m_services.crashes().receive(observation); }
         void operator()(const SuspicionDigest& digest) const { answer(entry.m_services.crashes().receive(digest)); }
         void operator()(const SuspicionUpdate& update) const { answer(entry.m_services.crashes().receive(update)); }
         void operator()(const LeavingObservation& observation) const { entry.m_services.recordLeaving(observation); }
-        void operator()(const LimitObservation& observation) const { entry.m_services.allowances().recordLimit(observation.limit); }
+        void operator()(const LimitObservation& observation) const { answer(entry.m_services.allowances().receive(observation)); }
         void operator()(const UpdateSubscription&) const { }
         void operator()(const ActivationUpdate&) const { }
         void operator()(const ChunksUpdate&) const { }
@@ -257,8 +271,9 @@
     const auto now = monotonicNow();
     const auto digest = m_services.crashes().digest();
     const auto limits = m_services.allowances().limits();
+    const auto coldNotices = m_services.allowances().coldNotices();
     const auto departures = m_services.recentDepartures();
-    if (now < m_repeatAt || (!digest && limits.empty() && departures.empty()))
+    if (now < m_repeatAt || (!digest && limits.empty() && coldNotices.empty() && departures.empty()))
         return;
     m_repeatAt = now + repeatPeriod;
     const auto peers = m_gossip.livePeers();
@@ -269,6 +284,8 @@
         m_peerSocket.send(address, *digest);
     for (const auto& limit : limits)
         m_peerSocket.send(address, LimitObservation { limit });
+    for (const auto& notice : coldNotices)
+        m_peerSocket.send(address, LimitObservation { {}, notice });
     for (const auto& departure : departures)
         m_peerSocket.send(address, departure);
 }
@@ -377,6 +394,8 @@
 {
     m_context.log.write("settings.reloaded", { { "changed", description == m_context.description ? "false" : "true" } });
     m_context.description = description;
+    if (m_services.routes())
+        m_services.allowances().setConfiguration(m_services.routes()->configuration());
 }
 
 void EntryGateway::stop()
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -160,7 +160,7 @@
 
 std::optional<std::string> EntryServices::choosePlain(const std::string& service, const std::set<std::string>& excluded)
 {
-    auto unavailable = m_allowances.withoutPlace();
+    auto unavailable = m_allowances.withoutPlace(service);
     unavailable.insert(excluded.begin(), excluded.end());
     return plainPool(service).choose(unavailable, monotonicNow());
 }
--- a/modules/hyssopwick_gateway/entry/UpstreamAllowances.cpp
+++ b/modules/hyssopwick_gateway/entry/UpstreamAllowances.cpp
@@ -13,9 +13,44 @@
 UpstreamAllowances::UpstreamAllowances(GatewayContext& context)
     : m_context(context)
     , m_limits(context.description.node)
+    , m_cold(context.description.node, monotonicNow())
+    , m_wakeTimer(context.loop)
 {
 }
 
+void UpstreamAllowances::setEntries(const std::vector<std::string>& ids)
+{
+    m_limits.setEntries(ids, monotonicNow());
+    m_cold.setEntries(ids, monotonicNow());
+}
+
+void UpstreamAllowances::setConfiguration(const DeploymentConfiguration& configuration)
+{
+    std::map<std::string, ColdRule> rules;
+    for (const auto& [name, service] : configuration.services) {
+        if (service.mayBeCold())
+            rules[name] = { service.coldTime, service.coldCallsPerSecond, m_context.description.coldOvershoot, m_context.description.coldSlack, service.engine.has_value() };
+    }
+    m_cold.setRules(std::move(rules));
+}
+
+// Entries refresh the pools at changes only, and most updates change nothing.
+void UpstreamAllowances::recordUpdate(const EngineUpdate& update)
+{
+    if (!update.isAnswering)
+        return m_cold.recordOldReport(update.engineAddress, update.report, monotonicNow());
+    const bool isChange = m_cold.recordReport(update.engineAddress, update.report, monotonicNow());
+    if (isChange && m_cold.hasRules() && m_onChange)
+        m_onChange();
+}
+
+void UpstreamAllowances::endEvacuation(const std::string& failureDomain)
+{
+    m_cold.recordEvacuationEnd(failureDomain, monotonicNow());
+    if (m_cold.hasRules() && m_onChange)
+        m_onChange();
+}
+
 void UpstreamAllowances::recordRest(const std::string& id, const AnswerDescription& answer)
 {
     if (answer.hasUnreadableRetryAfter) {
@@ -50,7 +85,7 @@
     if (!told)
         return;
     if (m_onLimit)
-        m_onLimit(*told);
+        m_onLimit({ *told, std::nullopt });
     if (before != m_limits.callsPerSecond(id))
         changed(*told, "answer");
 }
@@ -61,6 +96,67 @@
         changed(limit, "peer");
 }
 
+std::vector<PeerMessage> UpstreamAllowances::receive(const LimitObservation& observation)
+{
+    const auto now = monotonicNow();
+    if (!observation.cold) {
+        recordLimit(observation.limit);
+        return {};
+    }
+    const auto& id = observation.cold->upstream;
+    const bool wasCold = m_cold.stateOf(id, now).has_value();
+    const bool wantsAnswer = m_cold.merge(*observation.cold, now);
+    if (wasCold != m_cold.stateOf(id, now).has_value() && m_onChange)
+        m_onChange();
+    if (!wantsAnswer)
+        return {};
+    return { LimitObservation { {}, m_cold.originNotice(now) } };
+}
+
+void UpstreamAllowances::recordRemoval(const std::string& id)
+{
+    m_cold.recordRemoval(id, monotonicNow());
+    m_notedStates.erase(id);
+}
+
+// Logs a change between cold and warm, and announces an upstream that turned cold.
+void UpstreamAllowances::noteState(const std::string& id, TimePoint now)
+{
+    const auto state = m_cold.stateOf(id, now);
+    const auto noted = m_notedStates.find(id);
+    if (!state) {
+        if (noted != m_notedStates.end()) {
+            m_notedStates.erase(noted);
+            m_context.log.write("upstream.warm", { { "upstream", id } });
+        }
+        return;
+    }
+    if (noted != m_notedStates.end() && noted->second == state->reason)
+        return;
+    const bool isNew = noted == m_notedStates.end();
+    m_notedStates[id] = state->reason;
+    m_context.metrics.count("upstreams_cold_total", coldReasonName(state->reason));
+    m_context.log.write("upstream.cold", { { "upstream", id }, { "reason", coldReasonName(state->reason) }, { "reason_age_ms", std::to_string(millisecondsBetween(state->since, now)) }, { "for_ms", state->until ? std::to_string(millisecondsBetween(now, *state->until)) : "unknown" }, { "calls_per_second", std::to_string(m_cold.callsPerSecond(id, now).value_or(0)) }, { "entries", std::to_string(m_cold.entryCount()) }, { "in_step", m_cold.isInStep(now) ? "true" : "false" } });
+    if (const auto notice = isNew ? m_cold.announcement(id, now) : std::nullopt; notice && m_onLimit)
+        m_onLimit({ {}, *notice });
+}
+
+void UpstreamAllowances::wakeAt(TimePoint time, TimePoint now)
+{
+    const auto at = std::max(time, now + minPlaceDelay);
+    if (m_wakeAt && *m_wakeAt > now && *m_wakeAt <= at)
+        return;
+    m_wakeAt = at;
+    m_wakeTimer.expires_at(at);
+    m_wakeTimer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        m_wakeAt.reset();
+        if (m_onChange)
+            m_onChange();
+    });
+}
+
 void UpstreamAllowances::changed(const UpstreamLimit& limit, const char* source)
 {
     m_context.metrics.count("upstreams_limited_total", source);
@@ -71,9 +167,14 @@
 
 void UpstreamAllowances::recordSend(const std::string& id)
 {
-    if (!m_limits.callsPerSecond(id))
+    const auto now = monotonicNow();
+    const bool isCold = m_cold.stateOf(id, now).has_value();
+    if (!isCold && !m_limits.callsPerSecond(id))
         return;
-    m_limits.recordSend(id, monotonicNow());
+    if (isCold)
+        m_context.metrics.count("calls_sent_cold_total");
+    m_limits.recordSend(id, now);
+    m_cold.recordSend(id, now);
     if (m_onChange)
         m_onChange();
 }
@@ -86,21 +187,43 @@
 
 TimePoint UpstreamAllowances::availableAt(const std::string& id, TimePoint now) const
 {
-    const auto place = m_limits.nextPlace(id, now);
+    const auto place = std::max(m_limits.nextPlace(id, now), m_cold.nextPlace(id, now));
     return isResting(id, now) ? std::max(place, m_restingUntil.at(id)) : place;
 }
 
-void UpstreamAllowances::applyTo(EnginePool& pool, const std::set<std::string>& engines) const
+std::set<std::string> UpstreamAllowances::withoutPlace(const std::string& service)
+{
+    const auto now = monotonicNow();
+    auto upstreams = m_limits.withoutPlace(now);
+    const auto& cold = m_cold.upstreamsOf(service);
+    for (const auto& id : cold) {
+        noteState(id, now);
+        if (m_cold.availableCalls(id, now) == std::optional<std::size_t>(0))
+            upstreams.insert(id);
+    }
+    return upstreams;
+}
+
+void UpstreamAllowances::applyTo(EnginePool& pool, const std::set<std::string>& engines)
 {
     const auto now = monotonicNow();
     std::map<std::string, CallLimit> limits;
     std::optional<TimePoint> nextPlace;
     for (const auto& id : engines) {
-        const auto callsPerSecond = m_limits.callsPerSecond(id);
-        if (!callsPerSecond)
+        if (m_cold.hasRules()) {
+            noteState(id, now);
+            if (const auto change = m_cold.nextChange(id, now))
+                wakeAt(*change, now);
+        }
+        const auto named = m_limits.callsPerSecond(id);
+        const auto cold = m_cold.callsPerSecond(id, now);
+        if (!named && !cold)
             continue;
-        limits[id] = { m_limits.availableCalls(id, now).value_or(0), *callsPerSecond / millisecondsPerSecond };
-        const auto place = m_limits.nextPlace(id, now);
+        constexpr auto unlimited = std::numeric_limits<std::size_t>::max();
+        const auto callsPerSecond = std::min(named.value_or(double(unlimited)), cold.value_or(double(unlimited)));
+        const auto callsLeft = std::min(m_limits.availableCalls(id, now).value_or(unlimited), m_cold.availableCalls(id, now).value_or(unlimited));
+        limits[id] = { callsLeft, callsPerSecond / millisecondsPerSecond };
+        const auto place = std::max(m_limits.nextPlace(id, now), m_cold.nextPlace(id, now));
         nextPlace = std::min(nextPlace.value_or(place), place);
     }
     pool.setCallLimits(std::move(limits), nextPlace);
@@ -118,6 +241,7 @@
         ++resting;
     }
     m_limits.expire(now);
+    m_cold.expire(now);
     if (const auto place = m_limits.firstPlace(now))
         next = std::min(next, std::max(*place, now + minPlaceDelay));
     return next;
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
@@ -37,6 +37,10 @@
     }
 
     constexpr double noLimit = -1;
+    // A time that is unset, far away, or of a process whose clock runs apart is bounded by this.
+    constexpr std::int64_t maxTimeMilliseconds = std::chrono::duration_cast<Milliseconds>(std::chrono::hours(48)).count();
+    // An origin is as old as the process that ran longest: only a sanity check, ten years.
+    constexpr std::int64_t maxOriginAgeMilliseconds = std::chrono::duration_cast<Milliseconds>(std::chrono::hours(24 * 3650)).count();
 
     // Each encoder writes an array; its first element is the index of the alternative.
     struct Encoder {
@@ -57,7 +61,7 @@
             const auto& report = message.report;
             return { message.upstream, message.engineAddress, message.isAnswering, static_cast<int>(message.availability), report.orderSequence, report.isOrderRunning,
                 report.waitingCalls, report.runningCalls, report.usedTokens, report.tokenCapacity, report.slowdownFactor, report.startedAt, Json(report.loadedVersions),
-                message.readyIn ? message.readyIn->count() : std::int64_t(-1), std::llround(report.pendingPromptTokens), report.isLeaving };
+                message.readyIn ? message.readyIn->count() : std::int64_t(-1), std::llround(report.pendingPromptTokens), report.isLeaving, report.coldLeft.count() };
         }
         Json operator()(const UpdateSubscription& message) const
         {
@@ -76,6 +80,8 @@
         {
             const auto now = monotonicNow();
             const auto& limit = message.limit;
+            if (const auto& cold = message.cold) // the first elements are for a process before an upgrade, which learns nothing from them
+                return { "", noLimit, 0, maxTimeMilliseconds, cold->upstream, millisecondsBetween(cold->origin, now), millisecondsBetween(now, cold->coldUntil) };
             return { limit.upstream, limit.callsPerSecond.value_or(noLimit), millisecondsBetween(limit.origin, now), millisecondsBetween(limit.namedAt, now) };
         }
         Json operator()(const SuspicionDigest& message) const { return { message.digest, message.isAnswer }; }
@@ -118,6 +124,8 @@
             update.readyIn = Milliseconds(readyIn);
         json.at(15).get_to(report.pendingPromptTokens);
         json.at(16).get_to(report.isLeaving);
+        if (json.size() > 17) // not of a process before an upgrade
+            report.coldLeft = Milliseconds(std::max<std::int64_t>(0, json.at(17).get<std::int64_t>()));
         return update;
     }
 
@@ -134,12 +142,7 @@
         return observation;
     }
 
-    // A time that is unset, far away, or of a process whose clock runs apart is bounded.
-    Milliseconds boundedTime(const Json& json)
-    {
-        constexpr std::int64_t maxTime = std::chrono::duration_cast<Milliseconds>(std::chrono::hours(48)).count();
-        return Milliseconds(std::clamp(json.get<std::int64_t>(), -maxTime, maxTime));
-    }
+    Milliseconds boundedTime(const Json& json) { return Milliseconds(std::clamp(json.get<std::int64_t>(), -maxTimeMilliseconds, maxTimeMilliseconds)); }
 
     SuspicionUpdate suspicionUpdateFromJson(const Json& json)
     {
@@ -162,13 +165,17 @@
     LimitObservation limitObservationFromJson(const Json& json)
     {
         const auto now = monotonicNow();
+        if (json.size() > 5) {
+            const Milliseconds originAge(std::clamp(json.at(6).get<std::int64_t>(), std::int64_t(0), maxOriginAgeMilliseconds));
+            return { {}, ColdNotice { now - originAge, json.at(5).get<std::string>(), now + boundedTime(json.at(7)) } };
+        }
         UpstreamLimit limit { json.at(1).get<std::string>(), std::nullopt, now - boundedTime(json.at(3)), now - boundedTime(json.at(4)) };
         const auto callsPerSecond = json.at(2).get<double>();
         if (!std::isfinite(callsPerSecond))
             throw std::invalid_argument("malformed limit");
         if (callsPerSecond >= 0)
             limit.callsPerSecond = callsPerSecond;
-        return { limit };
+        return { limit, std::nullopt };
     }
 
     PeerMessage messageFromJson(const Json& json)
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.h
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.h
@@ -106,9 +106,10 @@
     std::vector<CrashSuspect> suspects; ///< times are sent relative to the message
 };
 
-/// The limit that an upstream named, as an entry VM knows it.
+/// The limit that an upstream named, or that it has while it is cold, as an entry VM knows it.
 struct LimitObservation {
     UpstreamLimit limit; ///< times are sent relative to the message
+    std::optional<ColdNotice> cold = std::nullopt; ///< instead of a limit; times are sent relative to the message
 };
 
 using PeerMessage = std::variant<PingMessage, PingAnswer, PingRequest, EngineUpdate, UpdateSubscription, CrashObservation, ActivationUpdate, ChunksUpdate, LeavingObservation, RecheckObservation, AnswerObservation, SuspicionDigest, SuspicionUpdate, LimitObservation>;
--- a/modules/hyssopwick_requests/admission/UpstreamLimitShare.cpp
+++ b/modules/hyssopwick_requests/admission/UpstreamLimitShare.cpp
@@ -49,6 +49,12 @@
     m_usedUntil = now;
 }
 
+void UpstreamLimitShare::setUnusedPlaces(Milliseconds lifetime, std::size_t maxCount)
+{
+    m_unusedLifetime = lifetime;
+    m_maxUnused = std::max<std::size_t>(1, maxCount);
+}
+
 double UpstreamLimitShare::placesUntil(TimePoint time) const { return double(millisecondsBetween(m_origin, time)) * m_callsPerSecond / millisecondsPerSecond; }
 
 TimePoint UpstreamLimitShare::startOf(std::int64_t place) const
@@ -69,18 +75,25 @@
 
 TimePoint UpstreamLimitShare::unusedSince(TimePoint now) const
 {
-    const auto lifetime = Milliseconds(static_cast<std::int64_t>(unusedMilliseconds + millisecondsPerSecond / m_callsPerSecond));
+    const auto lifetime = m_unusedLifetime.value_or(Milliseconds(static_cast<std::int64_t>(unusedMilliseconds + millisecondsPerSecond / m_callsPerSecond)));
     return std::max(m_usedUntil, now - lifetime);
 }
 
-std::size_t UpstreamLimitShare::availableCalls(TimePoint now) const
+std::size_t UpstreamLimitShare::startedPlaces(TimePoint now) const
 {
     const auto first = firstOwnPlaceAfter(unusedSince(now));
     const auto last = static_cast<std::int64_t>(std::floor(placesUntil(now)));
     return first > last ? 0 : static_cast<std::size_t>(last - first) / m_count + 1;
 }
 
-void UpstreamLimitShare::recordSend(TimePoint now) { m_usedUntil = startOf(firstOwnPlaceAfter(unusedSince(now))); }
+std::size_t UpstreamLimitShare::availableCalls(TimePoint now) const { return std::min(startedPlaces(now), m_maxUnused); }
+
+void UpstreamLimitShare::recordSend(TimePoint now)
+{
+    const auto started = startedPlaces(now);
+    const auto expired = started > m_maxUnused ? started - m_maxUnused : 0;
+    m_usedUntil = startOf(firstOwnPlaceAfter(unusedSince(now)) + static_cast<std::int64_t>(expired * m_count));
+}
 
 TimePoint UpstreamLimitShare::nextPlace(TimePoint now) const { return std::max(now, startOf(firstOwnPlaceAfter(unusedSince(now)))); }
 
--- a/modules/hyssopwick_requests/admission/UpstreamLimitShare.h
+++ b/modules/hyssopwick_requests/admission/UpstreamLimitShare.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <hyssopwick_core.h>
+#include <limits>
 #include <optional>
 
 namespace hyssopwick {
@@ -21,6 +22,8 @@
 
     void setLimit(double callsPerSecond, TimePoint now);
     void setOrigin(TimePoint origin, TimePoint now);
+    /// Sets how long an unused place lives, and how many an entry VM may have at once.
+    void setUnusedPlaces(Milliseconds lifetime, std::size_t maxCount);
     /// Sets the position of this entry VM, from 0, among \p count of them.
     void setPosition(std::size_t position, std::size_t count, TimePoint now);
 
@@ -41,11 +44,14 @@
     TimePoint startOf(std::int64_t place) const;
     std::int64_t firstOwnPlaceAfter(TimePoint time) const;
     TimePoint unusedSince(TimePoint now) const;
+    std::size_t startedPlaces(TimePoint now) const;
 
     double m_callsPerSecond;
     TimePoint m_origin;
     std::size_t m_position = 0;
     std::size_t m_count = 1;
+    std::optional<Milliseconds> m_unusedLifetime;
+    std::size_t m_maxUnused = std::numeric_limits<std::size_t>::max();
     TimePoint m_usedUntil; // places that began until then are used
 };
 
--- a/modules/hyssopwick_requests/hyssopwick_requests.h
+++ b/modules/hyssopwick_requests/hyssopwick_requests.h
@@ -7,6 +7,8 @@
 
 #include "admission/AdmissionDecision.h"
 #include "admission/CallQueue.h"
+#include "admission/ColdUpstreams.h"
+#include "admission/CommonOrigin.h"
 #include "admission/ConcurrencyDecision.h"
 #include "admission/RateLimitShareDecision.h"
 #include "admission/UpstreamLimitShare.h"
