Cold notices are built in place

Cause: the release build (-O3, -Werror) stops on -Wmaybe-uninitialized for a temporary message whose optional members are empty.

Change: the message is a named object.

Result: the release build passes; no change of behaviour.

--- a/modules/hyssopwick_gateway/entry/UpstreamAllowances.cpp
+++ b/modules/hyssopwick_gateway/entry/UpstreamAllowances.cpp
@@ -137,8 +137,10 @@
     m_notedStates[id] = state->reason;
     m_context.metrics.count("upstreams_cold_total", coldReasonName(state->reason));
     m_context.log.write("upstream.cold", { { "upstream", id }, { "reason", coldReasonName(state->reason) }, { "reason_age_ms", std::to_string(millisecondsBetween(state->since, now)) }, { "for_ms", state->until ? std::to_string(millisecondsBetween(now, *state->until)) : "unknown" }, { "calls_per_second", std::to_string(m_cold.callsPerSecond(id, now).value_or(0)) }, { "entries", std::to_string(m_cold.entryCount()) }, { "in_step", m_cold.isInStep(now) ? "true" : "false" } });
-    if (const auto notice = isNew ? m_cold.announcement(id, now) : std::nullopt; notice && m_onLimit)
-        m_onLimit({ {}, *notice });
+    LimitObservation observation;
+    observation.cold = isNew ? m_cold.announcement(id, now) : std::nullopt;
+    if (observation.cold && m_onLimit)
+        m_onLimit(observation);
 }
 
 void UpstreamAllowances::wakeAt(TimePoint time, TimePoint now)
