--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -286,8 +286,11 @@
         m_peerSocket.send(address, *digest);
     for (const auto& limit : limits)
         m_peerSocket.send(address, LimitObservation { limit });
-    for (const auto& notice : coldNotices)
-        m_peerSocket.send(address, LimitObservation { {}, notice });
+    for (const auto& notice : coldNotices) {
+        LimitObservation observation;
+        observation.cold = notice;
+        m_peerSocket.send(address, observation);
+    }
     for (const auto& departure : departures)
         m_peerSocket.send(address, departure);
 }
--- a/modules/hyssopwick_gateway/entry/UpstreamAllowances.cpp
+++ b/modules/hyssopwick_gateway/entry/UpstreamAllowances.cpp
@@ -108,9 +108,13 @@
     const bool wantsAnswer = m_cold.merge(*observation.cold, now);
     if (wasCold != m_cold.stateOf(id, now).has_value() && m_onChange)
         m_onChange();
-    if (!wantsAnswer)
-        return {};
-    return { LimitObservation { {}, m_cold.originNotice(now) } };
+    std::vector<PeerMessage> answers;
+    if (wantsAnswer) {
+        LimitObservation answer;
+        answer.cold = m_cold.originNotice(now);
+        answers.emplace_back(std::move(answer));
+    }
+    return answers;
 }
 
 void UpstreamAllowances::recordRemoval(const std::string& id)
