--- a/modules/hyssopwick_gateway/entry/CallAdmission.cpp
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.cpp
@@ -40,6 +40,9 @@
     admitted.service = routes.service(RouteTable::chooseTarget(route, draw));
     admitted.deadline = deadlineOf(call, route, request.receivedAt);
     admitted.size = { double(call.promptTokens), double(call.answerTokensHint > 0 ? call.answerTokensHint : call.maxAnswerTokens) };
+    const auto* engine = admitted.service && admitted.service->engine ? &*admitted.service->engine : nullptr;
+    if (engine && engine->tokenCapacity > 0 && admitted.size.promptTokens + admitted.size.answerTokens > engine->tokenCapacity)
+        return RejectedCall { &route, RefusalReason::TooLarge, statusUnavailable };
     admitted.crashTraits = { Digest::of(request.method + " " + request.host + request.target + "\n" + admitted.account + "\n" + request.body), call.sharedPromptBlocks };
     return admitted;
 }
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -22,6 +22,7 @@
     , m_beginTimer(services.context().loop)
     , m_id(nextCallId++)
     , m_body(services.answerMemory())
+    , m_stream(std::make_shared<StreamAnswer>(services.context(), m_exchange, services.answerMemory()))
 {
 }
 
@@ -35,6 +36,7 @@
     });
     if (!admit())
         return;
+    m_exchange->sendBy(m_deadline);
     m_deadlineTimer.expires_at(m_deadline);
     m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error)
@@ -49,8 +51,8 @@
     const auto& request = m_exchange->request();
     m_routes = m_services.routes();
     m_call = m_services.context().ports.calls->decodeCall(request.fields);
-    if (!m_routes) {
-        refuse(RefusalReason::NotReady, statusUnavailable, notReadyRetryAfter);
+    if (!m_routes || m_services.answerMemory()->state() == AnswerMemoryState::Full) {
+        refuse(!m_routes ? RefusalReason::NotReady : RefusalReason::EntryBusy, statusUnavailable, !m_routes ? notReadyRetryAfter : overloadRetryAfter);
         return false;
     }
     const auto admission = admitCall(request, m_call, *m_routes, m_services.random().unit());
@@ -177,12 +179,11 @@
     m_triedUpstreams.insert(upstreamId);
     m_hasHead = false;
     m_body.clear();
-    m_splitter = {};
     CallForwarding forwarding;
     forwarding.timeLeft = std::max(Milliseconds(1), Milliseconds(millisecondsBetween(now, m_deadline)) - answerMargin);
     forwarding.expectedUpstream = upstreamId;
     forwarding.account = m_account;
-    forwarding.lastEventId = m_lastEventId;
+    forwarding.lastEventId = m_stream->lastEventId();
     if (isEngineCall()) {
         forwarding.priority = m_priority;
     } else {
@@ -207,10 +208,11 @@
     const auto beginBy = isEngineCall() ? m_services.usableUntil(*upstream) : std::nullopt;
     if (beginBy)
         m_services.context().metrics.count("calls_sent_to_older_weights_total");
-    m_services.context().log.write("call.sent", { { "request", m_call.requestId }, { "upstream", upstreamId }, { "attempt", std::to_string(m_sentAttempts + 1) }, { "left_ms", millisecondsText(forwarding.timeLeft) }, { "resume", m_lastEventId.empty() ? "no" : m_lastEventId }, { "held", std::to_string(m_services.loadedVersion(*upstream)) }, { "begin_within_ms", beginBy ? std::to_string(millisecondsBetween(now, *beginBy)) : "any" } });
+    m_services.context().log.write("call.sent", { { "request", m_call.requestId }, { "upstream", upstreamId }, { "attempt", std::to_string(m_sentAttempts + 1) }, { "left_ms", millisecondsText(forwarding.timeLeft) }, { "resume", m_stream->lastEventId().empty() ? "no" : m_stream->lastEventId() }, { "held", std::to_string(m_services.loadedVersion(*upstream)) }, { "begin_within_ms", beginBy ? std::to_string(millisecondsBetween(now, *beginBy)) : "any" } });
     m_services.crashes().recordSend(m_crashTraits, m_call.requestId);
     m_services.allowances().recordSend(upstreamId);
     m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), TransferLimits { now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), Milliseconds(0), TimePoint::max(), maxAnswerBytes }, std::move(handlers));
+    m_stream->beginAttempt(m_attempt);
     m_loadedVersionsAtSend = m_services.loadedVersions(*upstream);
     armBeginTimer();
 }
@@ -288,17 +290,10 @@
 
 void CallFlow::forwardEvents(std::string_view bytes)
 {
-    auto events = m_splitter.feed(bytes);
-    if (m_splitter.partialEvent().size() > maxEventBytes)
-        return cutAnswer("event-too-large");
-    if (events.empty())
+    if (const auto* problem = m_stream->receive(bytes))
+        return cutAnswer(problem);
+    if (!m_stream->hasEvents())
         return;
-    std::string text;
-    for (auto& event : events) {
-        text += event.text;
-        if (!event.id.empty())
-            m_lastEventId = event.id;
-    }
     if (m_firstEventDelay < 0) {
         m_firstEventDelay = millisecondsBetween(m_sentAt, monotonicNow());
         m_services.context().metrics.observe("first_event_after_send", double(m_firstEventDelay));
@@ -308,14 +303,13 @@
         m_exchange->startStream(m_head.status, m_services.context().ports.calls->encodeAnswer(m_head.fields));
         m_services.context().metrics.observe("first_event", double(elapsed().count()));
     }
-    m_eventsForwarded += static_cast<unsigned>(events.size());
+    m_eventsForwarded += m_stream->forward();
     if (auto* engines = isEngineCall() ? m_services.enginePool(m_service->name) : nullptr)
         engines->recordFirstEvent(m_id);
     if (!m_isRecordedAsAnswered && monotonicNow() > begunAt() + CrashContainment::crashDelay()) {
         m_isRecordedAsAnswered = true;
         m_services.crashes().recordAnswered(m_crashTraits, begunAt());
     }
-    m_exchange->write(std::move(text));
 }
 
 void CallFlow::releaseUpstream()
@@ -343,8 +337,8 @@
         m_services.crashes().recordNotSent(address, m_crashTraits);
         return handleAttemptFailure(AttemptFailure::NotSent, exchangeEndName(end));
     }
-    const bool isCutStream = end == ExchangeEnd::Complete && m_isStreamAnswer && (m_splitter.hasPartialEvent() || m_eventsForwarded == 0);
-    if (end == ExchangeEnd::Lost || isCutStream)
+    const bool isCutStream = end == ExchangeEnd::Complete && m_isStreamAnswer && (m_stream->hasPartialEvent() || m_eventsForwarded == 0 || (!m_head.isFramed() && m_stream->mayHaveBeenCut()));
+    if ((end == ExchangeEnd::Lost || isCutStream) && !m_stream->mayHaveBeenCut())
         recordLost(address);
     ++m_sentAttempts;
     if (end != ExchangeEnd::Complete)
@@ -403,7 +397,7 @@
     const bool isNotRunStatus = status == statusUnavailable || status == statusTooManyRequests || status == statusRequestTimeout || status == statusMisdirected;
     if (isNotRunStatus)
         return refuse(RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
-    m_exchange->respond(status, m_services.context().ports.calls->encodeAnswer(m_head.fields), m_body.bytes());
+    m_exchange->respond(status, m_services.context().ports.calls->encodeAnswer(m_head.fields), m_body.take());
     if (status < statusMultipleChoices) // an upstream that fails calls may not have run this one
         m_services.crashes().recordFinished(m_crashTraits, m_sentAt);
     end("served", status);
@@ -483,12 +477,13 @@
     leaveQueue();
     releaseUpstream();
     m_body.clear();
+    m_stream->clear();
     m_phase = Phase::Ended;
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
     m_beginTimer.cancel();
     auto& context = m_services.context();
-    context.log.write("call.ended", { { "request", m_call.requestId }, { "route", m_route ? m_route->name : "none" }, { "account", m_account.empty() ? "none" : m_account }, { "outcome", outcome }, { "status", std::to_string(status) }, { "took_ms", millisecondsText(elapsed()) }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "predicted_ms", std::to_string(static_cast<int>(m_predictedFirstEventDelay)) }, { "first_ms", std::to_string(m_firstEventDelay) }, { "answered_version", std::to_string(m_answer.weightsVersion) }, { "configuration", m_routes ? std::to_string(m_routes->configuration().version) : "none" } });
+    context.log.write("call.ended", { { "request", m_call.requestId }, { "route", m_route ? m_route->name : "none" }, { "account", m_account.empty() ? "none" : m_account }, { "outcome", outcome }, { "status", std::to_string(status) }, { "took_ms", millisecondsText(elapsed()) }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "paused_ms", millisecondsText(m_stream->pausedTime()) }, { "predicted_ms", std::to_string(static_cast<int>(m_predictedFirstEventDelay)) }, { "first_ms", std::to_string(m_firstEventDelay) }, { "answered_version", std::to_string(m_answer.weightsVersion) }, { "configuration", m_routes ? std::to_string(m_routes->configuration().version) : "none" } });
     context.metrics.count("calls_total", outcome);
     const auto self = shared_from_this();
     if (m_onEnd)
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -4,6 +4,7 @@
 #include "../http/ServerExchange.h"
 #include "CallAdmission.h"
 #include "EntryServices.h"
+#include "StreamAnswer.h"
 
 namespace hyssopwick {
 
@@ -108,8 +109,7 @@
     HeldAnswer m_body;
     bool m_isStreamAnswer = false;
     bool m_hasHead = false;
-    EventStreamSplitter m_splitter;
-    std::string m_lastEventId; // of the last event that was forwarded to the caller
+    std::shared_ptr<StreamAnswer> m_stream;
     unsigned m_eventsForwarded = 0;
     bool m_isQueued = false;
     double m_predictedFirstEventDelay = 0; // milliseconds after m_sentAt
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -65,6 +65,7 @@
     BOOST_OUTCOME_TRY(listenIfServed(m_readiness, description.readyAddress));
     BOOST_OUTCOME_TRY(listenIfServed(m_directory, description.directoryAddress));
     BOOST_OUTCOME_TRY(listenIfServed(m_callers, description.callerAddress));
+    m_services.answerMemory()->setBufferedBytes([this] { return m_callers.bufferedBytes(); });
     m_gossip.onChange([this] { membersChanged(); });
     m_services.onCapacity([this] {
         if (!m_services.routes())
@@ -209,6 +210,8 @@
 {
     m_peerSocket.exportTraffic();
     m_context.metrics.gauge("calls_open", double(m_calls.size()));
+    m_context.metrics.gauge("answer_bytes_held", double(m_services.answerMemory()->heldBytes()));
+    m_context.metrics.gauge("answers_unread", double(m_callers.unreadAnswers()));
     m_context.metrics.gauge("view_age_milliseconds", double(m_view.age().count()));
     exchange->respond(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.metrics.prometheusText());
 }
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -24,9 +24,6 @@
     // withdrawal has to reach the engine.
     constexpr Milliseconds versionMargin { 500 };
 
-    // Other answers, connections and tables need the rest of the process's memory.
-    constexpr std::size_t answerMemoryDivisor = 4;
-
     // An upstream that lost a call is checked this often: one that has just crashed may still
     // accept a connection.
     constexpr unsigned checksAfterLoss = 2;
@@ -65,7 +62,7 @@
     , m_crashes(context)
     , m_random(stableHash(context.description.node) ^ context.incarnation)
     , m_allowances(context)
-    , m_answerMemory(std::make_shared<AnswerMemory>([&context] { return context.description.memoryBytes / answerMemoryDivisor; }))
+    , m_answerMemory(std::make_shared<AnswerMemory>(context))
 {
     m_allowances.onChange([this] { refresh(); });
     m_crashes.onUnexplainedLoss([this](const std::string& address) {
--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -66,6 +66,8 @@
     bool isReused = false; // the connection was kept
     bool hasAnswerByte = false;
     bool isSent = false;
+    bool isPaused = false;
+    bool isReadDeferred = false; // the next read of the body waits for resume()
     bool isEnded = false;
 };
 
@@ -117,6 +119,22 @@
     end(ExchangeEnd::Cancelled);
 }
 
+void HttpExchange::pause() { m_state->isPaused = true; }
+
+void HttpExchange::resume()
+{
+    auto& state = *m_state;
+    if (state.isEnded || !state.isPaused)
+        return;
+    state.isPaused = false;
+    if (!state.isReadDeferred)
+        return;
+    state.isReadDeferred = false;
+    extendDeadline();
+    // The caller may be within a handler of another exchange.
+    asio::post(state.loop, [self = shared_from_this()] { self->readBody(); });
+}
+
 // A timer that has already expired cannot be cancelled; the generation keeps its handler
 // from taking effect in the next phase.
 void HttpExchange::armDeadlineTimer()
@@ -142,7 +160,7 @@
     auto& state = *m_state;
     // Unread bytes mean that this process is late, not the server.
     error_code error;
-    if (state.socket.available(error) > 0 && !error)
+    if (state.isReadDeferred || (state.socket.available(error) > 0 && !error))
         extendDeadline();
     if (monotonicNow() < state.deadline)
         return armDeadlineTimer();
@@ -267,6 +285,10 @@
         return;
     if (state.parser->is_done())
         return end(ExchangeEnd::Complete);
+    if (state.isPaused) {
+        state.isReadDeferred = true;
+        return;
+    }
     state.parser->get().body().data = state.chunk.data();
     state.parser->get().body().size = state.chunk.size();
     http::async_read_some(state.socket, state.buffer, *state.parser, [self = shared_from_this()](error_code error, std::size_t) {
--- a/modules/hyssopwick_gateway/http/HttpExchange.h
+++ b/modules/hyssopwick_gateway/http/HttpExchange.h
@@ -71,6 +71,13 @@
     /// Closes the connection; the server gets nothing more. No handler is called afterwards.
     void cancel();
 
+    /// Stops reading the answer's body; the server then cannot send more than the socket's buffer
+    /// takes. The time between two pieces is not limited meanwhile, the exchange's end is.
+    void pause();
+
+    /// Reads on after pause().
+    void resume();
+
     /// Returns whether a byte of the request may have left this VM.
     bool isSent() const;
 
--- a/modules/hyssopwick_gateway/http/HttpListener.cpp
+++ b/modules/hyssopwick_gateway/http/HttpListener.cpp
@@ -85,6 +85,10 @@
 
 std::size_t HttpListener::openConnections() const { return m_state->listener->connections.size(); }
 
+std::size_t HttpListener::bufferedBytes() const { return m_state->listener->bufferedBytes; }
+
+std::uint64_t HttpListener::unreadAnswers() const { return m_state->listener->unreadAnswers; }
+
 const std::map<std::string, std::uint64_t>& HttpListener::rejections() const { return m_state->listener->rejections; }
 
 }
--- a/modules/hyssopwick_gateway/http/HttpListener.h
+++ b/modules/hyssopwick_gateway/http/HttpListener.h
@@ -34,6 +34,12 @@
     /// Returns the number of open connections.
     std::size_t openConnections() const;
 
+    /// Returns the bytes of answers that are held for all callers.
+    std::size_t bufferedBytes() const;
+
+    /// Returns how many connections were closed because an answer was not read by its deadline.
+    std::uint64_t unreadAnswers() const;
+
     /// Returns how many connections and requests were refused before the handler, by reason.
     const std::map<std::string, std::uint64_t>& rejections() const;
 
--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -17,6 +17,10 @@
     // them the connection is left unread until the answer is complete.
     constexpr std::size_t maxReadAheadBytes = 16384;
     constexpr std::size_t readBytes = 4096;
+    // A caller's deadline may have passed when its refusal is sent.
+    constexpr Milliseconds minSendTime { 100 };
+    // A kept connection does not retain the buffer of a long answer.
+    constexpr std::size_t maxRetainedBytes = 16384;
 
     std::string hostWithoutPort(boost::beast::string_view host)
     {
@@ -79,6 +83,28 @@
         }
     }
 
+    std::size_t unsentBytes() const override
+    {
+        const auto connection = openConnection();
+        return connection ? connection->m_bufferedBytes - connection->m_sentBytes : 0;
+    }
+
+    void onSent(std::function<void()> handler) override { m_onSent = std::move(handler); }
+
+    void sendBy(TimePoint deadline) override
+    {
+        if (const auto connection = openConnection())
+            connection->m_sendBy = deadline;
+    }
+
+    void handleSent() const
+    {
+        if (m_isEnded || !m_onSent)
+            return;
+        const auto handler = m_onSent;
+        handler();
+    }
+
     void onCallerLeft(std::function<void()> handler) override { m_onCallerLeft = std::move(handler); }
 
     void onDone(std::function<void()> handler) override { m_onDone = std::move(handler); }
@@ -108,6 +134,7 @@
     ServerRequest m_request;
     std::function<void()> m_onCallerLeft;
     std::function<void()> m_onDone;
+    std::function<void()> m_onSent;
     bool m_isEnded = false;
 };
 
@@ -122,6 +149,7 @@
 ServerConnection::~ServerConnection()
 {
     m_listener->connections.erase(this);
+    releaseBuffered(m_bufferedBytes);
     endExchange();
 }
 
@@ -267,6 +295,7 @@
     request.receivedAt = monotonicNow();
     m_exchange = std::make_shared<Exchange>(weak_from_this(), std::move(request));
     ++m_listener->openExchanges;
+    m_sendBy.reset();
     // No handler of the socket is pending while a full read-ahead waits for the answer.
     m_self = shared_from_this();
     watchCaller();
@@ -350,33 +379,62 @@
 {
     if (m_isClosed)
         return;
+    m_bufferedBytes += data.size();
+    m_listener->bufferedBytes += data.size();
     m_unsent.push_back(std::move(data));
     m_isLastQueued = m_isLastQueued || isLast;
+    if (isLast && m_sendBy) {
+        armTimer(std::max(*m_sendBy, monotonicNow() + minSendTime), [this] {
+            ++m_listener->unreadAnswers;
+            close();
+        });
+    }
     flush();
 }
 
+void ServerConnection::releaseBuffered(std::size_t bytes)
+{
+    m_bufferedBytes -= bytes;
+    m_listener->bufferedBytes -= bytes;
+}
+
 void ServerConnection::flush()
 {
     if (m_isSending || m_isClosed)
         return;
-    if (m_unsent.empty()) {
-        if (m_isLastQueued)
-            answerDone();
-        return;
+    if (m_sentBytes == m_sending.size()) {
+        releaseBuffered(m_sending.size());
+        m_sentBytes = 0;
+        m_sending.clear();
+        if (m_sending.capacity() > maxRetainedBytes)
+            m_sending.shrink_to_fit();
+        if (m_unsent.empty()) {
+            if (m_isLastQueued)
+                answerDone();
+            return;
+        }
+        if (m_unsent.size() == 1)
+            m_sending = std::move(m_unsent.front());
+        else
+            for (const auto& data : m_unsent)
+                m_sending += data;
+        m_unsent.clear();
     }
-    m_sending.clear();
-    for (auto& data : m_unsent)
-        m_sending += data;
-    m_unsent.clear();
     m_isSending = true;
-    asio::async_write(m_socket, asio::buffer(m_sending), [self = shared_from_this()](error_code error, std::size_t) {
-        self->m_isSending = false;
-        if (self->m_isClosed)
-            return;
-        if (error)
-            return self->handleCallerLeft();
-        self->flush();
-    });
+    m_socket.async_write_some(asio::buffer(m_sending.data() + m_sentBytes, m_sending.size() - m_sentBytes), [self = shared_from_this()](error_code error, std::size_t size) { self->handleSent(error, size); });
+}
+
+void ServerConnection::handleSent(error_code error, std::size_t size)
+{
+    m_isSending = false;
+    if (m_isClosed)
+        return;
+    if (error)
+        return handleCallerLeft();
+    m_sentBytes += size;
+    flush();
+    if (const auto exchange = m_exchange)
+        exchange->handleSent();
 }
 
 void ServerConnection::answerDone()
@@ -420,6 +478,9 @@
     error_code ignored;
     m_timer.cancel(ignored);
     m_socket.close(ignored);
+    m_unsent.clear();
+    releaseBuffered(m_bufferedBytes);
+    m_sentBytes = 0;
     endExchange();
 }
 
--- a/modules/hyssopwick_gateway/http/ServerConnection.h
+++ b/modules/hyssopwick_gateway/http/ServerConnection.h
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/optional.hpp>
 #include <deque>
+#include <optional>
 #include <set>
 
 namespace hyssopwick {
@@ -25,6 +26,8 @@
     std::set<ServerConnection*> connections;
     std::map<std::string, std::uint64_t> rejections;
     std::size_t openExchanges = 0;
+    std::size_t bufferedBytes = 0; // of answers, over all connections
+    std::uint64_t unreadAnswers = 0;
     bool isClosing = false;
 };
 
@@ -60,6 +63,8 @@
     void sendStreamHead(unsigned status, const HeaderFields& fields);
     void enqueue(std::string data, bool isLast);
     void flush();
+    void handleSent(boost::system::error_code error, std::size_t size);
+    void releaseBuffered(std::size_t bytes);
     void answerDone();
     void endExchange();
     void closeLingering();
@@ -77,6 +82,9 @@
     std::shared_ptr<ServerConnection> m_self; // while an exchange is open
     std::deque<std::string> m_unsent;
     std::string m_sending;
+    std::size_t m_sentBytes = 0; // of m_sending
+    std::size_t m_bufferedBytes = 0; // of m_sending and m_unsent
+    std::optional<TimePoint> m_sendBy;
     unsigned m_timerGeneration = 0;
     bool m_isSending = false;
     bool m_isLastQueued = false;
--- a/modules/hyssopwick_gateway/http/ServerExchange.h
+++ b/modules/hyssopwick_gateway/http/ServerExchange.h
@@ -37,6 +37,16 @@
     /// Closes the connection, so that the answer cannot be taken for complete.
     virtual void abort() = 0;
 
+    /// Returns how many bytes of the answer wait for the caller's socket.
+    virtual std::size_t unsentBytes() const { return 0; }
+
+    /// Sets the handler that is called whenever the socket has taken bytes of an unfinished answer.
+    virtual void onSent(std::function<void()>) { }
+
+    /// Closes the connection when an ended answer was not taken by the socket in full by
+    /// \p deadline, or shortly after the answer's end if that is later.
+    virtual void sendBy(TimePoint) { }
+
     /// Sets the handler that is called once when the caller leaves before the answer has ended.
     virtual void onCallerLeft(std::function<void()> handler) = 0;
 
--- a/modules/hyssopwick_requests/hyssopwick_requests.h
+++ b/modules/hyssopwick_requests/hyssopwick_requests.h
@@ -25,4 +25,5 @@
 #include "routing/Refusal.h"
 #include "routing/RouteDecision.h"
 #include "streams/EventStreamSplitter.h"
+#include "streams/ReadingPause.h"
 #include "upstream_admission/UpstreamAdmissionDecision.h"
--- a/modules/hyssopwick_requests/placing/EnginePool.cpp
+++ b/modules/hyssopwick_requests/placing/EnginePool.cpp
@@ -226,11 +226,36 @@
     return candidates;
 }
 
+// Reports count tokens times layers, the configured capacity counts tokens.
+bool EnginePool::hasTokenMemory(const Engine& engine, const CallSize& size, TimePoint now) const
+{
+    const bool hasFreshReport = engine.hasReport && now - engine.reportedAt < maxReportAge;
+    if (m_speed.tokenCapacity <= 0 || !hasFreshReport || engine.report.tokenCapacity <= 0)
+        return true;
+    double free = m_speed.tokenCapacity * (engine.report.tokenCapacity - engine.report.usedTokens) / engine.report.tokenCapacity;
+    for (const auto call : engine.calls) {
+        const auto& sent = m_calls.at(call);
+        if (sent.sentAt + reportLag >= engine.reportedAt)
+            free -= sent.size.promptTokens + sent.size.answerTokens;
+    }
+    return size.promptTokens + size.answerTokens <= free;
+}
+
+std::set<std::string> EnginePool::withFullEngines(const std::set<std::string>& excluded, const CallSize& size, TimePoint now) const
+{
+    auto all = excluded;
+    for (const auto& [id, engine] : m_engines) {
+        if (!hasTokenMemory(engine, size, now))
+            all.insert(id);
+    }
+    return all;
+}
+
 std::optional<EngineChoice> EnginePool::choose(const CallSize& size, const std::set<std::string>& excluded, TimePoint now, bool isContended)
 {
     std::optional<EngineChoice> best;
     double bestScore = 0;
-    for (const auto& id : sampleEngines(excluded, isContended)) {
+    for (const auto& id : sampleEngines(withFullEngines(excluded, size, now), isContended)) {
         const auto prediction = predict(id, size, now);
         const auto reloadingSoon = m_reloadingSoon.find(id);
         const bool isReloadingSoon = reloadingSoon != m_reloadingSoon.end();
--- a/modules/hyssopwick_requests/placing/EnginePool.h
+++ b/modules/hyssopwick_requests/placing/EnginePool.h
@@ -96,7 +96,7 @@
 
     /// Chooses, from a few random engines, the one with the earliest predicted first event.
     /// Engines in other regions and those that reload soon get a penalty; those that reload
-    /// before that event are left out. Returns nothing if no engine can take the call.
+    /// before that event are left out, and those whose token memory the call exceeds. Returns nothing if no engine can take the call.
     /// \param excluded  engines to which the call was already sent; such a call avoids
     ///                  engines that reload soon, since it cannot be moved again
     /// \param isContended  calls wait for engines. All entries would send to an engine as
@@ -132,6 +132,8 @@
     };
 
     bool hasPlace(const std::string& upstream) const;
+    bool hasTokenMemory(const Engine& engine, const CallSize& size, TimePoint now) const;
+    std::set<std::string> withFullEngines(const std::set<std::string>& excluded, const CallSize& size, TimePoint now) const;
     double spareCalls(const Engine& engine, TimePoint now) const;
     std::vector<std::string> sampleEngines(const std::set<std::string>& excluded, bool isContended);
     Load loadOf(const Engine& engine, TimePoint now) const;
--- a/modules/hyssopwick_requests/routing/Refusal.cpp
+++ b/modules/hyssopwick_requests/routing/Refusal.cpp
@@ -34,6 +34,7 @@
         { RefusalReason::OutcomeUnknown, "outcome-unknown", 409 },
         { RefusalReason::CrashSuspected, "crash-suspected", 422 },
         { RefusalReason::EntryLeaving, "entry-leaving", 503 },
+        { RefusalReason::EntryBusy, "entry-busy", 503 },
         { RefusalReason::NotReady, "not-ready", 503 },
         { RefusalReason::TooLarge, "too-large", 413 },
     };
--- a/modules/hyssopwick_requests/routing/Refusal.h
+++ b/modules/hyssopwick_requests/routing/Refusal.h
@@ -36,6 +36,7 @@
     OutcomeUnknown,
     CrashSuspected,
     EntryLeaving,
+    EntryBusy,
     NotReady,
     TooLarge,
 };
--- a/tests/LoadTests.cpp
+++ b/tests/LoadTests.cpp
@@ -229,6 +229,28 @@
     CHECK_FALSE(pool.choose({ 900, 90 }, {}, at(3)).has_value());
 }
 
+// Guards against calls that an engine has to hold back or that exceed its memory, and against
+// comparing tokens with tokens times layers.
+TEST(EnginePool, ACallThatExceedsAnEnginesFreeTokenMemoryIsNotSentToIt)
+{
+    EnginePool pool(1);
+    auto speed = platformSpeed();
+    speed.tokenCapacity = 10000;
+    pool.setSpeed(speed);
+    pool.setEngines({ "a" });
+    EngineReport report;
+    report.tokenCapacity = 320000; // 32 layers
+    report.usedTokens = 288000; // leaves 1,000 tokens
+    pool.recordReport("a", report, at(0));
+    CHECK_FALSE(pool.choose({ 900, 101 }, {}, at(10)).has_value());
+    CHECK(pool.choose({ 900, 100 }, {}, at(10)).has_value());
+    pool.recordSend("a", 1, { 900, 90 }, at(10));
+    CHECK_FALSE(pool.choose({ 10, 1 }, {}, at(10)).has_value());
+    pool.recordEnd(1, at(20));
+    CHECK(pool.choose({ 900, 100 }, {}, at(20)).has_value());
+    CHECK(pool.choose({ 900, 101 }, {}, at(60000)).has_value()); // the report is too old
+}
+
 TEST(EnginePool, AReportThatIsTooOldIsIgnored)
 {
     EnginePool pool(1);
--- a/tests/platform/CallAdmissionTests.cpp
+++ b/tests/platform/CallAdmissionTests.cpp
@@ -81,3 +81,15 @@
     CHECK(canEndBefore(at(needed), admitted, &engines, at(0)));
     CHECK_FALSE(canEndBefore(at(needed - 1), admitted, &engines, at(0)));
 }
+
+// Guards against a call that waits for an engine although none can ever hold it.
+TEST(CallAdmission, ACallThatExceedsAnEnginesWholeTokenMemoryIsRefusedAtOnce)
+{
+    configuration.services["plain"].engine.emplace().tokenCapacity = 1000;
+    call.promptTokens = 900;
+    call.maxAnswerTokens = 100;
+    CHECK(std::holds_alternative<AdmittedCall>(admit()));
+    call.maxAnswerTokens = 101;
+    const auto admission = admit();
+    LONGS_EQUAL(503, std::get<RejectedCall>(admission).status);
+}
