--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -22,9 +22,6 @@
     // withdrawal has to reach the engine.
     constexpr Milliseconds versionMargin { 500 };
 
-    // Other answers, connections and tables need the rest of the process's memory.
-    constexpr std::size_t answerMemoryDivisor = 4;
-
     const char* registrationEndName(RegistrationEnd end)
     {
         switch (end) {
@@ -59,7 +56,7 @@
     , m_random(stableHash(context.description.node) ^ context.incarnation)
     , m_checks(context, [this](const std::string& address) { m_crashes.recordUpstreamDown(address); })
     , m_allowances(context)
-    , m_answerMemory(std::make_shared<AnswerMemory>([&context] { return context.description.memoryBytes / answerMemoryDivisor; }))
+    , m_answerMemory(std::make_shared<AnswerMemory>(context))
 {
     m_allowances.onChange([this] { refresh(); });
     m_crashes.onUnexplainedLoss([this](const std::string& address) { m_checks.start(address); });
--- a/modules/hyssopwick_requests/routing/Refusal.h
+++ b/modules/hyssopwick_requests/routing/Refusal.h
@@ -37,6 +37,7 @@
     OutcomeUnknown,
     CrashSuspected,
     EntryLeaving,
+    EntryBusy,
     NotReady,
     TooLarge,
 };
