Agents divide their engines by demand and state an admission level

Every share of an engine was even (1/n), so that entry VMs with more callers than others refused calls while engines were free, and a burst of the least urgent kind made all kinds late.

The agent beside an engine keeps the demand of its subscribers (EngineDivision) and states to each its share and the common admission level; CallQueue and EnginePool use both (EngineShares, DeferralDecision, DemandEstimate). The whole places that end in a share replace randomly rounded ones, so that the sends of all entry VMs add up to the free places. Subscriptions carry the demand, updates the share and the level; messages without them still decode. Subscriptions of an entry and updates of an agent are classes of their own; EntryServices and AgentGateway shrink.

--- a/fakes/hyssopwick_fakes/hyssopwick_fakes.h
+++ b/fakes/hyssopwick_fakes/hyssopwick_fakes.h
@@ -13,3 +13,4 @@
 #include "FakeSwarmNetwork.h"
 #include "FakeVmList.h"
 #include "LoadSimulation.h"
+#include "PoolSimulation.h"
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -7,16 +7,9 @@
     constexpr const char* agentKind = "agent";
     // The engine is on the same VM, so polling it is cheap.
     constexpr Milliseconds reportPeriod { 80 };
-    // Entries choose engines for calls by these updates. A stream occupies an engine for about
-    // a second; small changes wait for the period, larger ones are sent at once.
-    constexpr Milliseconds updatePeriod { 200 };
-    constexpr int significantCallChange = 3;
     constexpr Milliseconds loadingReportPeriod { 50 };
     constexpr Milliseconds failedReportDelay { 50 };
     constexpr unsigned failuresToDeclareDown = 2;
-    // Entries treat an engine's state as unknown after 1.5 s without an update.
-    constexpr Milliseconds updateKeepalive { 500 };
-    constexpr Milliseconds subscriptionLifetime { 5000 };
     constexpr Milliseconds announcementPeriod { 400 };
     // The version that engines have loaded before any is published.
     constexpr std::uint64_t firstVersion = 1;
@@ -45,6 +38,7 @@
           context.loop, [this](const ServerExchangePointer& exchange) { serveInternal(exchange); }, [] { return CallerLimits(); })
     , m_metrics(
           context.loop, [this](const ServerExchangePointer& exchange) { serveMetrics(exchange); }, [] { return CallerLimits(); })
+    , m_updates(context, m_peerSocket)
     , m_pollTimer(context.loop)
     , m_registry(context.description.drainBound)
 {
@@ -151,7 +145,6 @@
 
 void AgentGateway::sendUpdate(bool isUrgent)
 {
-    const auto now = monotonicNow();
     EngineUpdate update;
     update.engineAddress = m_context.description.engineAddress;
     update.report = m_report;
@@ -159,30 +152,7 @@
     if (m_activation && m_activation->isLoading())
         update.availability = EngineAvailability::Draining;
     update.readyIn = readyIn();
-    const bool isNew = !(update.report == m_lastUpdate.report) || update.isAnswering != m_lastUpdate.isAnswering || update.availability != m_lastUpdate.availability;
-    const auto callCount = [](const EngineReport& report) { return int(report.runningCalls) + int(report.waitingCalls); };
-    const bool isSignificant = std::abs(callCount(update.report) - callCount(m_lastUpdate.report)) >= significantCallChange || update.report.loadedVersions != m_lastUpdate.report.loadedVersions || update.report.isLeaving != m_lastUpdate.report.isLeaving || update.isAnswering != m_lastUpdate.isAnswering || update.availability != m_lastUpdate.availability;
-    const auto due = m_lastUpdateAt + (isNew ? updatePeriod : updateKeepalive);
-    if (!isUrgent && !isSignificant && now < due)
-        return;
-    m_lastUpdate = update;
-    m_lastUpdateAt = now;
-    std::set<std::string> addresses;
-    for (auto subscriber = m_subscribers.begin(); subscriber != m_subscribers.end();) {
-        if (now > subscriber->second + subscriptionLifetime) {
-            subscriber = m_subscribers.erase(subscriber);
-            continue;
-        }
-        addresses.insert(subscriber->first);
-        ++subscriber;
-    }
-    // Of a large fleet, the entries that use this engine subscribe. A started agent informs all
-    // until it knows them.
-    if (EngineSubset::isWholeOf(m_peers.size() + 1) || addresses.empty()) {
-        for (const auto& [id, vm] : m_entries)
-            addresses.insert(vm.address);
-    }
-    m_peerSocket.sendToAll({ addresses.begin(), addresses.end() }, update);
+    m_updates.send(update, isUrgent, m_entries, m_peers.size() + 1);
 }
 
 // The time to fetch the missing chunks over this VM's link, and to load them.
@@ -395,11 +365,9 @@
         void operator()(const SuspicionDigest&) const { }
         void operator()(const SuspicionUpdate&) const { }
         void operator()(const LimitObservation&) const { }
-        void operator()(const UpdateSubscription&) const
+        void operator()(const UpdateSubscription& subscription) const
         {
-            const bool isNew = agent.m_subscribers.count(sender) == 0;
-            agent.m_subscribers[sender] = monotonicNow();
-            if (isNew && agent.m_hasReport)
+            if (agent.m_updates.recordSubscription(sender, subscription) && agent.m_hasReport)
                 agent.sendUpdate(true);
         }
         void operator()(const ActivationUpdate& update) const
@@ -452,6 +420,7 @@
 void AgentGateway::serveMetrics(const ServerExchangePointer& exchange)
 {
     m_peerSocket.exportTraffic();
+    m_updates.exportMetrics();
     m_context.metrics.gauge("weights_loaded_version", double(loadedVersion()));
     m_context.metrics.gauge("view_age_milliseconds", double(m_view.age().count()));
     exchange->respond(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.metrics.prometheusText());
--- a/modules/hyssopwick_gateway/agent/AgentGateway.h
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.h
@@ -5,6 +5,7 @@
 #include "../runtime/PeerSocket.h"
 #include "../view/ViewReplicator.h"
 #include "EngineActivation.h"
+#include "EngineUpdates.h"
 
 #include <hyssopwick_requests.h>
 
@@ -61,10 +62,10 @@
     EngineClient m_engine;
     HttpListener m_internal;
     HttpListener m_metrics;
+    EngineUpdates m_updates;
     LoopTimer m_pollTimer;
     UpstreamRegistry m_registry;
     std::map<std::string, VmIdentity> m_entries; // registered in the store
-    std::map<std::string, TimePoint> m_subscribers; // time of the last subscription, by address
     std::optional<ServiceDescription> m_service;
     std::optional<ServiceDescription> m_origin;
     std::map<std::uint64_t, KnownVersion> m_versions; // of the service's first model
@@ -82,8 +83,6 @@
     bool m_hasReport = false;
     bool m_isAnswering = false;
     unsigned m_failedPolls = 0;
-    EngineUpdate m_lastUpdate;
-    TimePoint m_lastUpdateAt;
     TimePoint m_lastAnnouncementAt;
 };
 
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -37,6 +37,7 @@
     , m_peerSocket(context)
     , m_gossip(context, m_peerSocket)
     , m_services(context)
+    , m_subscriptions(m_services, m_peerSocket, [this] { return m_gossip.self(); })
     , m_view(context, m_gossip.self(), true)
     , m_blockRecords(context)
     , m_callers(
@@ -102,12 +103,13 @@
     observer.onNode = [this](const RegisteredNode& node) { m_gossip.addRegisteredNode(node); };
     observer.onBatchEnd = [this] {
         m_services.refresh();
-        subscribeToAgents();
+        m_subscriptions.send();
         updateReadiness();
     };
     m_view.start(std::move(observer));
     m_gossip.start();
     registerInStore();
+    m_subscriptions.start();
     maintain();
     return success();
 }
@@ -145,7 +147,7 @@
     for (const auto id : decisions.refused) {
         const auto call = m_calls.find(id);
         if (call != m_calls.end())
-            std::shared_ptr<CallFlow>(call->second)->refuseUnservable(decisions.retryAfter);
+            std::shared_ptr<CallFlow>(call->second)->refuseUnservable(decisions.retryAfterOf(id));
     }
     const auto wake = queue.nextWake();
     if (!wake)
@@ -293,7 +295,6 @@
 void EntryGateway::maintain()
 {
     const auto next = m_services.maintain();
-    subscribeToAgents();
     repeatToPeer();
     m_maintenanceTimer.expires_at(next);
     m_maintenanceTimer.async_wait([this](boost::system::error_code error) {
@@ -302,12 +303,6 @@
     });
 }
 
-void EntryGateway::subscribeToAgents()
-{
-    for (const auto& address : m_services.agentsToSubscribe())
-        m_peerSocket.send(address, UpdateSubscription { m_gossip.self() });
-}
-
 void EntryGateway::registerInStore()
 {
     const auto now = monotonicNow();
--- a/modules/hyssopwick_gateway/entry/EntryGateway.h
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.h
@@ -6,6 +6,7 @@
 #include "../runtime/PeerSocket.h"
 #include "../view/ViewReplicator.h"
 #include "CallFlow.h"
+#include "EngineSubscriptions.h"
 #include "EntryServices.h"
 #include "PromptBlockRecords.h"
 
@@ -39,7 +40,6 @@
     void membersChanged();
     void updateReadiness();
     void maintain();
-    void subscribeToAgents();
     void registerInStore();
     void renewRegistration();
     void scheduleRegistration(Milliseconds delay);
@@ -51,6 +51,7 @@
     PeerSocket m_peerSocket;
     MemberGossip m_gossip;
     EntryServices m_services;
+    EngineSubscriptions m_subscriptions;
     ViewReplicator m_view;
     PromptBlockRecords m_blockRecords;
     HttpListener m_callers;
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -17,8 +17,6 @@
     // has said so too.
     constexpr Milliseconds departureRepeatTime { 10000 };
     constexpr Milliseconds maxMaintenanceDelay { 500 };
-    // Agents forget a subscription after 5 s; one that was lost or forgotten at a restart is renewed before.
-    constexpr Milliseconds subscriptionPeriod { 1000 };
     // Time left before the bound on weights versions when calls that have not begun on older
     // weights are withdrawn: the record of the version took some time to arrive, and the
     // withdrawal has to reach the engine.
@@ -288,7 +286,7 @@
             queue(name).setExpectedEngines(enginesExpectedAt(used.upstreams), used.upstreams.size());
             for (const auto& id : usable) {
                 if (const auto* status = engineAt(m_registry.find(id)->address))
-                    pool.recordReport(id, status->update.report, status->receivedAt);
+                    pool.recordReport(id, status->update.report, status->receivedAt, status->update.division);
             }
         } else if (service.originAddress.empty()) {
             std::map<std::string, unsigned> slots;
@@ -351,7 +349,7 @@
     }
     for (const auto* upstream : m_registry.usableAt(update.engineAddress)) {
         if (auto* pool = enginePool(upstream->service))
-            pool->recordReport(upstream->id, update.report, monotonicNow());
+            pool->recordReport(upstream->id, update.report, monotonicNow(), update.division);
     }
     if (m_onCapacity)
         m_onCapacity();
@@ -434,27 +432,4 @@
 
 UpstreamPool& EntryServices::plainPool(const std::string& service) { return m_plainPools.try_emplace(service, m_random.next()).first->second; }
 
-std::vector<std::string> EntryServices::agentsToSubscribe()
-{
-    std::vector<std::string> addresses;
-    if (!m_routes)
-        return addresses;
-    const auto now = monotonicNow();
-    for (const auto& [name, service] : m_routes->configuration().services) {
-        if (!service.engine)
-            continue;
-        const auto& used = usedEngines(name);
-        for (const auto* upstream : used.upstreams) {
-            const auto agent = upstream->address.substr(0, upstream->address.find(':')) + ":" + std::to_string(m_context.description.internalPort);
-            const auto last = m_subscribedAt.find(agent);
-            const bool isDue = last == m_subscribedAt.end() || now >= last->second + subscriptionPeriod;
-            if (engineAt(upstream->address) && (used.subset.isWhole() || !isDue))
-                continue;
-            m_subscribedAt[agent] = now;
-            addresses.push_back(agent);
-        }
-    }
-    return addresses;
-}
-
 }
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -94,10 +94,8 @@
     /// Returns for how long after the publication of a version calls may begin on older weights.
     Milliseconds oldWeightsGracePeriod() const;
 
-    /// Returns the addresses of the agents whose updates this entry should subscribe to now: of
-    /// the engines that it uses, those without a recent update, and in a large fleet all, again
-    /// after a time.
-    std::vector<std::string> agentsToSubscribe();
+    /// Returns the engines of a service that this entry uses, until the next change of the registry.
+    const std::vector<const Upstream*>& enginesInUse(const std::string& service) { return usedEngines(service).upstreams; }
 
     /// Sets when this process, which is stopping, aborts the calls that still run.
     void setStopBy(TimePoint stopBy) { m_stopBy = stopBy; }
@@ -146,7 +144,6 @@
     std::map<std::string, std::string> m_entries; // the others' regions, by id
     std::uint64_t m_entriesRevision = 1;
     std::map<std::string, UsedEngines> m_usedEngines; // by service
-    std::map<std::string, TimePoint> m_subscribedAt; // by agent's address
     std::optional<TimePoint> m_stopBy;
     std::map<std::string, UpstreamPool> m_plainPools;
     RetryBudget m_retryBudget;
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
@@ -38,6 +38,58 @@
 
     constexpr double noLimit = -1;
 
+    // Units of the division of an engine in messages: integers are shorter than floating-point numbers.
+    constexpr double shareUnit = 1e-4;
+    constexpr double levelUnit = 1e-3;
+    constexpr int notStated = -1;
+
+    // The engine milliseconds per second of each priority, without those after the last one with demand.
+    Json demandToJson(const EngineDemand& demand)
+    {
+        Json json = Json::array();
+        std::size_t pending = 0; // priorities without demand since the last one with demand
+        for (unsigned priority = 0; priority < EngineDemand::priorities; ++priority) {
+            ++pending;
+            if (const auto rate = std::llround(demand.of(priority)); rate > 0) {
+                for (; pending > 1; --pending)
+                    json.push_back(0);
+                json.push_back(rate);
+                pending = 0;
+            }
+        }
+        return json;
+    }
+
+    EngineDemand demandFromJson(const Json& json)
+    {
+        EngineDemand demand;
+        unsigned priority = 0;
+        for (const auto& item : json) {
+            const auto rate = item.get<double>();
+            if (!std::isfinite(rate) || rate < 0 || priority >= EngineDemand::priorities)
+                throw std::invalid_argument("malformed demand");
+            demand.add(priority++, rate);
+        }
+        return demand;
+    }
+
+    Json statementToJson(const EngineStatement& statement)
+    {
+        if (!statement.share)
+            return Json::array();
+        return { std::llround(*statement.share / shareUnit), std::llround(statement.begin / shareUnit), statement.level ? std::llround(statement.level->value() / levelUnit) : notStated };
+    }
+
+    EngineStatement statementFromJson(const Json& json)
+    {
+        if (json.empty())
+            return {};
+        EngineStatement statement { std::clamp(json.at(0).get<int>() * shareUnit, 0.0, 1.0), std::clamp(json.at(1).get<int>() * shareUnit, 0.0, 1.0), std::nullopt };
+        if (const auto level = json.at(2).get<int>(); level >= 0)
+            statement.level = AdmissionLevel(level * levelUnit);
+        return statement;
+    }
+
     // Each encoder writes an array; its first element is the index of the alternative.
     struct Encoder {
         Json operator()(const PingMessage& message) const
@@ -57,12 +109,15 @@
             const auto& report = message.report;
             return { message.upstream, message.engineAddress, message.isAnswering, static_cast<int>(message.availability), report.orderSequence, report.isOrderRunning,
                 report.waitingCalls, report.runningCalls, report.usedTokens, report.tokenCapacity, report.slowdownFactor, report.startedAt, Json(report.loadedVersions),
-                message.readyIn ? message.readyIn->count() : std::int64_t(-1), std::llround(report.pendingPromptTokens), report.isLeaving };
+                message.readyIn ? message.readyIn->count() : std::int64_t(-1), std::llround(report.pendingPromptTokens), report.isLeaving, statementToJson(message.division) };
         }
         Json operator()(const UpdateSubscription& message) const
         {
             const auto& vm = message.subscriber;
-            return { vm.id, vm.address, vm.region, vm.failureDomain, vm.kind };
+            Json json { vm.id, vm.address, vm.region, vm.failureDomain, vm.kind };
+            if (message.demand)
+                json.push_back(demandToJson(*message.demand));
+            return json;
         }
         Json operator()(const CrashObservation& message) const { return { message.digest, message.upstream, message.promptBlocks, message.sentAgo.count(), message.lostAgo.count() }; }
         Json operator()(const ActivationUpdate& message) const
@@ -118,6 +173,8 @@
             update.readyIn = Milliseconds(readyIn);
         json.at(15).get_to(report.pendingPromptTokens);
         json.at(16).get_to(report.isLeaving);
+        if (json.size() > 17) // absent from a process before an upgrade
+            update.division = statementFromJson(json.at(17));
         return update;
     }
 
@@ -184,7 +241,8 @@
             return engineUpdateFromJson(json);
         case 4:
             return UpdateSubscription { { json.at(1).get<std::string>(), json.at(2).get<std::string>(), json.at(3).get<std::string>(),
-                json.at(4).get<std::string>(), json.at(5).get<std::string>() } };
+                                            json.at(4).get<std::string>(), json.at(5).get<std::string>() },
+                json.size() > 6 ? std::optional<EngineDemand>(demandFromJson(json.at(6))) : std::nullopt };
         case 5:
             return crashObservationFromJson(json);
         case 6:
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.h
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.h
@@ -42,11 +42,13 @@
     bool isAnswering = true; ///< whether the engine answers its agent
     EngineAvailability availability = EngineAvailability::Serving;
     std::optional<Milliseconds> readyIn; ///< estimated time until an engine without weights serves
+    EngineStatement division; ///< for the receiver; empty from an agent before an upgrade
 };
 
 /// An entry's subscription to the engine updates of an agent.
 struct UpdateSubscription {
     VmIdentity subscriber;
+    std::optional<EngineDemand> demand; ///< on the agent's engine; nothing from an entry VM before an upgrade
 };
 
 /// A request that was in flight at an upstream that crashed.
--- a/modules/hyssopwick_requests/placing/EnginePool.cpp
+++ b/modules/hyssopwick_requests/placing/EnginePool.cpp
@@ -42,6 +42,7 @@
         engine = upstreams.count(engine->first) == 0 ? m_engines.erase(engine) : std::next(engine);
     for (const auto& upstream : upstreams)
         m_engines[upstream];
+    m_shares.retain(upstreams);
 }
 
 void EnginePool::setCallLimits(std::map<std::string, CallLimit> limits, std::optional<TimePoint> nextPlace)
@@ -62,22 +63,26 @@
     return hasAnyPlace || m_engines.empty() ? now : std::max(now, m_nextPlace.value_or(now));
 }
 
-void EnginePool::recordReport(const std::string& upstream, const EngineReport& report, TimePoint reportedAt)
+void EnginePool::recordReport(const std::string& upstream, const EngineReport& report, TimePoint reportedAt, const EngineStatement& statement)
 {
     const auto found = m_engines.find(upstream);
     if (found == m_engines.end())
         return;
+    // The places of a share are given out once, also if its message is recorded again.
+    if (statement.share && found->second.hasReport && found->second.reportedAt == reportedAt)
+        return;
+    m_shares.record(upstream, statement, reportedAt);
     found->second.report = report;
     found->second.reportedAt = reportedAt;
     found->second.hasReport = true;
     found->second.endedSinceReport = 0;
-    found->second.sendAllowance = std::floor(spareCalls(found->second, reportedAt) / m_entryCount + m_random.unit());
+    found->second.sendAllowance = m_shares.placesOf(upstream, spareCalls(upstream, found->second, reportedAt), m_random.unit(), reportedAt);
 }
 
 // How many typical calls the engine can take before their first events take too long.
-double EnginePool::spareCalls(const Engine& engine, TimePoint now) const
+double EnginePool::spareCalls(const std::string& id, const Engine& engine, TimePoint now) const
 {
-    const auto load = loadOf(engine, now);
+    const auto load = loadOf(id, engine, now);
     const double prefill = m_speed.typicalPromptTokens / m_speed.promptTokensPerMillisecond;
     const double sparePromptCalls = (maxContendedWaitMilliseconds - load.pendingPromptTokens / m_speed.promptTokensPerMillisecond) / prefill;
     const double spareSlotCalls = double(m_speed.slots) - load.running - load.waiting + maxContendedWaitMilliseconds / slotIntervalMilliseconds(m_speed.slots);
@@ -135,18 +140,35 @@
     return prefill + m_speed.typicalAnswerTokens * stepMilliseconds(running) / m_speed.slots;
 }
 
-double EnginePool::callsPerMillisecond() const
+double EnginePool::engineMilliseconds(const CallSize& size) const
+{
+    return size.promptTokens / m_speed.promptTokensPerMillisecond + size.answerTokens * stepMilliseconds(m_speed.slots) / m_speed.slots;
+}
+
+double EnginePool::relativeSize(const CallSize& size) const { return engineMilliseconds(size) / slotIntervalMilliseconds(m_speed.slots); }
+
+double EnginePool::ownCallsPerMillisecond(TimePoint now) const
 {
     double rate = 0;
     for (const auto& [id, engine] : m_engines) {
         const double engineRate = 1 / (slotIntervalMilliseconds(m_speed.slots) * std::max(1.0, engine.report.slowdownFactor));
         const auto limit = m_callLimits.find(id);
-        rate += limit == m_callLimits.end() ? engineRate : std::min(engineRate, limit->second.callsPerMillisecond);
+        rate += (limit == m_callLimits.end() ? engineRate : std::min(engineRate, limit->second.callsPerMillisecond)) * m_shares.shareOf(id, now);
     }
     return rate;
 }
 
-EnginePool::Load EnginePool::loadOf(const Engine& engine, TimePoint now) const
+double EnginePool::meanShare(TimePoint now) const
+{
+    if (m_engines.empty())
+        return 1 / m_shares.entryCount();
+    double sum = 0;
+    for (const auto& [id, engine] : m_engines)
+        sum += m_shares.shareOf(id, now);
+    return sum / double(m_engines.size());
+}
+
+EnginePool::Load EnginePool::loadOf(const std::string& id, const Engine& engine, TimePoint now) const
 {
     Load load;
     const bool hasFreshReport = engine.hasReport && now - engine.reportedAt < maxReportAge;
@@ -154,10 +176,12 @@
         load.running = std::max(0.0, double(engine.report.runningCalls) - engine.endedSinceReport);
         load.waiting = engine.report.waitingCalls;
         load.pendingPromptTokens = engine.report.pendingPromptTokens + load.waiting * m_speed.typicalPromptTokens;
-        // Assumes that each other entry sends as much as this one, evenly over all engines.
+        // Of a divided engine, the other entries use the places that their shares give them, and about as
+        // many calls end. Otherwise assumes that each of them sends as much as this one, evenly
+        // over all engines.
         const auto since = std::lower_bound(m_recentSendTimes.begin(), m_recentSendTimes.end(), engine.reportedAt);
         const double ownSends = double(m_recentSendTimes.end() - since);
-        const double others = ownSends * (m_entryCount - 1) / double(std::max<std::size_t>(1, m_engines.size()));
+        const double others = m_shares.isStated(id, now) ? 0 : ownSends * (m_shares.entryCount() - 1) / double(std::max<std::size_t>(1, m_engines.size()));
         load.waiting += others;
         load.pendingPromptTokens += others * m_speed.typicalPromptTokens;
     }
@@ -205,20 +229,26 @@
     const auto found = m_engines.find(upstream);
     if (found == m_engines.end())
         return {};
-    return predictWith(loadOf(found->second, now), found->second.report.slowdownFactor, size);
+    return predictWith(loadOf(upstream, found->second, now), found->second.report.slowdownFactor, size);
 }
 
 EnginePrediction EnginePool::predictIdle(const CallSize& size) const { return predictWith({}, 1, size); }
 
 EnginePrediction EnginePool::predictBusy(const CallSize& size) const { return predictWith({ double(m_speed.slots) - 1, 0, 0 }, 1, size); }
 
-std::vector<std::string> EnginePool::sampleEngines(const std::set<std::string>& excluded, bool isContended)
+std::vector<const std::string*> EnginePool::sampleEngines(const std::set<std::string>& excluded, TimePoint now, bool isContended)
 {
-    std::vector<std::string> candidates;
+    std::vector<const std::string*> candidates;
+    std::vector<const std::string*> reserved;
     for (const auto& [id, engine] : m_engines) {
-        if (excluded.count(id) == 0 && hasPlace(id) && (!isContended || engine.sendAllowance >= 1))
-            candidates.push_back(id);
+        if (excluded.count(id) != 0 || !hasPlace(id))
+            continue;
+        candidates.push_back(&id);
+        if (engine.sendAllowance >= 1 && (isContended || m_shares.isStated(id, now)))
+            reserved.push_back(&id);
     }
+    if (isContended || !reserved.empty())
+        candidates = std::move(reserved);
     const auto count = std::min(sampleSize, candidates.size());
     for (std::size_t i = 0; i < count; ++i)
         std::swap(candidates[i], candidates[i + m_random.below(candidates.size() - i)]);
@@ -230,7 +260,8 @@
 {
     std::optional<EngineChoice> best;
     double bestScore = 0;
-    for (const auto& id : sampleEngines(excluded, isContended)) {
+    for (const auto* sampled : sampleEngines(excluded, now, isContended)) {
+        const auto& id = *sampled;
         const auto prediction = predict(id, size, now);
         const auto reloadingSoon = m_reloadingSoon.find(id);
         const bool isReloadingSoon = reloadingSoon != m_reloadingSoon.end();
--- a/modules/hyssopwick_requests/placing/EnginePool.h
+++ b/modules/hyssopwick_requests/placing/EnginePool.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "EngineShares.h"
+
 #include <deque>
 #include <hyssopwick_deployment.h>
 #include <map>
@@ -70,7 +72,8 @@
     /// Returns when an engine takes a call: \p now, unless none has a place under its limit.
     TimePoint nextPlace(TimePoint now) const;
 
-    void recordReport(const std::string& upstream, const EngineReport& report, TimePoint reportedAt);
+    /// \param statement  how the engine is divided, from the same message
+    void recordReport(const std::string& upstream, const EngineReport& report, TimePoint reportedAt, const EngineStatement& statement = {});
 
     void recordSend(const std::string& upstream, std::uint64_t call, const CallSize& size, TimePoint now);
     void recordFirstEvent(std::uint64_t call);
@@ -85,14 +88,26 @@
     /// Predicts a call that takes the last slot of an engine.
     EnginePrediction predictBusy(const CallSize& size) const;
 
-    /// Returns how many typical calls all engines together can complete per millisecond.
-    double callsPerMillisecond() const;
+    /// Returns how many typical calls per millisecond all engines together can complete of this
+    /// entry VM's share.
+    double ownCallsPerMillisecond(TimePoint now) const;
+
+    /// Returns the mean of this entry VM's shares of the engines.
+    double meanShare(TimePoint now) const;
+
+    /// Returns how long a call occupies an engine whose slots are all in use: its prefill and its
+    /// part of the steps.
+    double engineMilliseconds(const CallSize& size) const;
+
+    /// Returns the engine time of a call, relative to a typical one.
+    double relativeSize(const CallSize& size) const;
 
     /// Returns how many typical calls one healthy engine can complete per millisecond.
     double callsPerMillisecondPerEngine() const { return 1 / slotIntervalMilliseconds(m_speed.slots); }
 
-    /// Sets how many entry VMs send to one engine, on average.
-    void setEntryCount(double entries) { m_entryCount = entries; }
+    /// Returns how the engines are divided among the entry VMs.
+    EngineShares& shares() { return m_shares; }
+    const EngineShares& shares() const { return m_shares; }
 
     /// Chooses, from a few random engines, the one with the earliest predicted first event.
     /// Engines in other regions and those that reload soon get a penalty; those that reload
@@ -132,9 +147,9 @@
     };
 
     bool hasPlace(const std::string& upstream) const;
-    double spareCalls(const Engine& engine, TimePoint now) const;
-    std::vector<std::string> sampleEngines(const std::set<std::string>& excluded, bool isContended);
-    Load loadOf(const Engine& engine, TimePoint now) const;
+    double spareCalls(const std::string& id, const Engine& engine, TimePoint now) const;
+    std::vector<const std::string*> sampleEngines(const std::set<std::string>& excluded, TimePoint now, bool isContended);
+    Load loadOf(const std::string& id, const Engine& engine, TimePoint now) const;
     EnginePrediction predictWith(const Load& load, double slowdownFactor, const CallSize& size) const;
     double stepMilliseconds(double running) const;
     double slotIntervalMilliseconds(double running) const;
@@ -147,7 +162,7 @@
     std::map<std::string, CallLimit> m_callLimits;
     std::optional<TimePoint> m_nextPlace;
     std::map<std::uint64_t, SentCall> m_calls;
-    double m_entryCount = 1;
+    EngineShares m_shares;
     std::deque<TimePoint> m_recentSendTimes; // of this entry, to any engine
 };
 
