--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -37,6 +37,7 @@
     , m_peerSocket(context)
     , m_gossip(context, m_peerSocket)
     , m_services(context)
+    , m_subscriptions(m_services, m_peerSocket, [this] { return m_gossip.self(); })
     , m_view(context, m_gossip.self(), true)
     , m_blockRecords(context)
     , m_callers(
@@ -114,12 +115,13 @@
         m_services.allowances().completeFirstView();
         m_services.refresh();
         reconsiderCalls();
-        subscribeToAgents();
+        m_subscriptions.send();
         updateReadiness();
     };
     m_view.start(std::move(observer));
     m_gossip.start();
     registerInStore();
+    m_subscriptions.start();
     maintain();
     return success();
 }
@@ -319,7 +321,6 @@
 {
     const auto next = m_services.maintain();
     reconsiderCalls();
-    subscribeToAgents();
     repeatToPeer();
     m_maintenanceTimer.expires_at(next);
     m_maintenanceTimer.async_wait([this](boost::system::error_code error) {
@@ -335,12 +336,6 @@
         call->reconsider();
 }
 
-void EntryGateway::subscribeToAgents()
-{
-    for (const auto& address : m_services.agentsToSubscribe())
-        m_peerSocket.send(address, UpdateSubscription { m_gossip.self() });
-}
-
 void EntryGateway::registerInStore()
 {
     const auto now = monotonicNow();
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -95,10 +95,8 @@
     /// Returns for how long after the publication of a version calls may begin on older weights.
     Milliseconds oldWeightsGracePeriod() const;
 
-    /// Returns the addresses of the agents whose updates this entry should subscribe to now: of
-    /// the engines that it uses, those without a recent update, and in a large fleet all, again
-    /// after a time.
-    std::vector<std::string> agentsToSubscribe();
+    /// Returns the engines of a service that this entry uses, until the next change of the registry.
+    const std::vector<const Upstream*>& enginesInUse(const std::string& service) { return usedEngines(service).upstreams; }
 
     /// Sets when this process, which is stopping, aborts the calls that still run.
     void setStopBy(TimePoint stopBy) { m_stopBy = stopBy; }
@@ -148,7 +146,6 @@
     std::map<std::string, std::string> m_entries; // the others' regions, by id
     std::uint64_t m_usedEnginesRevision = 1; // changes with the entries and the restricted regions
     std::map<std::string, UsedEngines> m_usedEngines; // by service
-    std::map<std::string, TimePoint> m_subscribedAt; // by agent's address
     std::optional<TimePoint> m_stopBy;
     std::map<std::string, UpstreamPool> m_plainPools;
     RetryBudget m_retryBudget;
--- a/modules/hyssopwick_gateway/entry/UpstreamAllowances.cpp
+++ b/modules/hyssopwick_gateway/entry/UpstreamAllowances.cpp
@@ -214,6 +214,7 @@
 {
     const auto now = monotonicNow();
     std::map<std::string, CallLimit> limits;
+    std::set<std::string> coldEngines;
     std::optional<TimePoint> nextPlace;
     for (const auto& id : engines) {
         if (m_cold.hasRules()) {
@@ -225,6 +226,8 @@
         const auto cold = m_cold.callsPerSecond(id, now);
         if (!named && !cold)
             continue;
+        if (cold)
+            coldEngines.insert(id);
         constexpr auto unlimited = std::numeric_limits<std::size_t>::max();
         const auto callsPerSecond = std::min(named.value_or(double(unlimited)), cold.value_or(double(unlimited)));
         const auto callsLeft = std::min(m_limits.availableCalls(id, now).value_or(unlimited), m_cold.availableCalls(id, now).value_or(unlimited));
@@ -232,6 +235,7 @@
         limits[id] = { callsLeft, callsPerSecond / millisecondsPerSecond, place };
         nextPlace = std::min(nextPlace.value_or(place), place);
     }
+    pool.shares().setColdEngines(std::move(coldEngines));
     pool.setCallLimits(std::move(limits), nextPlace);
 }
 
--- a/modules/hyssopwick_requests/admission/CallQueue.cpp
+++ b/modules/hyssopwick_requests/admission/CallQueue.cpp
@@ -21,6 +21,14 @@
     // Share of the engines' call rate reserved for late calls, however many others arrive.
     constexpr double minLateShare = 0.08;
     constexpr double maxLateCredits = 3;
+    // While the admission level limits, calls of priority 0 have to find short queues at the engines,
+    // also if others could wait there for longer.
+    constexpr double maxLessUrgentWaitMilliseconds = 120;
+    // Waiting calls are stated as demand as if they were to be served within this time.
+    constexpr double waitingTimeSeconds = 1;
+    // How fast the admission level rises at most (EngineDivision).
+    constexpr double levelRisePerSecond = 0.25;
+    constexpr double millisecondsPerSecond = 1000;
     constexpr Milliseconds minRetryAfter { 100 };
     constexpr Milliseconds defaultEngineWait { 1000 };
 }
@@ -28,7 +36,9 @@
 Milliseconds QueueDecisions::retryAfterOf(std::uint64_t call) const
 {
     const auto restricted = restrictedRetryAfter.find(call);
-    return restricted == restrictedRetryAfter.end() ? retryAfter : restricted->second;
+    const auto untilFree = restricted == restrictedRetryAfter.end() ? retryAfter : restricted->second;
+    const auto deferred = levelRetryAfter.find(call);
+    return deferred == levelRetryAfter.end() ? untilFree : std::max(untilFree, deferred->second);
 }
 
 CallQueue::CallQueue(EnginePool& engines)
@@ -36,11 +46,7 @@
 {
 }
 
-void CallQueue::setEntryCount(double entries)
-{
-    m_entryCount = std::max(1.0, entries);
-    m_engines.setEntryCount(m_entryCount);
-}
+void CallQueue::setEntryCount(double entries) { m_engines.shares().setEntryCount(std::max(1.0, entries)); }
 
 void CallQueue::setExpectedEngines(std::map<std::string, ExpectedEngines> byRegion)
 {
@@ -65,14 +71,34 @@
 
 void CallQueue::add(const QueuedCall& call, TimePoint now)
 {
-    m_arrivals.record(call.allowedRegions, now);
-    auto& queued = m_calls[call.id].call;
-    queued = call;
-    if (call.statedTimeout.count() == 0 || call.hasPartialAnswer)
-        return;
-    if (call.excluded.empty()) // not sent before, so new here
-        m_callerTimeouts.record(call.route, call.statedTimeout);
-    queued.firstEventDeadline -= m_callerTimeouts.age(call.route, call.statedTimeout);
+    auto& waiting = m_calls[call.id];
+    waiting.call = call;
+    if (call.statedTimeout.count() > 0 && !call.hasPartialAnswer) {
+        if (call.excluded.empty()) // not sent before, so new here
+            m_callerTimeouts.record(call.route, call.statedTimeout);
+        waiting.call.firstEventDeadline -= m_callerTimeouts.age(call.route, call.statedTimeout);
+    }
+    // A call that comes after its first event was due has returned after a refusal. It is late, so
+    // the level does not concern it.
+    if (call.hasPartialAnswer || now < waiting.call.firstEventDeadline) {
+        const double engineTime = m_engines.engineMilliseconds(call.size);
+        m_demand.record(call.priority, engineTime, now);
+        const double admittedFraction = m_engines.shares().level(now).fractionOf(call.priority);
+        waiting.isDeferred = m_deferral.isDeferred(call.priority, engineTime, admittedFraction) && !call.hasPartialAnswer;
+    }
+    m_levelCounts.deferred += waiting.isDeferred;
+    if (!waiting.isDeferred)
+        m_arrivals.record(call.allowedRegions, now, m_engines.relativeSize(call.size));
+}
+
+EngineDemand CallQueue::demand(TimePoint now) const
+{
+    auto demand = m_demand.demand(now);
+    for (const auto& [id, waiting] : m_calls) {
+        if (!waiting.isAcceptedLate && !waiting.isDeferred)
+            demand.add(waiting.call.priority, m_engines.engineMilliseconds(waiting.call.size) / waitingTimeSeconds);
+    }
+    return demand;
 }
 
 void CallQueue::setAllowedRegions(std::uint64_t call, const RegionSet& allowed)
@@ -80,29 +106,36 @@
     const auto found = m_calls.find(call);
     if (found == m_calls.end())
         return;
-    auto reviewed = found->second.call;
-    reviewed.allowedRegions = allowed;
-    found->second = { std::move(reviewed) };
+    found->second.call.allowedRegions = allowed;
+    found->second.couldBeInTime = false;
+    found->second.isAcceptedLate = false;
 }
 
 void CallQueue::remove(std::uint64_t call) { m_calls.erase(call); }
 
-double CallQueue::ownCallRate(const RegionSet& allowed) const
+double CallQueue::ownCallRate(TimePoint now, const RegionSet& allowed) const
 {
-    const double rate = m_engines.isEmpty(allowed) ? double(expectedEngines(allowed).count) * m_engines.callsPerMillisecondPerEngine() : m_engines.callsPerMillisecond(allowed);
-    return rate / m_entryCount;
+    const auto known = m_ownRates.find(allowed);
+    if (known != m_ownRates.end())
+        return known->second;
+    const double rate = m_engines.isEmpty(allowed) ? double(expectedEngines(allowed).count) * m_engines.callsPerMillisecondPerEngine() / m_engines.shares().entryCount() : m_engines.ownCallsPerMillisecond(now, allowed);
+    m_ownRates[allowed] = rate;
+    return rate;
 }
 
 double CallQueue::lateCallRate(TimePoint now, const RegionSet& allowed, double rate) const
 {
-    const auto rateOf = [this](const RegionSet& regions) { return ownCallRate(regions); };
+    // What the level leaves free is the room that keeps the queues at the engines short.
+    if (!m_level.admitsAll())
+        return rate * minLateShare;
+    const auto rateOf = [this, now](const RegionSet& regions) { return ownCallRate(now, regions); };
     return std::max(rate * minLateShare, rate - m_arrivals.rate(allowed, rateOf, now));
 }
 
 // Includes the engines that are briefly out of service to load weights.
-double CallQueue::ownCallRateAfterReloads(const RegionSet& allowed) const
+double CallQueue::ownCallRateAfterReloads(TimePoint now, const RegionSet& allowed) const
 {
-    return std::max(ownCallRate(allowed), double(expectedEngines(allowed).count) * m_engines.callsPerMillisecondPerEngine() / m_entryCount);
+    return std::max(ownCallRate(now, allowed), double(expectedEngines(allowed).count) * m_engines.callsPerMillisecondPerEngine() * m_engines.meanShare(now));
 }
 
 double CallQueue::millisecondsUntilEngines(TimePoint now, const RegionSet& allowed) const
@@ -115,7 +148,7 @@
 
 bool CallQueue::canBeInTime(const QueuedCall& call, TimePoint now) const
 {
-    const auto rateOf = [this](const RegionSet& regions) { return ownCallRate(regions); };
+    const auto rateOf = [this, now](const RegionSet& regions) { return ownCallRate(now, regions); };
     const double wait = millisecondsUntilEngines(now, call.allowedRegions) + m_inTimeAhead.millisecondsAhead(call.allowedRegions, engineRegions(), rateOf);
     return wait + m_engines.predictIdle(call.size).firstEventMilliseconds <= double(millisecondsBetween(now, call.firstEventDeadline));
 }
@@ -124,18 +157,35 @@
 {
     const auto& allowed = call.allowedRegions;
     const bool isNoEngineExpected = m_engines.isEmpty(allowed) && !expectedEngines(allowed).at;
-    const auto rateOf = [this, now](const RegionSet& regions) { return lateCallRate(now, regions, ownCallRateAfterReloads(regions)); };
+    const auto rateOf = [this, now](const RegionSet& regions) { return lateCallRate(now, regions, ownCallRateAfterReloads(now, regions)); };
     if (isNoEngineExpected || rateOf(allowed) <= 0)
         return false;
     // Late calls run while the engines are full.
-    const double wait = millisecondsUntilEngines(now, allowed) + m_lateAhead.millisecondsAhead(allowed, engineRegions(), rateOf);
+    RegionalCalls ahead;
+    for (unsigned priority = 0; priority <= EngineDemand::indexOf(call.priority); ++priority)
+        ahead.add(m_lateByPriority[priority]);
+    const double wait = millisecondsUntilEngines(now, allowed) + ahead.millisecondsAhead(allowed, engineRegions(), rateOf);
     return wait + m_engines.predictBusy(call.size).endMilliseconds * endSafetyFactor < double(millisecondsBetween(now, call.deadline)) * usableTimeShare;
 }
 
+// Whether a late call that was accepted lost its turn to more urgent ones for too long.
+bool CallQueue::cannotBeServedAnyMore(const QueuedCall& call, TimePoint now) const
+{
+    const auto rateOf = [this, now](const RegionSet& regions) { return lateCallRate(now, regions, ownCallRateAfterReloads(now, regions)); };
+    const double wait = millisecondsUntilEngines(now, call.allowedRegions) + m_lateAhead.millisecondsAhead(call.allowedRegions, engineRegions(), rateOf);
+    return wait + m_engines.predictBusy(call.size).endMilliseconds > double(millisecondsBetween(now, call.deadline));
+}
+
+Milliseconds CallQueue::timeUntilLevelHasRoom(unsigned priority) const
+{
+    const double deferredFraction = 1 - m_level.fractionOf(priority);
+    return Milliseconds(static_cast<std::int64_t>(deferredFraction / levelRisePerSecond * millisecondsPerSecond));
+}
+
 bool CallQueue::takeLateCredit(TimePoint now, const RegionSet& allowed)
 {
     auto& credit = m_lateCredits[allowed];
-    credit.calls = std::min(maxLateCredits, credit.calls + lateCallRate(now, allowed, ownCallRate(allowed)) * double(millisecondsBetween(credit.at, now)));
+    credit.calls = std::min(maxLateCredits, credit.calls + lateCallRate(now, allowed, ownCallRate(now, allowed)) * double(millisecondsBetween(credit.at, now)));
     credit.at = now;
     if (credit.calls < 1)
         return false;
@@ -146,27 +196,36 @@
 CallQueue::Verdict CallQueue::decide(WaitingCall& waiting, std::optional<EngineChoice>& choice, TimePoint now)
 {
     const auto& call = waiting.call;
-    const bool isContended = !call.hasPartialAnswer && m_contending.isEveryRegionWanted(call.allowedRegions, engineRegions());
+    const bool isLateBelowOthers = !m_level.admitsAll() && (waiting.isDeferred || waiting.isAcceptedLate);
+    const bool isContended = !call.hasPartialAnswer && (isLateBelowOthers || m_contending.isEveryRegionWanted(call.allowedRegions, engineRegions()));
     choice = m_engines.choose(call.size, call.excluded, now, isContended, call.allowedRegions);
     if (call.hasPartialAnswer)
         return choice ? Verdict::Send : Verdict::Wait;
-    const double slack = double(millisecondsBetween(now, call.firstEventDeadline));
     const double idleFirstEvent = m_engines.predictIdle(call.size).firstEventMilliseconds;
-    if (choice && idleFirstEvent + (choice->prediction.firstEventMilliseconds - idleFirstEvent) * waitSafetyFactor <= slack)
+    double slack = double(millisecondsBetween(now, call.firstEventDeadline));
+    if (!m_level.admitsAll() && call.priority > 0)
+        slack = std::min(slack, idleFirstEvent + maxLessUrgentWaitMilliseconds);
+    if (!waiting.isDeferred && choice && idleFirstEvent + (choice->prediction.firstEventMilliseconds - idleFirstEvent) * waitSafetyFactor <= slack)
         return Verdict::Send;
-    if (canBeInTime(call, now)) {
+    if (!waiting.isDeferred && canBeInTime(call, now)) {
         waiting.couldBeInTime = true;
-        m_inTimeAhead.add(call.allowedRegions);
+        m_inTimeAhead.add(call.allowedRegions, m_engines.relativeSize(call.size));
         return Verdict::Wait;
     }
     if (!waiting.isAcceptedLate && !canBeServedLate(call, now))
         return Verdict::Refuse;
+    if (waiting.isAcceptedLate && m_hasPriorities && cannotBeServedAnyMore(call, now))
+        return Verdict::Refuse;
+    const bool wasAcceptedLate = waiting.isAcceptedLate;
     waiting.isAcceptedLate = true;
     if (choice && choice->prediction.firstEventMilliseconds <= idleFirstEvent * maxIdleSlowdown)
         return Verdict::Send;
     if (choice && takeLateCredit(now, call.allowedRegions))
         return Verdict::Send;
-    m_lateAhead.add(call.allowedRegions);
+    const double size = m_engines.relativeSize(call.size);
+    m_lateAhead.add(call.allowedRegions, size);
+    if (!wasAcceptedLate)
+        m_lateByPriority[EngineDemand::indexOf(call.priority)].add(call.allowedRegions, size);
     return Verdict::Wait;
 }
 
@@ -176,30 +235,29 @@
     std::vector<std::uint64_t> order;
     for (const auto& [id, waiting] : m_calls)
         order.push_back(id);
-    // Calls that may be in time, the newest first: under overload these have the most time
-    // left and the best chance to be in time. Then late ones by their deadlines.
+    // Calls that may be in time by priority, the newest first: under overload these have the most
+    // time left and the best chance to be in time. Then late ones by priority and deadline.
     const auto sortKey = [this](std::uint64_t id) {
         const auto& waiting = m_calls.at(id);
-        return std::make_tuple(!waiting.call.hasPartialAnswer, waiting.isAcceptedLate, waiting.isAcceptedLate ? waiting.call.deadline.time_since_epoch() : -waiting.call.firstEventDeadline.time_since_epoch(), id);
+        return std::make_tuple(!waiting.call.hasPartialAnswer, waiting.isAcceptedLate, waiting.call.priority, waiting.isAcceptedLate ? waiting.call.deadline.time_since_epoch() : -waiting.call.firstEventDeadline.time_since_epoch(), id);
     };
     std::sort(order.begin(), order.end(), [&sortKey](std::uint64_t left, std::uint64_t right) { return sortKey(left) < sortKey(right); });
+    m_level = m_engines.shares().level(now);
+    m_ownRates.clear();
     m_inTimeAhead.clear();
     m_lateAhead.clear();
     m_contending.clear();
+    m_lateByPriority = {};
+    m_hasPriorities = std::any_of(m_calls.begin(), m_calls.end(), [this](const auto& entry) { return entry.second.call.priority != m_calls.begin()->second.call.priority; });
     for (const auto& [id, waiting] : m_calls) {
         if (waiting.isAcceptedLate)
-            m_lateAhead.add(waiting.call.allowedRegions);
+            m_lateByPriority[EngineDemand::indexOf(waiting.call.priority)].add(waiting.call.allowedRegions, m_engines.relativeSize(waiting.call.size));
         else if (waiting.couldBeInTime)
             m_contending.add(waiting.call.allowedRegions);
     }
     std::map<std::uint64_t, RegionSet> refusedRegions;
-    bool isLateCountReset = false;
     for (const auto id : order) {
         auto& waiting = m_calls.at(id);
-        if (waiting.isAcceptedLate && !isLateCountReset) {
-            isLateCountReset = true;
-            m_lateAhead.clear();
-        }
         std::optional<EngineChoice> choice;
         const auto verdict = decide(waiting, choice, now);
         if (verdict == Verdict::Wait)
@@ -207,8 +265,12 @@
         if (verdict == Verdict::Send) {
             m_engines.recordSend(choice->upstream, id, waiting.call.size, now, waiting.call.allowedRegions);
             decisions.sent.push_back({ id, choice->upstream, choice->prediction });
+            m_levelCounts.deferredSent += waiting.isDeferred;
         } else {
             decisions.refused.push_back(id);
+            m_levelCounts.deferredRefused += waiting.isDeferred;
+            if (waiting.isDeferred)
+                decisions.levelRetryAfter[id] = timeUntilLevelHasRoom(waiting.call.priority);
             if (!waiting.call.allowedRegions.isAny())
                 refusedRegions[id] = waiting.call.allowedRegions;
         }
@@ -227,7 +289,7 @@
     RegionalCalls waiting;
     for (const auto& [id, call] : m_calls)
         waiting.add(call.call.allowedRegions);
-    const auto rateOf = [this](const RegionSet& regions) { return ownCallRate(regions); };
+    const auto rateOf = [this, now](const RegionSet& regions) { return ownCallRate(now, regions); };
     const double millisecondsUntilFree = millisecondsUntilEngines(now, allowed) + waiting.millisecondsAhead(allowed, engineRegions(), rateOf);
     return std::max(minRetryAfter, Milliseconds(static_cast<std::int64_t>(millisecondsUntilFree)));
 }
--- a/modules/hyssopwick_requests/admission/RegionalCalls.cpp
+++ b/modules/hyssopwick_requests/admission/RegionalCalls.cpp
@@ -12,10 +12,16 @@
     // Regions are forgotten when their arrivals have decayed this far.
     constexpr double negligibleArrivals = 1e-6;
 
-    double timeFor(std::size_t calls, double rate) { return rate > 0 ? double(calls) / rate : 0; }
+    double timeFor(double calls, double rate) { return rate > 0 ? calls / rate : 0; }
 
 }
 
+void RegionalCalls::add(const RegionalCalls& others)
+{
+    for (const auto& [regions, count] : others.m_counts)
+        m_counts[regions] += count;
+}
+
 double RegionalCalls::millisecondsAhead(const RegionSet& allowed, const std::set<std::string>& engineRegions, const RateOf& rateOf) const
 {
     if (m_counts.empty())
@@ -48,12 +54,12 @@
     return count.recent * std::exp(-double(millisecondsBetween(count.at, now)) / double(arrivalWindow.count()));
 }
 
-void RegionalArrivals::record(const RegionSet& allowed, TimePoint now)
+void RegionalArrivals::record(const RegionSet& allowed, TimePoint now, double size)
 {
     for (auto count = m_counts.begin(); count != m_counts.end();)
         count = decayed(count->second, now) < negligibleArrivals ? m_counts.erase(count) : std::next(count);
     auto& count = m_counts[allowed];
-    count = { decayed(count, now) + 1, now };
+    count = { decayed(count, now) + size, now };
 }
 
 double RegionalArrivals::rate(const RegionSet& regions, const RegionalCalls::RateOf& rateOf, TimePoint now) const
--- a/modules/hyssopwick_requests/admission/RegionalCalls.h
+++ b/modules/hyssopwick_requests/admission/RegionalCalls.h
@@ -6,13 +6,15 @@
 
 namespace hyssopwick {
 
-/// Calls that compete for engines, counted by the regions that they may use. Pure.
+/// Calls that compete for engines, in typical calls, by the regions that they may use. Pure.
 class RegionalCalls {
 public:
     /// Returns the call rate, in calls per millisecond, of the engines in some regions.
     using RateOf = std::function<double(const RegionSet&)>;
 
-    void add(const RegionSet& allowed) { ++m_counts[allowed]; }
+    /// \param size  engine time, relative to a typical call
+    void add(const RegionSet& allowed, double size = 1) { m_counts[allowed] += size; }
+    void add(const RegionalCalls& others);
     void clear() { m_counts.clear(); }
 
     /// Returns how long these calls occupy the engines that a call may use: the shortest of its
@@ -24,13 +26,14 @@
     bool isEveryRegionWanted(const RegionSet& allowed, const std::set<std::string>& engineRegions) const;
 
 private:
-    std::map<RegionSet, std::size_t> m_counts;
+    std::map<RegionSet, double> m_counts;
 };
 
 /// The arrival rate of calls, a decaying mean, by the regions that they may use. Pure.
 class RegionalArrivals {
 public:
-    void record(const RegionSet& allowed, TimePoint now);
+    /// \param size  engine time, relative to a typical call
+    void record(const RegionSet& allowed, TimePoint now, double size = 1);
 
     /// Returns the rate, in calls per millisecond, at which calls arrive for the engines in some
     /// regions. Calls that may use others too count by the share of their engines.
