Evacuation: no calls to the upstreams of an evacuated failure domain

Cause: the store's record `op/evacuate/DOMAIN` was not known, so upstreams of a domain that the operator had evacuated got calls, retries and resumptions, and counted as capacity.

Change: the record is part of the view, with an observer for begin and end; its value is not decoded. UpstreamEligibility leaves the domain's upstreams out for all calls. An entry chooses the engines that it uses from the other domains, so capacity, waits and Retry-After follow. Calls that wait go elsewhere, or are refused at once if nothing is left. After a return of the store from an older copy an evacuation stays in force for 2 s. Agents of the domain load a staged version at once, use the idle share of their link and inform subscribers only; other agents plan loads without them. What a service's upstreams may get is found anew only when registrations, entries or evacuations change.

Result: groups Evacuation*, AllowedRegion*, Restricted*, UpstreamEligibility, StoreReturn, View*, *Format, VersionBound, CallFlow, CallAdmission, CallQueue, EnginePool, EngineSubset, UpstreamLimit*, UpstreamSignal, PromptCrash, RequestCrash, *Activation, EndlessAnswer, UnframedAnswer and KeptConnections pass. The agents' part has no test of its own: VersionAtAgent uses fixed ports and was not run.

Mutations caught: evacuated upstreams stay eligible (5 tests of Evacuation*, 1 of UpstreamEligibility); evacuated engines stay among those that an entry uses (2 tests of EvacuationOfEngines).

--- a/modules/hyssopwick_deployment/model/ProcessDescription.h
+++ b/modules/hyssopwick_deployment/model/ProcessDescription.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <hyssopwick_core.h>
 #include <map>
@@ -33,6 +34,7 @@
     Milliseconds stopBound { 8000 }; ///< from SIGTERM to SIGKILL
     Milliseconds versionBound { 8000 }; ///< from publishing a weights version in the store to its use everywhere
     Milliseconds configurationBound { 2000 };
+    Milliseconds evacuationBound { 5000 }; ///< after it an evacuated failure domain must get no new calls
 
     /// Returns how long changes of the store may be batched before they are applied: a
     /// tenth of the time in which they must take effect, so that the rest is left for
@@ -40,7 +42,7 @@
     Milliseconds changeBatchPeriod() const
     {
         constexpr int batchPeriodDivisor = 10;
-        return std::min(configurationBound, drainBound) / batchPeriodDivisor;
+        return std::min({ configurationBound, drainBound, evacuationBound }) / batchPeriodDivisor;
     }
     Milliseconds addressLifetime { 5000 }; ///< longest time for which callers may cache addresses
     double retryRatio = 0.2; ///< retries for each first attempt, over all nodes
@@ -51,7 +53,7 @@
     {
         return std::tie(node, ip, region, failureDomain, regionOfFailureDomain, callerAddress, readyAddress, directoryAddress, internalPort,
             metricsPort, seedIps, storeAddress, engineAddress, engineService, linkBytesPerSecond, memoryBytes, drainBound, stopBound, versionBound,
-            configurationBound, addressLifetime, retryRatio, retrySlack, retryWindow);
+            configurationBound, evacuationBound, addressLifetime, retryRatio, retrySlack, retryWindow);
     }
     bool operator==(const ProcessDescription& other) const { return tied() == other.tied(); }
     bool operator!=(const ProcessDescription& other) const { return !(*this == other); }
--- a/modules/hyssopwick_deployment/ports/StoreCodec.h
+++ b/modules/hyssopwick_deployment/ports/StoreCodec.h
@@ -31,6 +31,14 @@
     bool operator!=(const PromptBlockRecord& other) const { return !(*this == other); }
 };
 
+/// A request of the operator that the upstreams of a failure domain get no further calls.
+struct Evacuation {
+    std::string failureDomain;
+
+    bool operator==(const Evacuation& other) const { return failureDomain == other.failureDomain; }
+    bool operator!=(const Evacuation& other) const { return !(*this == other); }
+};
+
 /// A record of the store that this system does not use.
 struct IrrelevantRecord {
 };
@@ -41,7 +49,7 @@
 };
 
 /// Decoded value of a record of the store.
-using DecodedRecord = std::variant<IrrelevantRecord, UnreadableRecord, DeploymentConfiguration, Upstream, WeightsVersion, RegisteredNode, PromptBlockRecord>;
+using DecodedRecord = std::variant<IrrelevantRecord, UnreadableRecord, DeploymentConfiguration, Upstream, WeightsVersion, RegisteredNode, PromptBlockRecord, Evacuation>;
 
 /// Kind of a record of the store. It follows from the key, so it is known after a deletion too.
 enum class StoreRecordKind {
@@ -51,6 +59,7 @@
     WeightsVersion,
     Node,
     PromptBlock,
+    Evacuation,
 };
 
 /// One page of a read of many records.
@@ -92,7 +101,7 @@
     virtual HttpCall encodePromptBlockRemoval(const std::string& block) const = 0;
 
     virtual DecodedRecord decodeRecord(const StoreRecord& record) const = 0;
-    /// Returns the kind of the record under a key, and the id of an upstream, node or block.
+    /// Returns the kind of the record under a key, and the id of an upstream, node or block or the failure domain.
     virtual std::pair<StoreRecordKind, std::string> decodeKey(const std::string& key) const = 0;
 };
 
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -47,6 +47,7 @@
           context.loop, [this](const ServerExchangePointer& exchange) { serveMetrics(exchange); }, [] { return CallerLimits(); })
     , m_pollTimer(context.loop)
     , m_registry(context.description.drainBound)
+    , m_eligibility(context.description)
 {
 }
 
@@ -73,6 +74,8 @@
         if (m_versions.emplace(version.version, KnownVersion { earliestPublication, true }).second)
             m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) }, { "at_most_ms_ago", std::to_string(millisecondsBetween(earliestPublication, monotonicNow())) } });
     };
+    observer.onEvacuation = [this](const Evacuation& evacuation) { m_peersRevision = recordEvacuation(m_context, m_eligibility, evacuation, true) ? 0 : m_peersRevision; };
+    observer.onEvacuationEnd = [this](const Evacuation& evacuation) { m_peersRevision = recordEvacuation(m_context, m_eligibility, evacuation, false) ? 0 : m_peersRevision; };
     observer.onNode = [this](const RegisteredNode& node) { m_entries[node.vm.id] = node.vm; };
     observer.onNodeGone = [this](const std::string& id) { m_entries.erase(id); };
     observer.onBatchEnd = [this] {
@@ -176,9 +179,10 @@
         addresses.insert(subscriber->first);
         ++subscriber;
     }
-    // Of a large fleet, the entries that use this engine subscribe. A started agent informs all
-    // until it knows them.
-    if (EngineSubset::isWholeOf(m_peers.size() + 1) || addresses.empty()) {
+    // Of a large fleet, the entries that use this engine subscribe. A started agent informs all until it
+    // knows them, unless none uses its engine because of an evacuation.
+    const bool isEvacuated = m_eligibility.isEvacuated(m_context.description.failureDomain);
+    if (EngineSubset::isWholeOf(m_servingPeers + !isEvacuated) || (addresses.empty() && !isEvacuated)) {
         for (const auto& [id, vm] : m_entries)
             addresses.insert(vm.address);
     }
@@ -220,9 +224,7 @@
 
 SwarmMember AgentGateway::memberFor(const std::string& ip, const std::string& failureDomain, UnixMilliseconds startedAt) const
 {
-    const auto& regions = m_context.description.regionOfFailureDomain;
-    const auto region = regions.find(failureDomain);
-    return { ip, region == regions.end() ? failureDomain : region->second, failureDomain, static_cast<std::uint64_t>(startedAt) };
+    return { ip, m_eligibility.regionOf(failureDomain), failureDomain, static_cast<std::uint64_t>(startedAt) };
 }
 
 void AgentGateway::planSwarms()
@@ -289,14 +291,17 @@
             m_schedule->setPeers(m_groupIds);
     }
     for (const auto& [version, swarm] : m_swarms)
-        swarm->setEngineServing(loadedVersion() != 0);
+        swarm->setEngineServing(isServing());
 }
 
 void AgentGateway::updateActivationGroup()
 {
     std::map<std::string, std::string> regions;
-    for (const auto& peer : m_peers)
-        regions[peer.member.id] = peer.member.region;
+    for (const auto& peer : m_peers) {
+        if (!m_eligibility.isEvacuated(peer.member.failureDomain))
+            regions[peer.member.id] = peer.member.region;
+    }
+    m_servingPeers = regions.size();
     m_groupIds = ActivationGroup::membersFor(m_context.description.ip, m_context.description.region, regions);
     m_groupAddresses.clear();
     for (const auto& ip : m_groupIds)
@@ -361,7 +366,7 @@
     return bound == TimePoint::max() ? monotonicNow() + unpublishedBound : bound;
 }
 
-bool AgentGateway::mayLoad() const { return m_schedule && m_schedule->mayLoad(loadedVersion() != 0, monotonicNow()); }
+bool AgentGateway::mayLoad() const { return m_schedule && m_schedule->mayLoad(isServing(), monotonicNow()); }
 
 void AgentGateway::announceActivation()
 {
@@ -427,26 +432,15 @@
     return nullptr;
 }
 
-// Paths are /weights/{manifest|chunk}/MODEL/VERSION[/CHUNK].
 void AgentGateway::serveInternal(const ServerExchangePointer& exchange)
 {
-    std::vector<std::string> parts;
-    const auto& target = exchange->request().target;
-    for (std::size_t begin = 1; begin <= target.size();) {
-        const auto end = std::min(target.find('/', begin), target.size());
-        parts.push_back(target.substr(begin, end - begin));
-        begin = end + 1;
-    }
-    constexpr std::size_t versionParts = 4;
-    const auto swarm = parts.size() >= versionParts && parts[0] == "weights" ? swarmOf(parts[2], parts[3]) : nullptr;
+    const auto target = decodeWeightsTarget(exchange->request().target);
+    const auto swarm = target ? swarmOf(target->model, target->version) : nullptr;
     if (!swarm)
         return exchange->respond(statusNotFound, {}, "");
-    if (parts[1] == "manifest")
-        return swarm->serveManifest(exchange);
-    const bool isChunk = parts[1] == "chunk" && parts.size() == versionParts + 1 && !parts[4].empty() && parts[4].size() < 9 && parts[4].find_first_not_of("0123456789") == std::string::npos;
-    if (isChunk)
-        return swarm->serveChunk(exchange, static_cast<unsigned>(std::stoul(parts[4])));
-    exchange->respond(statusNotFound, {}, "");
+    if (target->chunk)
+        return swarm->serveChunk(exchange, *target->chunk);
+    swarm->serveManifest(exchange);
 }
 
 void AgentGateway::serveMetrics(const ServerExchangePointer& exchange)
--- a/modules/hyssopwick_gateway/agent/AgentGateway.h
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.h
@@ -3,8 +3,10 @@
 #include "../http/HttpListener.h"
 #include "../runtime/GatewayProcess.h"
 #include "../runtime/PeerSocket.h"
+#include "../view/EvacuationRecord.h"
 #include "../view/ViewReplicator.h"
 #include "EngineActivation.h"
+#include "WeightsTarget.h"
 
 #include <hyssopwick_requests.h>
 
@@ -50,6 +52,8 @@
     void announceActivation();
     void recordPeerActivations();
     bool mayLoad() const;
+    /// Returns whether the engine of this VM may get calls. One of an evacuated failure domain gets none.
+    bool isServing() const { return loadedVersion() != 0 && !m_eligibility.isEvacuated(m_context.description.failureDomain); }
     TimePoint activationBound(std::uint64_t loaded, std::uint64_t version) const;
     std::uint64_t loadedVersion() const;
     std::shared_ptr<WeightsSwarm> swarmOf(const std::string& model, const std::string& version) const;
@@ -63,6 +67,7 @@
     HttpListener m_metrics;
     LoopTimer m_pollTimer;
     UpstreamRegistry m_registry;
+    UpstreamEligibility m_eligibility;
     std::map<std::string, VmIdentity> m_entries; // registered in the store
     std::map<std::string, TimePoint> m_subscribers; // time of the last subscription, by address
     std::optional<ServiceDescription> m_service;
@@ -74,6 +79,7 @@
     std::uint64_t m_scheduledVersion = 0; // that m_schedule is for
     std::map<std::string, PeerActivation> m_peerActivations; // by node
     std::vector<WeightsSwarm::Peer> m_peers; // engines of the same service
+    std::size_t m_servingPeers = 0; // of m_peers, without evacuated ones
     std::vector<std::string> m_groupIds; // of the peers with which loads are arranged
     std::vector<std::string> m_groupAddresses;
     std::uint64_t m_peersRevision = 0; // revision of m_registry from which m_peers was made
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -99,6 +99,8 @@
     observer.onPromptBlock = [this](const PromptBlockRecord& record) { m_services.crashes().adopt(record); };
     observer.onPromptBlockGone = [this](const std::string& block) { m_services.crashes().release(block); };
     observer.onVersion = [this](const WeightsVersion& version, TimePoint earliestPublication) { m_services.addVersion(version, earliestPublication); };
+    observer.onEvacuation = [this](const Evacuation& evacuation) { m_services.setEvacuated(evacuation, true); };
+    observer.onEvacuationEnd = [this](const Evacuation& evacuation) { m_services.setEvacuated(evacuation, false); };
     observer.onNode = [this](const RegisteredNode& node) { m_gossip.addRegisteredNode(node); };
     observer.onBatchEnd = [this] {
         m_services.refresh();
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -38,6 +38,8 @@
         return "registration-ended";
     }
 
+    std::string servedText(const std::set<std::string>& regions) { return regions.empty() ? "none" : RegionSet::listed({ regions.begin(), regions.end() }).text(); }
+
     const char* availabilityName(EngineAvailability availability)
     {
         switch (availability) {
@@ -147,7 +149,7 @@
     const auto now = monotonicNow();
     std::optional<TimePoint> until;
     for (const auto* upstream : m_registry.usable(service)) {
-        if (!allowed.allows(m_eligibility.regionOf(upstream->failureDomain)))
+        if (!m_eligibility.isEligible(service, upstream->id, allowed))
             continue;
         const auto availableFrom = m_allowances.availableAt(upstream->id, now);
         if (availableFrom <= now)
@@ -232,8 +234,12 @@
 
 void EntryServices::updateEligibility(const std::string& service)
 {
+    // Both revisions rise, so their sum changes with each of them.
+    const auto revision = m_registry.revision() + m_usedEnginesRevision;
+    if (std::exchange(m_eligibleAt[service], revision) == revision)
+        return;
     if (m_eligibility.setService(service, m_registry.known(service)))
-        m_context.log.write("service.regions", { { "service", service }, { "regions", m_eligibility.servedRegions(service).text() }, { "upstreams", std::to_string(m_eligibility.regionsOf(service).size()) }, { "configuration", std::to_string(m_routes->configuration().version) } });
+        m_context.log.write("service.regions", { { "service", service }, { "regions", servedText(m_eligibility.servedRegions(service)) }, { "upstreams", std::to_string(m_eligibility.regionsOf(service).size()) }, { "configuration", std::to_string(m_routes->configuration().version) } });
 }
 
 void EntryServices::refresh()
@@ -273,7 +279,7 @@
         } else if (service.originAddress.empty()) {
             std::map<std::string, unsigned> slots;
             for (const auto* upstream : m_registry.usable(name)) {
-                if (!m_allowances.isResting(upstream->id, now))
+                if (!m_allowances.isResting(upstream->id, now) && m_eligibility.isEligible(name, upstream->id, {}))
                     slots[upstream->id] = upstream->slots;
             }
             plainPool(name).setUpstreams(slots);
@@ -384,7 +390,8 @@
     used.registryRevision = m_registry.revision();
     used.entriesRevision = m_usedEnginesRevision;
     // By address, so that the restart of an engine does not move others.
-    const auto registered = m_registry.usable(service);
+    auto registered = m_registry.usable(service);
+    registered.erase(std::remove_if(registered.begin(), registered.end(), [this](const Upstream* upstream) { return m_eligibility.isEvacuated(upstream->failureDomain); }), registered.end());
     std::map<std::string, std::string> regions;
     for (const auto* upstream : registered)
         regions[upstream->address] = m_eligibility.regionOf(upstream->failureDomain);
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -2,6 +2,7 @@
 
 #include "../runtime/GatewayContext.h"
 #include "../runtime/PeerSocket.h"
+#include "../view/EvacuationRecord.h"
 #include "CrashContainment.h"
 #include "HeldAnswer.h"
 #include "UpstreamAllowances.h"
@@ -29,6 +30,8 @@
     /// \param earliestPublication  the earliest time at which the version may have been published
     void addVersion(const WeightsVersion& version, TimePoint earliestPublication);
     void recordEngineUpdate(const EngineUpdate& update);
+    /// Begins or ends the evacuation of a failure domain.
+    void setEvacuated(const Evacuation& evacuation, bool hasBegun) { m_usedEnginesRevision += recordEvacuation(m_context, m_eligibility, evacuation, hasBegun); }
 
     /// Records that an upstream said in an answer to this process that it leaves, and passes it on.
     void recordLeaving(const std::string& id);
@@ -146,8 +149,9 @@
     std::map<std::string, EnginePool> m_enginePools;
     std::map<std::string, CallQueue> m_queues;
     std::map<std::string, std::string> m_entries; // the others' regions, by id
-    std::uint64_t m_usedEnginesRevision = 1; // changes with the entries and the restricted regions
+    std::uint64_t m_usedEnginesRevision = 1; // changes with the entries, the restricted regions and the evacuations
     std::map<std::string, UsedEngines> m_usedEngines; // by service
+    std::map<std::string, std::uint64_t> m_eligibleAt; // by service: revision for which its eligible upstreams were found
     std::map<std::string, TimePoint> m_subscribedAt; // by agent's address
     std::optional<TimePoint> m_stopBy;
     std::map<std::string, UpstreamPool> m_plainPools;
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -283,8 +283,7 @@
         m_context.log.write("store.era-changed", { { "from", std::to_string(before.era) }, { "to", std::to_string(update.era) }, { "revision_before", std::to_string(before.revision) }, { "revision", std::to_string(update.revision) }, { "changed", std::to_string(changed.size()) } });
         m_context.metrics.count("store_era_changes_total");
         m_restored.recordReturn(transfer.arrivedAt);
-        if (m_observer.onEra)
-            m_observer.onEra(update.era);
+        ViewObserver::notify(m_observer.onEra, update.era);
     }
     for (const auto& record : changed) {
         if (isRestored && record.isDeleted) {
@@ -301,8 +300,7 @@
     if (changed.empty() && !hasNewVersions)
         return isNewEra;
     m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isSnapshot ? "true" : "false" }, { "bytes", std::to_string(transfer.bytes) }, { "age_ms", std::to_string(ageBefore.count()) } });
-    if (m_observer.onBatchEnd)
-        m_observer.onBatchEnd();
+    ViewObserver::notify(m_observer.onBatchEnd);
     return true;
 }
 
@@ -325,8 +323,8 @@
         const bool isNew = !m_publications.contains(version);
         const auto earliestPublication = m_publications.record(version, transfer.beganAt - age, true);
         hasNewVersions = hasNewVersions || isNew;
-        if (isNew && m_observer.onVersion)
-            m_observer.onVersion(version, earliestPublication);
+        if (isNew)
+            ViewObserver::notify(m_observer.onVersion, version, earliestPublication);
     }
     return hasNewVersions;
 }
@@ -339,8 +337,7 @@
         notifyRemoval(key, RegistrationEnd::NotRestored);
     if (!expired.empty()) {
         m_context.log.write("store.records-not-restored", { { "records", std::to_string(expired.size()) }, { "revision", std::to_string(m_view.revision()) } });
-        if (m_observer.onBatchEnd)
-            m_observer.onBatchEnd();
+        ViewObserver::notify(m_observer.onBatchEnd);
     }
     const auto next = m_restored.nextExpiry();
     if (!next)
@@ -355,13 +352,15 @@
 void ViewReplicator::notifyRemoval(const std::string& key, RegistrationEnd end)
 {
     const auto [kind, id] = m_context.ports.store->decodeKey(key);
-    if (kind == StoreRecordKind::Upstream && m_observer.onUpstreamGone)
-        m_observer.onUpstreamGone(id, end);
-    if (kind == StoreRecordKind::Node && m_observer.onNodeGone)
-        m_observer.onNodeGone(id);
+    if (kind == StoreRecordKind::Upstream)
+        ViewObserver::notify(m_observer.onUpstreamGone, id, end);
+    if (kind == StoreRecordKind::Node)
+        ViewObserver::notify(m_observer.onNodeGone, id);
     // A record that an older copy of the store lacks is written again by the process that wrote it.
-    if (kind == StoreRecordKind::PromptBlock && end == RegistrationEnd::Ended && m_observer.onPromptBlockGone)
-        m_observer.onPromptBlockGone(id);
+    if (kind == StoreRecordKind::PromptBlock && end == RegistrationEnd::Ended)
+        ViewObserver::notify(m_observer.onPromptBlockGone, id);
+    if (kind == StoreRecordKind::Evacuation)
+        ViewObserver::notify(m_observer.onEvacuationEnd, Evacuation { id });
 }
 
 void ViewReplicator::notifyObserver(const StoreRecord& record, const Transfer& transfer, RegistrationSource source)
@@ -371,6 +370,7 @@
     const auto [kind, id] = m_context.ports.store->decodeKey(record.key);
     struct Visitor {
         ViewReplicator& replicator;
+        const ViewObserver& observer;
         const StoreRecord& record;
         const Transfer& transfer;
         RegistrationSource source;
@@ -382,36 +382,21 @@
         {
             replicator.m_context.metrics.count("store_records_skipped_total");
             replicator.m_context.log.write("view.record-skipped", { { "key", record.key }, { "problem", unreadable.problem }, { "revision", std::to_string(record.revision) } });
-            if (kind == StoreRecordKind::Upstream && replicator.m_observer.onUpstreamGone)
-                replicator.m_observer.onUpstreamGone(id, RegistrationEnd::Unreadable);
-        }
-        void operator()(const DeploymentConfiguration& configuration) const
-        {
-            if (replicator.m_observer.onConfiguration)
-                replicator.m_observer.onConfiguration(configuration);
-        }
-        void operator()(const Upstream& upstream) const
-        {
-            if (replicator.m_observer.onUpstream)
-                replicator.m_observer.onUpstream(upstream, source);
+            if (kind == StoreRecordKind::Upstream)
+                ViewObserver::notify(observer.onUpstreamGone, id, RegistrationEnd::Unreadable);
         }
+        void operator()(const DeploymentConfiguration& configuration) const { ViewObserver::notify(observer.onConfiguration, configuration); }
+        void operator()(const Upstream& upstream) const { ViewObserver::notify(observer.onUpstream, upstream, source); }
         void operator()(const WeightsVersion& version) const
         {
-            if (replicator.m_observer.onVersion)
-                replicator.m_observer.onVersion(version, replicator.recordPublication(version, transfer));
-        }
-        void operator()(const PromptBlockRecord& block) const
-        {
-            if (replicator.m_observer.onPromptBlock)
-                replicator.m_observer.onPromptBlock(block);
-        }
-        void operator()(const RegisteredNode& node) const
-        {
-            if (replicator.m_observer.onNode)
-                replicator.m_observer.onNode(node);
+            if (observer.onVersion)
+                observer.onVersion(version, replicator.recordPublication(version, transfer));
         }
+        void operator()(const PromptBlockRecord& block) const { ViewObserver::notify(observer.onPromptBlock, block); }
+        void operator()(const Evacuation& evacuation) const { ViewObserver::notify(observer.onEvacuation, evacuation); }
+        void operator()(const RegisteredNode& node) const { ViewObserver::notify(observer.onNode, node); }
     };
-    std::visit(Visitor { *this, record, transfer, source, kind, id }, m_context.ports.store->decodeRecord(record));
+    std::visit(Visitor { *this, m_observer, record, transfer, source, kind, id }, m_context.ports.store->decodeRecord(record));
 }
 
 bool ViewReplicator::serve(const ServerExchangePointer& exchange)
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -4,6 +4,7 @@
 #include "../http/ServerExchange.h"
 #include "../runtime/GatewayContext.h"
 #include "ViewMessage.h"
+#include "ViewObserver.h"
 
 #include <list>
 
@@ -13,20 +14,7 @@
 /// ViewSourceDecision says, decodes what changed, and serves the view to peers.
 class ViewReplicator {
 public:
-    /// Called with the decoded contents of changed records.
-    struct Observer {
-        std::function<void(const DeploymentConfiguration&)> onConfiguration;
-        std::function<void(const Upstream&, RegistrationSource source)> onUpstream;
-        std::function<void(const std::string& id, RegistrationEnd end)> onUpstreamGone;
-        /// \p earliestPublication is the earliest time at which the version may have been published.
-        std::function<void(const WeightsVersion&, TimePoint earliestPublication)> onVersion;
-        std::function<void(const RegisteredNode&)> onNode;
-        std::function<void(const std::string& id)> onNodeGone;
-        std::function<void(const PromptBlockRecord&)> onPromptBlock;
-        std::function<void(const std::string& block)> onPromptBlockGone;
-        std::function<void(std::uint64_t era)> onEra; ///< before the changes of the first update of an era
-        std::function<void()> onBatchEnd; ///< after all changes of one update
-    };
+    using Observer = ViewObserver;
 
     ViewReplicator(GatewayContext& context, VmIdentity self, bool isEntry);
 
--- a/modules/hyssopwick_requests/placing/UpstreamEligibility.cpp
+++ b/modules/hyssopwick_requests/placing/UpstreamEligibility.cpp
@@ -15,21 +15,33 @@
     return found == m_description.regionOfFailureDomain.end() ? failureDomain : found->second;
 }
 
+bool UpstreamEligibility::setEvacuated(const std::string& failureDomain, bool isEvacuated)
+{
+    return isEvacuated ? m_evacuated.insert(failureDomain).second : m_evacuated.erase(failureDomain) != 0;
+}
+
 bool UpstreamEligibility::setService(const std::string& service, const std::vector<const Upstream*>& upstreams)
 {
-    const auto before = servedRegions(service);
-    auto& regions = m_regions[service];
-    regions.clear();
-    for (const auto* upstream : upstreams)
-        regions[upstream->id] = regionOf(upstream->failureDomain);
-    return servedRegions(service) != before;
+    Service state;
+    for (const auto* upstream : upstreams) {
+        if (isEvacuated(upstream->failureDomain)) {
+            state.hasEvacuated = true;
+            continue;
+        }
+        const auto& region = regionOf(upstream->failureDomain);
+        state.regions[upstream->id] = region;
+        state.served.insert(region);
+    }
+    const bool isChange = state.served != servedRegions(service);
+    m_services[service] = std::move(state);
+    return isChange;
 }
 
-const std::map<std::string, std::string>& UpstreamEligibility::regionsOf(const std::string& service) const
+const UpstreamEligibility::Service& UpstreamEligibility::stateOf(const std::string& service) const
 {
-    static const std::map<std::string, std::string> none;
-    const auto found = m_regions.find(service);
-    return found == m_regions.end() ? none : found->second;
+    static const Service none;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? none : found->second;
 }
 
 std::set<std::string> UpstreamEligibility::excludedFor(const std::string& service, const RegionSet& allowed) const
@@ -53,19 +65,13 @@
 
 std::optional<RefusalReason> UpstreamEligibility::refusalFor(const std::string& service, const RegionSet& allowed) const
 {
-    const auto& regions = regionsOf(service);
-    const auto isAllowed = [&allowed](const auto& upstream) { return allowed.allows(upstream.second); };
-    if (allowed.isAny() || std::any_of(regions.begin(), regions.end(), isAllowed))
+    const auto& state = stateOf(service);
+    if (std::any_of(state.served.begin(), state.served.end(), [&allowed](const std::string& region) { return allowed.allows(region); }))
         return std::nullopt;
-    return RefusalReason::NoUpstreamInRegion;
-}
-
-RegionSet UpstreamEligibility::servedRegions(const std::string& service) const
-{
-    auto served = RegionSet::none();
-    for (const auto& [id, region] : regionsOf(service))
-        served = served.unitedWith(RegionSet::listed({ region }));
-    return served;
+    if (!allowed.isAny())
+        return RefusalReason::NoUpstreamInRegion;
+    // Upstreams that are not registered yet may be soon; evacuated ones serve no call that waits now.
+    return state.hasEvacuated ? std::optional<RefusalReason>(RefusalReason::NoUpstream) : std::nullopt;
 }
 
 }
--- a/scripts/check-boundary.sh
+++ b/scripts/check-boundary.sh
@@ -3,7 +3,7 @@
 # that folder relative to the modules.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-names='Server-Seal|Server-Leaving|Store-Era|Token-Counts|Prompt-Prefix|Not-Executed|Expect-Instance|Expect-Version|Weight-Versions|Request-Priority|Length-Hint|Instance-Id|Deadline-Ms|kv-txn|kv-watch|kv-range|kv-lease|kv-keep|stage-put|stage-get|HYSSOPWICK_BOOT|"op/config|op/version|"servers/|canResume|gapGoalMs|allowedRegions"|/-/'
+names='Server-Seal|Server-Leaving|Store-Era|Token-Counts|Prompt-Prefix|Not-Executed|Expect-Instance|Expect-Version|Weight-Versions|Request-Priority|Length-Hint|Instance-Id|Deadline-Ms|kv-txn|kv-watch|kv-range|kv-lease|kv-keep|stage-put|stage-get|HYSSOPWICK_BOOT|"op/config|op/version|"servers/|canResume|gapGoalMs|allowedRegions"|op/evacuate|/-/'
 if git grep -nE "$names" -- '*.h' '*.cpp' ':!platform' ':!tests/platform'; then
     echo "names of the platform are used outside platform/" >&2
     exit 1
--- a/tests/RegionTests.cpp
+++ b/tests/RegionTests.cpp
@@ -120,6 +120,23 @@
     CHECK(eligibility.isEligible("s", "i-2", south));
 }
 
+// An evacuated upstream would keep its region's calls waiting.
+TEST(UpstreamEligibility, NoUpstreamOfAnEvacuatedFailureDomainIsEligible)
+{
+    CHECK(eligibility.setEvacuated("north-a", true));
+    CHECK_FALSE(eligibility.setEvacuated("north-a", true));
+    eligibility.setService("s", { &first, &second });
+    CHECK_FALSE(eligibility.isEligible("s", "i-1", {}));
+    CHECK(eligibility.refusalFor("s", north) == RefusalReason::NoUpstreamInRegion);
+    CHECK_FALSE(eligibility.refusalFor("s", {}).has_value());
+    eligibility.setService("s", { &first });
+    CHECK(eligibility.refusalFor("s", {}) == RefusalReason::NoUpstream);
+    CHECK_FALSE(eligibility.refusalFor("unknown", {}).has_value()); // may be registered soon
+    CHECK(eligibility.setEvacuated("north-a", false));
+    eligibility.setService("s", { &first });
+    CHECK_FALSE(eligibility.refusalFor("s", north).has_value());
+}
+
 TEST_GROUP(RestrictedSubset) {};
 
 // An entry that uses no engine of a region cannot serve calls that are restricted to it. One of the
--- a/tests/platform/StoreReturnTests.cpp
+++ b/tests/platform/StoreReturnTests.cpp
@@ -36,14 +36,15 @@
     std::vector<std::string> gone;
     std::vector<std::uint64_t> eras;
 
-    void start()
+    void start(std::map<std::string, std::string> records = { { "servers/i-1", upstreamRecord("10.0.0.1:1") }, { "servers/i-2", upstreamRecord("10.0.0.2:1") } })
     {
-        store.answer(withEra(page("items", 7, { { "servers/i-1", upstreamRecord("10.0.0.1:1") }, { "servers/i-2", upstreamRecord("10.0.0.2:1") } }), 1));
+        store.answer(withEra(page("items", 7, records), 1));
         ViewReplicator::Observer observer;
         observer.onUpstreamGone = [this](const std::string& id, RegistrationEnd end) {
             CHECK(end == RegistrationEnd::NotRestored);
             gone.push_back(id);
         };
+        observer.onEvacuationEnd = [this](const Evacuation& evacuation) { gone.push_back(evacuation.failureDomain); };
         observer.onEra = [this](std::uint64_t era) { eras.push_back(era); };
         reader.replicator.start(std::move(observer));
         runUntil([this] { return reader.replicator.revision() == 7; });
@@ -73,6 +74,20 @@
     CHECK(monotonicNow() >= returnSeenAt + RestoredRecords::restorationTime - Milliseconds(200));
 }
 
+// The operator writes the record again within 2 s; until then calls must not go back into the domain.
+TEST(StoreReturn, AnEvacuationThatAnOlderCopyLacksStaysInForceForATime)
+{
+    start({ { "op/evacuate/north-a", "{}" } });
+    store.answer(withEra(page("events", 9, {}), 2));
+    store.answer(withEra(page("items", 6, {}), 2));
+    runUntil([this] { return reader.replicator.position().era == 2; });
+    CHECK(gone.empty());
+    const auto returnSeenAt = monotonicNow();
+    runUntil([this] { return !gone.empty(); });
+    CHECK(gone.front() == "north-a");
+    CHECK(monotonicNow() >= returnSeenAt + RestoredRecords::restorationTime - Milliseconds(200));
+}
+
 TEST(StoreReturn, AnswersOfAnEarlierEraAreNotApplied)
 {
     start();
