--- a/modules/hyssopwick_deployment/model/ProcessDescription.h
+++ b/modules/hyssopwick_deployment/model/ProcessDescription.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <hyssopwick_core.h>
 #include <map>
@@ -34,6 +35,7 @@
     Milliseconds versionBound { 8000 }; ///< from publishing a weights version in the store to its use everywhere
     Milliseconds configurationBound { 2000 };
     Milliseconds contactBound { 0 }; ///< after its start, until the bounds hold for a process
+    Milliseconds evacuationBound { 5000 }; ///< after it an evacuated failure domain must get no new calls
 
     /// Returns how long changes of the store may be batched before they are applied: a
     /// tenth of the time in which they must take effect, so that the rest is left for
@@ -41,7 +43,7 @@
     Milliseconds changeBatchPeriod() const
     {
         constexpr int batchPeriodDivisor = 10;
-        return std::min(configurationBound, drainBound) / batchPeriodDivisor;
+        return std::min({ configurationBound, drainBound, evacuationBound }) / batchPeriodDivisor;
     }
     Milliseconds addressLifetime { 5000 }; ///< longest time for which callers may cache addresses
     double retryRatio = 0.2; ///< retries for each first attempt, over all nodes
@@ -54,7 +56,7 @@
     {
         return std::tie(node, ip, region, failureDomain, regionOfFailureDomain, callerAddress, readyAddress, directoryAddress, internalPort,
             metricsPort, seedIps, storeAddress, engineAddress, engineService, linkBytesPerSecond, memoryBytes, drainBound, stopBound, versionBound,
-            configurationBound, contactBound, addressLifetime, retryRatio, retrySlack, retryWindow, coldOvershoot, coldSlack);
+            configurationBound, contactBound, evacuationBound, addressLifetime, retryRatio, retrySlack, retryWindow, coldOvershoot, coldSlack);
     }
     bool operator==(const ProcessDescription& other) const { return tied() == other.tied(); }
     bool operator!=(const ProcessDescription& other) const { return !(*this == other); }
--- a/modules/hyssopwick_gateway/agent/EngineUpdates.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineUpdates.cpp
@@ -76,7 +76,7 @@
     m_context.log.write("engine.division", { { "divided", m_loggedIsDivided ? "true" : "false" }, { "level", std::to_string(level) }, { "demand_ms_per_s", std::to_string(std::llround(m_division.totalDemand())) }, { "subscribers", std::to_string(m_division.subscribers()) }, { "with_demand", std::to_string(m_division.subscribersWithDemand()) }, { "oldest_demand_ms", std::to_string(millisecondsBetween(m_division.oldestDemandAt(), now)) } });
 }
 
-void EngineUpdates::send(const EngineUpdate& update, bool isUrgent, const std::map<std::string, VmIdentity>& entries, std::size_t engines)
+void EngineUpdates::send(const EngineUpdate& update, bool isUrgent, bool isEvacuated, const std::map<std::string, VmIdentity>& entries, std::size_t engines)
 {
     const auto now = monotonicNow();
     if (!isUrgent && !isDue(update, now))
@@ -89,8 +89,8 @@
     for (const auto& [address, subscribedAt] : m_subscribers)
         addresses.insert(address);
     // Of a large fleet, the entries that use this engine subscribe. A started agent informs all
-    // until it knows them.
-    if (EngineSubset::isWholeOf(engines) || addresses.empty()) {
+    // until it knows them, unless none uses its engine because of an evacuation.
+    if (EngineSubset::isWholeOf(engines) || (addresses.empty() && !isEvacuated)) {
         for (const auto& [id, vm] : entries)
             addresses.insert(vm.address);
     }
--- a/modules/hyssopwick_gateway/agent/EngineUpdates.h
+++ b/modules/hyssopwick_gateway/agent/EngineUpdates.h
@@ -14,9 +14,10 @@
     bool recordSubscription(const std::string& address, const UpdateSubscription& subscription);
 
     /// Sends an update when one is due or the engine's state has changed.
+    /// \param isEvacuated  the engine is in an evacuated failure domain, so that no entry VM uses it
     /// \param entries  all entry VMs that are registered in the store, by id
-    /// \param engines  number of engines of the service
-    void send(const EngineUpdate& update, bool isUrgent, const std::map<std::string, VmIdentity>& entries, std::size_t engines);
+    /// \param engines  number of engines of the service that entry VMs use
+    void send(const EngineUpdate& update, bool isUrgent, bool isEvacuated, const std::map<std::string, VmIdentity>& entries, std::size_t engines);
 
     void exportMetrics() const;
 
