A refusal says that a call has not run only if no attempt may have run

Cause: two refusals judged by the last answer alone: after a lost attempt, a refused second one was answered 503, which promises that the call has not run.

Change: both ask whether any attempt may have run, as the other refusals do.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -76,8 +76,7 @@
     auto& crashes = m_services.crashes();
     if (crashes.mayRun(m_crashTraits))
         return false;
-    const bool isNotRun = m_sentAttempts == 0 || m_answer.isNotRun;
-    const auto retryAfter = isNotRun ? crashes.retryAfter(m_crashTraits) : std::nullopt;
+    const auto retryAfter = !m_mayHaveRun ? crashes.retryAfter(m_crashTraits) : std::nullopt;
     refuse(RefusalReason::CrashSuspected, retryAfter ? statusUnavailable : statusBadGateway, retryAfter.value_or(Milliseconds(0)));
     return true;
 }
@@ -383,7 +382,7 @@
     if (m_eventsForwarded > 0)
         return abortStream("broken");
     if (failure == AttemptFailure::Refused)
-        return refuse(RefusalReason::UpstreamBusy, statusUnavailable, m_services.restOfAll(m_service->name, m_regions.allowed()).value_or(overloadRetryAfter));
+        return refuse(RefusalReason::UpstreamBusy, m_mayHaveRun ? statusBadGateway : statusUnavailable, m_services.restOfAll(m_service->name, m_regions.allowed()).value_or(overloadRetryAfter));
     refuse(isRetrySafe && isRetryAllowed ? RefusalReason::RetryBudgetSpent : RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
 }
 
--- a/tests/PoolDivisionTests.cpp
+++ b/tests/PoolDivisionTests.cpp
@@ -326,7 +326,7 @@
 TEST(DivisionMessage, MessagesStayWithinTheirSizes)
 {
     EngineUpdate update { "engine-north-a-0123", "10.123.123.123:18080", {}, true, EngineAvailability::Serving, Milliseconds(12345), { 0.0123, 0.9876, AdmissionLevel(2.345) } };
-    update.report = { 123456, true, 123, 12, 123456789.5, 223456789.5, 12345, 1.2345, 1796400000000, false, Milliseconds(0), { { "model-a", 123 } } };
+    update.report = { 123456, true, 123, 12, 123456789.5, 223456789.5, 12345, 1.2345, 1796400000000, Milliseconds(0), false, { { "model-a", 123 } } };
     auto demand = demandOf(123, 0);
     demand.add(1, 88);
     demand.add(2, 456);
