--- a/modules/hyssopwick_requests/placing/EnginePool.cpp
+++ b/modules/hyssopwick_requests/placing/EnginePool.cpp
@@ -21,6 +21,9 @@
     // Bandwidth between regions is scarce: an engine in the same region is chosen unless a
     // remote one is faster by more than the round trip.
     constexpr double remotePenaltyMilliseconds = 10;
+    // Others have sent to a divided engine since its report what their shares allow. Added for each
+    // millisecond of the report's age; a factor of 1 placed worse in the model of 62 entry VMs.
+    constexpr double reportAgePenalty = 0.5;
     // Engines compared for one call. Entries that compare all engines would all choose the
     // same one between two reports; comparing a few random ones avoids that at little loss
     // (Mitzenmacher, How Useful Is Old Information?, 2000).
@@ -270,7 +273,8 @@
         const double reloadPenalty = !isReloadingSoon ? 0 : excluded.empty() ? reloadPenaltyMilliseconds
                                                                              : secondReloadPenaltyMilliseconds;
         const double remotePenalty = m_remoteEngines.count(id) == 0 ? 0 : remotePenaltyMilliseconds;
-        const double score = prediction.firstEventMilliseconds + reloadPenalty + remotePenalty;
+        const double agePenalty = m_shares.isStated(id, now) ? reportAgePenalty * double(millisecondsBetween(m_engines.at(id).reportedAt, now)) : 0;
+        const double score = prediction.firstEventMilliseconds + reloadPenalty + remotePenalty + agePenalty;
         if (best && score >= bestScore)
             continue;
         best = EngineChoice { id, prediction };
--- a/tests/PoolDivisionTests.cpp
+++ b/tests/PoolDivisionTests.cpp
@@ -299,12 +299,12 @@
         admittedTime += isAdmitted ? size : 0;
     }
     std::sort(calls.begin(), calls.end());
-    const auto admittedPart = [&calls](std::size_t from) {
-        return double(std::count_if(calls.begin() + std::ptrdiff_t(from), calls.end(), [](const auto& call) { return call.second; })) / double(calls.size() - from);
+    const auto admittedPart = [&calls](std::ptrdiff_t from, std::ptrdiff_t until) {
+        return double(std::count_if(calls.begin() + from, calls.begin() + until, [](const auto& call) { return call.second; })) / double(until - from);
     };
     DOUBLES_EQUAL(0.3, admittedTime / time, 0.02);
-    CHECK_COMPARE(admittedPart(18000), >=, admittedPart(0) / 2);
-    CHECK_COMPARE(admittedPart(18000), <, admittedPart(0));
+    CHECK_COMPARE(admittedPart(18000, 20000), >=, admittedPart(0, 20000) / 2);
+    CHECK_COMPARE(admittedPart(0, 1000), >=, 0.9); // small calls cost the least
 }
 
 TEST_GROUP(SubscriptionSchedule) {};
