Test the preference for places of the share and the Retry-After of deferred calls

No test noticed that places of a share were used only while calls wait. Mutations that the new tests catch, run: places only while calls wait (AnEngineWithAPlaceInTheShareIsPreferred); Retry-After from a level that rises by 2 a second (ADeferredCallThatCannotBeServed...).

--- a/tests/PoolDivisionTests.cpp
+++ b/tests/PoolDivisionTests.cpp
@@ -307,6 +307,39 @@
     CHECK_COMPARE(admittedPart(0, 1000), >=, 0.9); // small calls cost the least
 }
 
+// A deferred caller that returns before the level can have risen is refused again.
+TEST(AdmissionLevel, ADeferredCallThatCannotBeServedIsRefusedAtOnceWithTheTimeOfRoom)
+{
+    EnginePool pool(1);
+    pool.setSpeed(contendedSpeed());
+    pool.setEngines({ "a" });
+    EngineReport report;
+    report.runningCalls = 12;
+    report.waitingCalls = 10;
+    pool.recordReport("a", report, at(0), { 1.0, 0.0, AdmissionLevel(1.5) });
+    CallQueue queue(pool);
+    queue.add({ 1, { 900, 90 }, 2, at(1000), at(1600), {}, false }, at(1));
+    const auto decisions = queue.advance(at(1));
+    LONGS_EQUAL(1, decisions.refused.size());
+    LONGS_EQUAL(1, queue.levelCounts().deferredRefused);
+    LONGS_EQUAL(2800, decisions.retryAfterOf(1).count()); // 0.7 at 0.25 a second
+}
+
+// Calls that do not wait would otherwise use places that belong to other entry VMs.
+TEST(EngineDivision, AnEngineWithAPlaceInTheShareIsPreferred)
+{
+    EnginePool pool(1);
+    pool.setSpeed(contendedSpeed());
+    pool.setEngines({ "mine", "others" });
+    pool.recordReport("mine", {}, at(0), { 1.0, 0.0, std::nullopt });
+    pool.recordReport("others", {}, at(0), { 0.0, 0.0, std::nullopt });
+    for (std::uint64_t call = 1; call <= 3; ++call) {
+        const auto choice = pool.choose({ 900, 90 }, {}, at(1));
+        STRCMP_EQUAL("mine", choice->upstream.c_str());
+        pool.recordSend("mine", call, { 900, 90 }, at(1));
+    }
+}
+
 TEST_GROUP(SubscriptionSchedule) {};
 
 TEST(SubscriptionSchedule, ChangedDemandIsStatedAtOnceButNotMoreOftenThanFiveTimesASecond)
