--- a/modules/hyssopwick_deployment/model/ProcessDescription.h
+++ b/modules/hyssopwick_deployment/model/ProcessDescription.h
@@ -27,12 +27,23 @@
     std::string engineService;
 
     double linkBytesPerSecond = 1e6; ///< of this VM's link
+    double cores = 1; ///< of this VM
+    double cpuShare = 1; ///< of each core that this process may use
     std::size_t memoryBytes = std::size_t(128) << 20; ///< that this process may use
 
     Milliseconds drainBound { 2000 }; ///< after it a leaving upstream must get no new calls
     Milliseconds stopBound { 8000 }; ///< from SIGTERM to SIGKILL
     Milliseconds versionBound { 8000 }; ///< from publishing a weights version in the store to its use everywhere
     Milliseconds configurationBound { 2000 };
+    Milliseconds contactBound { 0 }; ///< after it and 3 s an entry VM that ended is not named any more; 0 for no bound
+
+    /// Returns how many calls this VM can carry, relative to one whole core. Known VMs have links of
+    /// 160 to 400 Mbit/s for a core; a thinner link counts in place of the core.
+    double power() const
+    {
+        constexpr double linkBytesPerSecondOfCore = 12.5e6;
+        return std::min(cores * cpuShare, linkBytesPerSecond / linkBytesPerSecondOfCore);
+    }
 
     /// Returns how long changes of the store may be batched before they are applied: a
     /// tenth of the time in which they must take effect, so that the rest is left for
@@ -50,8 +61,8 @@
     auto tied() const
     {
         return std::tie(node, ip, region, failureDomain, regionOfFailureDomain, callerAddress, readyAddress, directoryAddress, internalPort,
-            metricsPort, seedIps, storeAddress, engineAddress, engineService, linkBytesPerSecond, memoryBytes, drainBound, stopBound, versionBound,
-            configurationBound, addressLifetime, retryRatio, retrySlack, retryWindow);
+            metricsPort, seedIps, storeAddress, engineAddress, engineService, linkBytesPerSecond, cores, cpuShare, memoryBytes, drainBound, stopBound, versionBound,
+            configurationBound, contactBound, addressLifetime, retryRatio, retrySlack, retryWindow);
     }
     bool operator==(const ProcessDescription& other) const { return tied() == other.tied(); }
     bool operator!=(const ProcessDescription& other) const { return !(*this == other); }
--- a/modules/hyssopwick_deployment/ports/StoreCodec.h
+++ b/modules/hyssopwick_deployment/ports/StoreCodec.h
@@ -15,8 +15,9 @@
 struct RegisteredNode {
     VmIdentity vm;
     std::uint64_t incarnation = 0; ///< higher after each start
+    double power = 1; ///< calls that it can carry, relative to a whole core
 
-    auto tied() const { return std::tie(vm, incarnation); }
+    auto tied() const { return std::tie(vm, incarnation, power); }
     bool operator==(const RegisteredNode& other) const { return tied() == other.tied(); }
     bool operator!=(const RegisteredNode& other) const { return !(*this == other); }
 };
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -25,8 +25,6 @@
     // With each of them repeating to one other once a period, an entry that was away knows what the
     // others know well before the bound within which it counts as back (3 s at least).
     constexpr Milliseconds repeatPeriod { 400 };
-    // With fewer entries in the caller's failure domain, others are added to the answer.
-    constexpr std::size_t minAddresses = 2;
 
     // Limits on requests from other processes of the deployment: the defaults.
     CallerLimits internalLimits() { return {}; }
@@ -36,6 +34,7 @@
     : m_context(context)
     , m_peerSocket(context)
     , m_gossip(context, m_peerSocket)
+    , m_addresses(context, m_gossip.statuses())
     , m_services(context)
     , m_view(context, m_gossip.self(), true)
     , m_blockRecords(context)
@@ -66,6 +65,7 @@
     BOOST_OUTCOME_TRY(listenIfServed(m_directory, description.directoryAddress));
     BOOST_OUTCOME_TRY(listenIfServed(m_callers, description.callerAddress));
     m_services.answerMemory()->setBufferedBytes([this] { return m_callers.bufferedBytes(); });
+    m_gossip.setStatusSource([this] { return std::make_pair(static_cast<unsigned>(m_calls.size()), m_addresses.queriesPerSecond(monotonicNow())); });
     m_gossip.onChange([this] { membersChanged(); });
     m_services.onCapacity([this] {
         if (!m_services.routes())
@@ -173,23 +173,10 @@
     exchange->respond(statusOk, { { "Content-Type", "application/json" } }, m_context.ports.directory->encodeAnswer(addresses, lifetime));
 }
 
-std::vector<std::string> EntryGateway::callerAddresses(const AddressQuery& query) const
+std::vector<std::string> EntryGateway::callerAddresses(const AddressQuery& query)
 {
-    auto entries = m_gossip.servingEntries();
-    const auto port = m_context.description.callerAddress.substr(m_context.description.callerAddress.find(':'));
-    const auto rank = [&query](const VmIdentity& vm) { return vm.failureDomain == query.failureDomain ? 0 : vm.region == query.region ? 1
-                                                                                                                                      : 2; };
-    std::stable_sort(entries.begin(), entries.end(), [&rank](const VmIdentity& left, const VmIdentity& right) { return rank(left) < rank(right); });
-    std::vector<std::string> addresses;
-    int lastRank = 0;
-    for (const auto& entry : entries) {
-        const bool isEnough = addresses.size() >= minAddresses && rank(entry) > lastRank;
-        if (isEnough || addresses.size() >= m_context.ports.directory->maxAddresses())
-            break;
-        lastRank = rank(entry);
-        addresses.push_back(entry.address.substr(0, entry.address.find(':')) + port);
-    }
-    return addresses;
+    const auto entries = m_gossip.servingEntries();
+    return m_addresses.choose(entries, query, monotonicNow());
 }
 
 void EntryGateway::serveReadiness(const ServerExchangePointer& exchange)
@@ -324,7 +311,7 @@
         m_lease = lease.value();
         m_leaseEra = m_context.ports.store->decodeEra(response.fields);
         const auto now = monotonicNow();
-        fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeRegistration({ m_gossip.self(), m_context.incarnation }, m_lease), now + connectTimeout, now + storeTimeout, [this](WholeResponse response) {
+        fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeRegistration({ m_gossip.self(), m_context.incarnation, m_context.description.power() }, m_lease), now + connectTimeout, now + storeTimeout, [this](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "register");
             const bool isOtherEra = m_context.ports.store->decodeEra(response.fields) != m_leaseEra;
             if (response.isComplete() && response.status == statusOk && !isOtherEra) {
--- a/modules/hyssopwick_gateway/entry/EntryGateway.h
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.h
@@ -5,6 +5,7 @@
 #include "../runtime/GatewayProcess.h"
 #include "../runtime/PeerSocket.h"
 #include "../view/ViewReplicator.h"
+#include "AddressAnswers.h"
 #include "CallFlow.h"
 #include "EntryServices.h"
 #include "PromptBlockRecords.h"
@@ -45,11 +46,12 @@
     void scheduleRegistration(Milliseconds delay);
     void restoreRegistration(std::uint64_t era);
     void finishStopping();
-    std::vector<std::string> callerAddresses(const AddressQuery& query) const;
+    std::vector<std::string> callerAddresses(const AddressQuery& query);
 
     GatewayContext& m_context;
     PeerSocket m_peerSocket;
     MemberGossip m_gossip;
+    AddressAnswers m_addresses;
     EntryServices m_services;
     ViewReplicator m_view;
     PromptBlockRecords m_blockRecords;
--- a/modules/hyssopwick_gateway/members/MemberGossip.cpp
+++ b/modules/hyssopwick_gateway/members/MemberGossip.cpp
@@ -22,6 +22,7 @@
     : m_context(context)
     , m_peerSocket(peerSocket)
     , m_table(identityOf(context), context.incarnation)
+    , m_statuses(context.description.node, stableHash(context.description.node + "/statuses") ^ context.incarnation)
     , m_probes(context.description.node, stableHash(context.description.node) ^ context.incarnation, monotonicNow())
     , m_timer(context.loop)
 {
@@ -51,11 +52,13 @@
 {
     m_table.announceDeparture(monotonicNow());
     for (const auto& peer : livePeers())
-        m_peerSocket.send(peer.address, PingMessage { ++m_sequence, m_table.self(), {}, peer.id });
+        m_peerSocket.send(peer.address, PingMessage { ++m_sequence, m_table.self(), {}, peer.id, {} });
 }
 
 void MemberGossip::addRegisteredNode(const RegisteredNode& node)
 {
+    m_statuses.setRegisteredPower(node.vm.id, node.power);
+    m_statuses.recordStart(node.vm.id, Milliseconds(unixNow() - static_cast<UnixMilliseconds>(node.incarnation)), monotonicNow());
     MemberUpdate update { node.vm, node.incarnation, MemberState::Alive };
     const auto* known = m_table.find(node.vm.id);
     if (known && known->incarnation >= node.incarnation)
@@ -69,7 +72,7 @@
     for (const auto& ip : m_context.description.seedIps) {
         const auto address = ip + ":" + std::to_string(m_context.description.internalPort);
         if (ip != m_context.description.ip)
-            m_peerSocket.send(address, PingMessage { ++m_sequence, m_table.self(), m_table.takeUpdates(maxUpdates), "" });
+            m_peerSocket.send(address, PingMessage { ++m_sequence, m_table.self(), m_table.takeUpdates(maxUpdates), "", takeStatuses(maxUpdates) });
     }
 }
 
@@ -120,8 +123,10 @@
     if (!member)
         return;
     const auto sequence = ++m_sequence;
+    auto updates = m_table.takeUpdates(maxUpdates);
+    auto statuses = takeStatuses(updates.size());
     m_pending[sequence] = { vm, requester, requesterSequence, deadline, false };
-    m_peerSocket.send(member->vm.address, PingMessage { sequence, m_table.self(), m_table.takeUpdates(maxUpdates), vm });
+    m_peerSocket.send(member->vm.address, PingMessage { sequence, m_table.self(), std::move(updates), vm, std::move(statuses) });
 }
 
 void MemberGossip::expirePings()
@@ -153,16 +158,43 @@
     if (sender.vm.id != m_context.description.node) {
         m_hasPeers = true;
         m_table.merge(sender, now);
+        m_statuses.recordContact(sender.vm.id, now);
     }
     for (const auto& update : updates)
         m_table.merge(update, now);
     notifyIfChanged();
 }
 
+void MemberGossip::mergeStatuses(const std::vector<EntryStatus>& statuses)
+{
+    const auto now = monotonicNow();
+    for (const auto& status : statuses)
+        m_statuses.merge(status, now);
+}
+
+// Messages with many updates carry fewer statuses, so that each stays within one packet.
+std::vector<EntryStatus> MemberGossip::takeStatuses(std::size_t updateCount)
+{
+    std::map<ShortName, double> queries;
+    unsigned calls = 0;
+    if (m_statusSource) {
+        const auto own = m_statusSource();
+        calls = own.first;
+        for (const auto& [domain, rate] : own.second)
+            queries[shortNameOf(domain)] = rate;
+    }
+    constexpr std::int64_t sequencesPerSecond = 10;
+    const auto sequence = static_cast<std::uint32_t>(unixNow() * sequencesPerSecond / 1000);
+    m_statuses.setOwn(m_context.description.power(), calls, std::move(queries), sequence);
+    const auto count = EntryStatusTable::messageCount(m_table.liveEntries(true).size());
+    return m_statuses.take(count - std::min(count / 2, updateCount), monotonicNow());
+}
+
 void MemberGossip::receive(const PingMessage& message, const std::string& sender)
 {
     const bool isNewToUs = !m_table.find(message.sender.vm.id);
     mergeAll(message.sender, message.updates);
+    mergeStatuses(message.statuses);
     if (!message.target.empty() && message.target != m_context.description.node)
         return;
     auto updates = m_table.takeUpdates(maxUpdates);
@@ -174,19 +206,21 @@
             updates.push_back(update);
         }
     }
-    m_peerSocket.send(sender, PingAnswer { message.sequence, m_table.self(), std::move(updates) });
+    auto statuses = takeStatuses(updates.size());
+    m_peerSocket.send(sender, PingAnswer { message.sequence, m_table.self(), std::move(updates), std::move(statuses) });
 }
 
 void MemberGossip::receive(const PingAnswer& message)
 {
     mergeAll(message.sender, message.updates);
+    mergeStatuses(message.statuses);
     const auto found = m_pending.find(message.sequence);
     if (found == m_pending.end())
         return;
     const auto ping = found->second;
     m_pending.erase(found);
     if (!ping.requester.empty()) {
-        m_peerSocket.send(ping.requester, PingAnswer { ping.requesterSequence, message.sender, {} });
+        m_peerSocket.send(ping.requester, PingAnswer { ping.requesterSequence, message.sender, {}, {} });
         return;
     }
     m_probes.recordAnswer(ping.vm);
--- a/modules/hyssopwick_gateway/members/MemberGossip.h
+++ b/modules/hyssopwick_gateway/members/MemberGossip.h
@@ -23,6 +23,14 @@
     /// Adds an entry VM that is registered in the store.
     void addRegisteredNode(const RegisteredNode& node);
 
+    /// Sets the source of what this VM states of itself: its calls in progress and the address
+    /// queries a second that it gets, by the caller's failure domain.
+    using StatusSource = std::function<std::pair<unsigned, std::map<std::string, double>>()>;
+    void setStatusSource(StatusSource source) { m_statusSource = std::move(source); }
+
+    /// Returns what the entry VMs state of themselves.
+    const EntryStatusTable& statuses() const { return m_statuses; }
+
     void receive(const PingMessage& message, const std::string& sender);
     void receive(const PingAnswer& message);
     void receive(const PingRequest& message, const std::string& sender);
@@ -57,11 +65,15 @@
     void expirePings();
     void pingSeeds();
     void mergeAll(const MemberUpdate& sender, const std::vector<MemberUpdate>& updates);
+    void mergeStatuses(const std::vector<EntryStatus>& statuses);
+    std::vector<EntryStatus> takeStatuses(std::size_t updateCount);
     void notifyIfChanged();
 
     GatewayContext& m_context;
     PeerSocket& m_peerSocket;
     MemberTable m_table;
+    EntryStatusTable m_statuses;
+    StatusSource m_statusSource;
     ProbeDecision m_probes;
     LoopTimer m_timer;
     std::function<void()> m_onChange;
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.cpp
@@ -28,6 +28,25 @@
         return updates;
     }
 
+    Json statusesToJson(const std::vector<EntryStatus>& statuses)
+    {
+        Json json = Json::array();
+        for (const auto& status : statuses)
+            json.push_back(entryStatusToJson(status));
+        return json;
+    }
+
+    // Processes before an upgrade send none. They ignore elements that they do not know.
+    std::vector<EntryStatus> statusesFromJson(const Json& json, std::size_t index)
+    {
+        std::vector<EntryStatus> statuses;
+        for (const auto& item : index < json.size() ? json[index] : Json::array()) {
+            if (auto status = entryStatusFromJson(item))
+                statuses.push_back(std::move(*status));
+        }
+        return statuses;
+    }
+
     MemberUpdate senderFromJson(const Json& json)
     {
         auto sender = memberUpdateFromJson(json);
@@ -42,11 +61,11 @@
     struct Encoder {
         Json operator()(const PingMessage& message) const
         {
-            return { message.sequence, memberUpdateToJson(message.sender), updatesToJson(message.updates), message.target };
+            return { message.sequence, memberUpdateToJson(message.sender), updatesToJson(message.updates), message.target, statusesToJson(message.statuses) };
         }
         Json operator()(const PingAnswer& message) const
         {
-            return { message.sequence, memberUpdateToJson(message.sender), updatesToJson(message.updates) };
+            return { message.sequence, memberUpdateToJson(message.sender), updatesToJson(message.updates), statusesToJson(message.statuses) };
         }
         Json operator()(const PingRequest& message) const
         {
@@ -175,9 +194,9 @@
     {
         switch (json.at(0).get<int>()) {
         case 0:
-            return PingMessage { json.at(1).get<std::uint64_t>(), senderFromJson(json.at(2)), updatesFromJson(json.at(3)), json.at(4).get<std::string>() };
+            return PingMessage { json.at(1).get<std::uint64_t>(), senderFromJson(json.at(2)), updatesFromJson(json.at(3)), json.at(4).get<std::string>(), statusesFromJson(json, 5) };
         case 1:
-            return PingAnswer { json.at(1).get<std::uint64_t>(), senderFromJson(json.at(2)), updatesFromJson(json.at(3)) };
+            return PingAnswer { json.at(1).get<std::uint64_t>(), senderFromJson(json.at(2)), updatesFromJson(json.at(3)), statusesFromJson(json, 4) };
         case 2:
             return PingRequest { json.at(1).get<std::uint64_t>(), senderFromJson(json.at(2)), json.at(3).get<std::string>() };
         case 3:
--- a/modules/hyssopwick_gateway/runtime/PeerMessage.h
+++ b/modules/hyssopwick_gateway/runtime/PeerMessage.h
@@ -13,12 +13,14 @@
     MemberUpdate sender;
     std::vector<MemberUpdate> updates;
     std::string target; ///< id of the pinged member; "" when only its address is known
+    std::vector<EntryStatus> statuses; ///< of the sender and of others
 };
 
 struct PingAnswer {
     std::uint64_t sequence = 0;
     MemberUpdate sender;
     std::vector<MemberUpdate> updates;
+    std::vector<EntryStatus> statuses; ///< of the sender and of others
 };
 
 /// Asks a member to ping another one.
--- a/modules/hyssopwick_membership/hyssopwick_membership.h
+++ b/modules/hyssopwick_membership/hyssopwick_membership.h
@@ -6,6 +6,7 @@
 
 #include "configuration/ConfigurationDecision.h"
 #include "leases/LeaseDecision.h"
+#include "members/EntryStatusTable.h"
 #include "members/MemberTable.h"
 #include "members/MemberUpdate.h"
 #include "members/ProbeDecision.h"
--- a/modules/hyssopwick_requests/hyssopwick_requests.h
+++ b/modules/hyssopwick_requests/hyssopwick_requests.h
@@ -20,6 +20,7 @@
 #include "retries/CrashQuarantine.h"
 #include "retries/CrashSuspicion.h"
 #include "retries/RetryDecision.h"
+#include "routing/CallerDemand.h"
 #include "routing/EntrySelection.h"
 #include "routing/PrefixIndex.h"
 #include "routing/Refusal.h"
--- a/tests/platform/FormatTests.cpp
+++ b/tests/platform/FormatTests.cpp
@@ -91,6 +91,22 @@
     LONGS_EQUAL(7715, settings.value().metricsPort);
 }
 
+// Guards against registrations of a process before an upgrade that are refused or count for nothing.
+TEST(SettingsFormat, ThePowerComesFromTheLimitsAndIsRegistered)
+{
+    const std::string base = "node = \"n\"\nip = \"10.0.0.1\"\nregion = \"r\"\nzone = \"z\"\ninternalPorts = [7700]\n[platform]\naddress = \"10.0.0.2:80\"\n";
+    const auto power = [&base](const char* limits) { return decodeSettings(base + "[bounds]\ncontactMs = 1500\n[limits]\n" + limits).value().power(); };
+    DOUBLES_EQUAL(0.5, power("cpuShare = 0.25\ncores = 2\nlinkMbps = 200\n"), 1e-9);
+    DOUBLES_EQUAL(0.28, power("cpuShare = 0.5\nlinkMbps = 28\n"), 1e-9);
+    CHECK(decodeSettings(base + "[bounds]\ncontactMs = 1500\n").value().contactBound == Milliseconds(1500));
+    const auto decode = [](const std::string& fields) {
+        const auto record = StoreFormat().decodeRecord({ "hyssopwick/nodes/e", R"({"address":"10.0.0.1:7","region":"r","failureDomain":"d","kind":"entry","incarnation":5)" + fields + "}", 1, false });
+        return std::get<RegisteredNode>(record).power;
+    };
+    DOUBLES_EQUAL(1, decode(""), 1e-9);
+    DOUBLES_EQUAL(0.17, decode(R"(,"power":0.17)"), 1e-9);
+}
+
 TEST_GROUP(CallFormat) {};
 
 TEST(CallFormat, ACallIsDecoded)
