SlowReader tests no longer depend on the system's socket buffers

Cause: AStreamIsHeldInPartAndArrivesWholeOnceItIsRead failed once in about 14 runs: the system's buffers took all of the 4 MB that an answer may have, so that no pause began and the check that one had failed. Two further tests rested on the same assumption.

Change: these three use an exchange whose socket takes bytes only when told to, with the same bounds and exact sizes; a further test keeps the real socket. No bound is changed.

--- a/tests/platform/SlowReaderTests.cpp
+++ b/tests/platform/SlowReaderTests.cpp
@@ -1,5 +1,7 @@
 #include "CallFlowSupport.h"
 
+#include <numeric>
+
 using namespace hyssopwick;
 
 namespace {
@@ -79,6 +81,27 @@
     asio::ip::tcp::acceptor m_acceptor;
 };
 
+/// Exchange of a caller whose socket takes bytes only when it is told to; unlike a real one it has no
+/// buffer in the system, whose size varies.
+class SlowExchange : public RecordedExchange {
+public:
+    using RecordedExchange::RecordedExchange;
+
+    std::size_t unsentBytes() const override { return hasEnded ? 0 : body.size() - m_taken; }
+    void onSent(std::function<void()> handler) override { m_onSent = std::move(handler); }
+
+    void takeAll()
+    {
+        m_taken = body.size();
+        if (!hasEnded && m_onSent)
+            m_onSent();
+    }
+
+private:
+    std::size_t m_taken = 0;
+    std::function<void()> m_onSent;
+};
+
 /// Caller that reads its answer only when it is told to.
 class SlowCaller {
 public:
@@ -118,6 +141,8 @@
 {
     std::unique_ptr<FloodUpstream> flood;
     std::vector<std::unique_ptr<SlowCaller>> callers;
+    std::vector<std::shared_ptr<SlowExchange>> exchanges;
+    std::vector<std::shared_ptr<CallFlow>> flows;
     HttpListener listener { loop, [this](const ServerExchangePointer& received) {
                                flow = std::make_shared<CallFlow>(
                                    services, received, [](const std::string&) {}, [](CallFlow*) {});
@@ -139,7 +164,9 @@
             services.setUpstream(upstream);
         }
         services.refresh();
-        services.answerMemory()->setBufferedBytes([this] { return listener.bufferedBytes(); });
+        services.answerMemory()->setBufferedBytes([this] {
+            return std::accumulate(exchanges.begin(), exchanges.end(), listener.bufferedBytes(), [](std::size_t sum, const auto& slow) { return sum + slow->unsentBytes(); });
+        });
         CHECK(listener.listen("127.0.0.1:0").has_value());
     }
 
@@ -149,6 +176,45 @@
         return *callers.back();
     }
 
+    // Starts a call without a socket.
+    SlowExchange& callWithoutSocket()
+    {
+        ServerRequest request;
+        request.method = "GET";
+        request.target = "/x/a";
+        request.host = "a.example";
+        request.fields = { { "Request-Id", "r1" }, { "Deadline-Ms", "20000" }, { "Authorization", "Bearer secret-key" } };
+        request.receivedAt = monotonicNow();
+        exchanges.push_back(std::make_shared<SlowExchange>(std::move(request)));
+        flows.push_back(std::make_shared<CallFlow>(
+            services, exchanges.back(), [](const std::string&) {}, [](CallFlow*) {}));
+        flows.back()->start();
+        return *exchanges.back();
+    }
+
+    void runFor(Milliseconds time)
+    {
+        const auto end = monotonicNow() + time;
+        runUntil([end] { return monotonicNow() > end; });
+    }
+
+    // Takes all bytes until the answer has ended.
+    void takeUntilEnd(SlowExchange & slow)
+    {
+        runUntil([&slow] {
+            slow.takeAll();
+            return slow.hasEnded;
+        });
+    }
+
+    static void checkEvents(const std::string& body, std::size_t events)
+    {
+        for (std::size_t number = 0, position = 0; number < events; ++number) {
+            position = body.find("id: " + std::to_string(number) + "\n", position);
+            CHECK(position != std::string::npos);
+        }
+    }
+
     void runUntil(const std::function<bool()>& isDone)
     {
         for (const auto end = monotonicNow() + Milliseconds(20000); !isDone() && monotonicNow() < end;) { // only ends a failing test
@@ -157,42 +223,41 @@
         }
         CHECK(isDone());
     }
-
-    // Runs until the upstream has sent nothing for some time.
-    void runUntilStalled(Milliseconds time = Milliseconds(200))
-    {
-        std::size_t last = 0;
-        auto since = monotonicNow();
-        runUntil([&] {
-            if (flood->sentEvents != last)
-                since = monotonicNow();
-            last = flood->sentEvents;
-            return last > 0 && monotonicNow() > since + time;
-        });
-    }
 };
 
-// Load: an engine streams 4 MB to a caller that reads nothing at first; sockets take less than 3 MB. Guards against an answer
+// Load: an engine streams 4 MB to a caller that reads nothing at first. Guards against an answer
 // that is held whole in memory, and against one that is cut or damaged by the pause.
 TEST(SlowReader, AStreamIsHeldInPartAndArrivesWholeOnceItIsRead)
 {
     constexpr std::size_t events = 4000; // an answer may have 4 MiB
     serve(events);
-    auto& caller = call();
-    runUntilStalled();
-    CHECK(peakBytes > ReadingPause::resumeBytes);
+    auto& slow = callWithoutSocket();
+    runUntil([&] { return slow.unsentBytes() > ReadingPause::pauseBytes - FloodUpstream::eventBytes; });
+    runFor(Milliseconds(300));
+    CHECK_FALSE(slow.hasEnded);
     CHECK(peakBytes <= ReadingPause::pauseBytes + 16384);
+    takeUntilEnd(slow);
+    CHECK(slow.isFinished);
+    CHECK(peakBytes <= std::size_t(256) << 10);
+    checkEvents(slow.body, events);
+    LONGS_EQUAL(events * FloodUpstream::eventBytes, slow.body.size());
+    LONGS_EQUAL(0, services.answerMemory()->heldBytes());
+    LONGS_EQUAL(1, std::count_if(lines.begin(), lines.end(), [](const auto& line) { return line.find("event=call.paused") != std::string::npos; }));
+}
+
+// The same over a socket, whose system buffers take a part.
+TEST(SlowReader, AStreamOverASlowSocketArrivesWhole)
+{
+    constexpr std::size_t events = 4000;
+    serve(events);
+    auto& caller = call();
+    runFor(Milliseconds(300));
     caller.read();
     runUntil([&] { return caller.hasEnded; });
-    CHECK(peakBytes <= std::size_t(256) << 10);
-    for (std::size_t number = 0, position = 0; number < events; ++number) {
-        position = caller.received.find("id: " + std::to_string(number) + "\n", position);
-        CHECK(position != std::string::npos);
-    }
+    CHECK(peakBytes <= ReadingPause::pauseBytes + 16384);
     CHECK(caller.isComplete);
+    checkEvents(caller.received, events);
     runUntil([&] { return services.answerMemory()->heldBytes() == 0; });
-    const auto logged = [this](const char* event) { return std::count_if(lines.begin(), lines.end(), [event](const auto& line) { return line.find(event) != std::string::npos; }); };
-    LONGS_EQUAL(1, logged("event=call.paused"));
 }
 
 // Load: a caller that reads nothing until its deadline. Guards against a connection that holds
@@ -234,16 +299,13 @@
     context.description.memoryBytes = std::size_t(1) << 20;
     constexpr std::size_t maxBytes = std::size_t(1) << 18;
     serve(1000000);
-    while (metrics.counter("refusals_total", "entry-busy") == 0 && callers.size() < 100) {
-        call();
-        runUntilStalled(Milliseconds(30));
+    while (metrics.counter("refusals_total", "entry-busy") == 0 && exchanges.size() < 100) {
+        callWithoutSocket();
+        runFor(Milliseconds(30));
     }
     LONGS_EQUAL(1, metrics.counter("refusals_total", "entry-busy"));
-    auto& refused = *callers.back();
-    refused.read();
-    runUntil([&] { return refused.received.find("entry-busy") != std::string::npos; });
-    CHECK(refused.received.find("HTTP/1.1 503") == 0);
-    CHECK(refused.received.find("Retry-After") != std::string::npos);
+    LONGS_EQUAL(503, exchanges.back()->status);
+    CHECK_FALSE(headerValue(exchanges.back()->fields, "Retry-After").empty());
     CHECK(peakBytes <= maxBytes * 3 / 4);
     HeldAnswer whole(services.answerMemory());
     CHECK(whole.append(std::string(maxBytes / 4, 'x')));
@@ -255,14 +317,13 @@
 TEST(SlowReader, AnUnframedStreamThatWasPausedForLongIsNotTakenForComplete)
 {
     serve(4000, false);
-    auto& caller = call();
-    runUntilStalled();
-    const auto pausedUntil = monotonicNow() + Milliseconds(1100);
-    runUntil([&] { return monotonicNow() > pausedUntil; });
-    caller.read();
-    runUntil([&] { return caller.hasEnded; });
+    auto& slow = callWithoutSocket();
+    runUntil([&] { return slow.unsentBytes() > ReadingPause::pauseBytes - FloodUpstream::eventBytes; });
+    runFor(Milliseconds(1100));
+    takeUntilEnd(slow);
     LONGS_EQUAL(1, flood->finished);
-    CHECK_FALSE(caller.isComplete);
+    CHECK_FALSE(slow.isFinished);
+    CHECK(slow.isAborted);
 }
 
 // Guards against a pause that the limit on the time between two pieces ends as a stall.
