--- a/modules/hyssopwick_distribution/hyssopwick_distribution.h
+++ b/modules/hyssopwick_distribution/hyssopwick_distribution.h
@@ -10,6 +10,7 @@
 #include "rollout/PlacementDecision.h"
 #include "rollout/RolloutDecision.h"
 #include "swarm/ChunkSet.h"
+#include "swarm/ManifestRequests.h"
 #include "swarm/PullDecision.h"
 #include "swarm/PushDecision.h"
 #include "weights/ChunkStore.h"
--- a/modules/hyssopwick_distribution/swarm/PullDecision.cpp
+++ b/modules/hyssopwick_distribution/swarm/PullDecision.cpp
@@ -29,8 +29,21 @@
     // Several chunk times, since a fetch shares both VMs' links with other fetches.
     constexpr int chunkTimesPerDeadline = 8;
     constexpr Milliseconds deadlineSlack { 300 };
-    constexpr int originChunkTimesPerDeadline = 20;
+    // An answer that makes progress is not given up while many VMs share the origin's link:
+    // with 20 chunk times, transfers that shared it after an outage were all given up and
+    // started again (tests/OriginReturnTests.cpp).
+    constexpr int originChunkTimesPerDeadline = 64;
     constexpr Milliseconds originDeadlineSlack { 700 };
+    constexpr Milliseconds originStallTimeout { 500 };
+    // A busy origin accepts connections late because its link is saturated.
+    constexpr Milliseconds originBeginTimeout { 1200 };
+    // While the origin fails, a request is repeated soon: one that was sent before its return
+    // may never be answered. Every fourth waits for the whole time, for an origin that is slow.
+    constexpr Milliseconds originProbeTimeout { 250 };
+    constexpr Milliseconds originProbePeriod { 250 };
+    constexpr Milliseconds originProbeDelay { 40 };
+    constexpr unsigned probesPerPatientProbe = 4;
+    constexpr std::size_t maxPendingProbes = 2;
     // Each later member in a chunk's order waits this much longer before it takes over.
     constexpr Milliseconds takeoverStep { 300 };
     constexpr Milliseconds originTakeoverDelay { 500 };
@@ -46,6 +59,8 @@
     , m_random(seed)
     , m_startedAt(now)
     , m_originFailedAt(now - std::chrono::hours(1))
+    , m_originProgressAt(now)
+    , m_turnsStart(now)
     , m_held(chunkCount)
     , m_announced(chunkCount)
     , m_chunks(chunkCount)
@@ -78,6 +93,8 @@
     }
     isChanged = isChanged || updated.size() != m_members.size();
     m_members = std::move(updated);
+    for (std::uint32_t chunk = 0; isChanged && chunk < m_chunks.size(); ++chunk)
+        m_chunks[chunk].otherHolders = static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](const auto& entry) { return entry.second.held.contains(chunk); }));
     if (isChanged)
         computeRanksAndNeighbours();
 }
@@ -113,17 +130,59 @@
     const auto found = m_members.find(member);
     if (found == m_members.end() || held.capacity() != m_held.capacity())
         return;
-    found->second.held = held;
-    found->second.hasAnnounced = true;
+    auto& state = found->second;
+    for (std::uint32_t chunk = 0; chunk < m_chunks.size(); ++chunk) {
+        m_chunks[chunk].otherHolders += held.contains(chunk);
+        m_chunks[chunk].otherHolders -= state.held.contains(chunk);
+        if (held.contains(chunk))
+            recordKnown(chunk, state.hasAnnounced);
+    }
+    state.held = held;
+    state.hasAnnounced = true;
 }
 
-void PullDecision::recordChunkStored(std::uint32_t chunk, TimePoint)
+// What a member holds when it is first heard says nothing about the origin's present state.
+void PullDecision::recordKnown(std::uint32_t chunk, bool isNews)
 {
     auto& state = m_chunks[chunk];
-    if (state.isPending) {
-        state.isPending = false;
-        --m_pendingFetches;
-    }
+    if (state.isKnown)
+        return;
+    state.isKnown = true;
+    state.isBeforeTurns = !isNews;
+    m_hasOriginProgress = m_hasOriginProgress || isNews;
+}
+
+// The turns at the origin's link start again when chunks arrive after an outage, without
+// those that are known: with the turns from before the outage, all VMs would ask at once.
+void PullDecision::recordOriginProgress(TimePoint now)
+{
+    m_hasOriginProgress = false;
+    m_originProgressAt = now;
+    if (!m_areTurnsSuspended)
+        return;
+    m_areTurnsSuspended = false;
+    m_turnsStart = now;
+    for (auto& state : m_chunks)
+        state.isBeforeTurns = state.isKnown;
+}
+
+bool PullDecision::endFetch(std::uint32_t chunk)
+{
+    auto& state = m_chunks[chunk];
+    if (!state.isPending)
+        return false;
+    state.isPending = false;
+    --m_pendingFetches;
+    return true;
+}
+
+void PullDecision::recordChunkStored(std::uint32_t chunk, TimePoint)
+{
+    const auto& state = m_chunks[chunk];
+    const bool wasFetched = endFetch(chunk);
+    if (wasFetched && state.isFromOrigin)
+        m_originFailures = 0;
+    recordKnown(chunk, wasFetched);
     m_held.insert(chunk);
     const bool isFirstHolder = state.isFromOrigin || state.regionRank < crossRegionHolders;
     if (isLargeFleet() && !isFirstHolder)
@@ -136,11 +195,7 @@
 
 void PullDecision::recordPullFailure(const std::string& member, std::uint32_t chunk, bool isBusy, TimePoint now)
 {
-    auto& state = m_chunks[chunk];
-    if (state.isPending) {
-        state.isPending = false;
-        --m_pendingFetches;
-    }
+    endFetch(chunk);
     const auto found = m_members.find(member);
     if (found == m_members.end())
         return;
@@ -149,45 +204,71 @@
         return;
     }
     found->second.nextRequestAt = now + failureBackoff(found->second.failures++);
+    if (found->second.held.contains(chunk))
+        --m_chunks[chunk].otherHolders;
     found->second.held.erase(chunk);
 }
 
 void PullDecision::recordCorruptChunk(std::uint32_t chunk, const std::string& from, TimePoint now)
 {
-    if (from.empty())
-        recordOriginFailure(chunk, now);
-    else
-        recordPullFailure(from, chunk, false, now);
+    if (!from.empty())
+        return recordPullFailure(from, chunk, false, now);
+    endFetch(chunk);
+    m_chunks[chunk].originRetryAt = now + failureDelay;
 }
 
 void PullDecision::recordOriginFailure(std::uint32_t chunk, TimePoint now)
 {
+    endFetch(chunk);
     auto& state = m_chunks[chunk];
-    if (state.isPending) {
-        state.isPending = false;
-        --m_pendingFetches;
-    }
-    state.originRetryAt = now + failureDelay;
+    state.originRetryAt = std::max(now + originProbeDelay, state.originAskedAt + originProbePeriod);
     m_originFailedAt = now;
+    m_areTurnsSuspended = true;
+    ++m_originFailures;
 }
 
-bool PullDecision::isHeldAnywhere(std::uint32_t chunk) const
-{
-    return std::any_of(m_members.begin(), m_members.end(), [&](const auto& entry) { return entry.second.hasAnnounced && entry.second.held.contains(chunk); });
-}
-
-// The origin's link transfers the chunks one after another, each in its time slot. The
-// member that comes first in a chunk's order asks in time for this slot, the others once
-// the origin should have sent all chunks.
-TimePoint PullDecision::originDueAt(std::uint32_t chunk) const
+// The origin's link transfers the chunks one after another, each in its turn. The member
+// that comes first in a chunk's order asks in time for this turn, or earlier when all but a
+// few chunks before it are held. The others take over once the origin should have sent all
+// chunks and none has arrived for a while. While the origin fails, only the first chunks
+// that nobody holds are asked for: few requests find out soon that it is back, and do not
+// share its link with those for all other chunks.
+std::vector<TimePoint> PullDecision::originDueTimes() const
 {
-    const auto& state = m_chunks[chunk];
-    const auto slotStart = m_startedAt + originChunkTime() * (chunk < originQueueDepth ? 0 : chunk - originQueueDepth);
-    if (state.originRank == 0)
-        return slotStart;
-    const auto step = takeoverStep * static_cast<int>(std::min<std::size_t>(state.originRank - 1, 20));
-    // While the origin fails for all, nobody takes over: the time counts from its last failure.
-    return std::max(m_startedAt, m_originFailedAt) + originTime() + originTakeoverDelay + step;
+    const auto turnCount = std::count_if(m_chunks.begin(), m_chunks.end(), [](const ChunkState& state) { return !state.isBeforeTurns; });
+    const auto turnsTime = originChunkTime() * turnCount + originTakeoverDelay;
+    const auto turnsEnd = std::max(m_turnsStart + turnsTime, m_originProgressAt + originTakeoverDelay);
+    std::uint32_t missingCount = 0;
+    for (std::uint32_t chunk = 0; chunk < m_chunks.size(); ++chunk)
+        missingCount += !isHeldAnywhere(chunk);
+    const bool isOriginFailing = m_areTurnsSuspended || 2 * missingCount > turnCount;
+    const auto originSilentSince = std::max({ m_originFailedAt, m_originProgressAt, m_turnsStart });
+    const auto stepsFor = [](std::size_t count) { return takeoverStep * static_cast<int>(std::min<std::size_t>(count, 20)); };
+    std::vector<TimePoint> times(m_chunks.size(), TimePoint::max());
+    std::uint32_t turn = 0;
+    std::uint32_t missingBefore = 0;
+    for (std::uint32_t chunk = 0; chunk < m_chunks.size(); ++chunk) {
+        const auto& state = m_chunks[chunk];
+        const bool isMissing = !isHeldAnywhere(chunk);
+        const bool isNext = missingBefore < originQueueDepth;
+        if (isMissing && state.originRank == 0) {
+            if (isNext)
+                times[chunk] = m_startedAt;
+            else if (m_areTurnsSuspended)
+                times[chunk] = originSilentSince + originTakeoverDelay + stepsFor(missingBefore - originQueueDepth);
+            else
+                times[chunk] = m_turnsStart + originChunkTime() * (turn < originQueueDepth ? 0 : turn - originQueueDepth);
+        } else if (isMissing && isNext) {
+            // While the origin fails, the others' requests would find it back at the same time
+            // as those of the first members, which are asking too. When most chunks are missing
+            // after their turns, the origin has failed rather than a few VMs.
+            const auto rank = std::min<std::size_t>(state.originRank - 1, 20);
+            times[chunk] = isOriginFailing ? originSilentSince + turnsTime * (4 << std::min<std::size_t>(rank, 4)) : turnsEnd + stepsFor(rank);
+        }
+        turn += !state.isBeforeTurns;
+        missingBefore += isMissing;
+    }
+    return times;
 }
 
 TimePoint PullDecision::crossRegionDueAt(std::uint32_t chunk) const
@@ -228,22 +309,33 @@
 
 void PullDecision::planOrigin(TimePoint now, std::vector<PullAction>& actions)
 {
-    // While the origin fails, a single request at a time checks whether it has recovered.
-    std::size_t allowed = now < m_originFailedAt + failureDelay * 2 ? 1 : maxPendingOriginFetches;
+    if (m_hasOriginProgress)
+        recordOriginProgress(now);
+    std::size_t allowed = m_originFailures > 0 ? maxPendingProbes : maxPendingOriginFetches;
     for (const auto& state : m_chunks)
         allowed -= std::min<std::size_t>(allowed, state.isPending && state.isFromOrigin);
-    for (std::uint32_t chunk = 0; chunk < m_chunks.size() && m_pendingFetches < maxPendingFetches && allowed > 0; ++chunk) {
+    if (allowed == 0 || !hasFreeFetch())
+        return;
+    const auto dueTimes = originDueTimes();
+    for (std::uint32_t chunk = 0; chunk < m_chunks.size() && hasFreeFetch() && allowed > 0; ++chunk) {
         auto& state = m_chunks[chunk];
-        if (m_held.contains(chunk) || state.isPending || now < state.originRetryAt || now < originDueAt(chunk) || isHeldAnywhere(chunk))
+        if (state.isPending || now < state.originRetryAt || now < dueTimes[chunk])
             continue;
         state.isPending = true;
         state.isFromOrigin = true;
+        state.originAskedAt = now;
         --allowed;
         ++m_pendingFetches;
-        actions.push_back(FetchFromOrigin { chunk, now + originChunkTime() * originChunkTimesPerDeadline + originDeadlineSlack });
+        actions.push_back(fetchFromOrigin(chunk, now));
     }
 }
 
+FetchFromOrigin PullDecision::fetchFromOrigin(std::uint32_t chunk, TimePoint now) const
+{
+    const bool isPatient = m_originFailures % probesPerPatientProbe == 0;
+    return { chunk, now + originChunkTime() * originChunkTimesPerDeadline + originDeadlineSlack, now + (isPatient ? originBeginTimeout : originProbeTimeout), originStallTimeout };
+}
+
 void PullDecision::planPulls(TimePoint now, std::vector<PullAction>& actions)
 {
     while (m_pendingFetches < maxPendingFetches && pullOne(now, actions)) { }
--- a/modules/hyssopwick_distribution/swarm/PullDecision.h
+++ b/modules/hyssopwick_distribution/swarm/PullDecision.h
@@ -35,7 +35,9 @@
 /// Made for VM links that are much slower than those between regions. The VMs' downlinks
 /// then limit the time to distribute a version, so every VM has to fetch continuously from
 /// the start. The VMs fetch the chunks from the origin one after another, each chunk by
-/// another VM, at the rate of the origin's link. Each chunk enters each further region
+/// another VM, at the rate of the origin's link. While the origin fails, only the VMs whose
+/// turn it is ask for the first chunks that nobody holds; when chunks arrive again, the
+/// others follow in the order of these chunks. Each chunk enters each further region
 /// once, fetched by the VM that comes first in the chunk's rendezvous order there. Within
 /// a region, VMs fetch the rarest chunks first from any holder (Cohen, BitTorrent, 2003).
 /// A VM takes over fetches that others do not do in time. Pure: no clock, socket, thread
@@ -87,12 +89,21 @@
     struct ChunkState {
         std::size_t originRank = 0; // of this VM among all members
         std::size_t regionRank = 0; // of this VM among those of its region
+        TimePoint originAskedAt;
         TimePoint originRetryAt;
+        std::size_t otherHolders = 0; // members that announced it
+        bool isKnown = false; // it has been held by any VM
+        bool isBeforeTurns = false; // known when m_turnsStart was set
         bool isPending = false; // a fetch is under way
         bool isFromOrigin = false; // the current or last fetch
     };
 
     void computeRanksAndNeighbours();
+    void recordKnown(std::uint32_t chunk, bool isNews);
+    void recordOriginProgress(TimePoint now);
+    bool endFetch(std::uint32_t chunk);
+    std::vector<TimePoint> originDueTimes() const;
+    FetchFromOrigin fetchFromOrigin(std::uint32_t chunk, TimePoint now) const;
     void planAnnouncements(TimePoint now, std::vector<PullAction>& actions);
     void planOrigin(TimePoint now, std::vector<PullAction>& actions);
     void planPulls(TimePoint now, std::vector<PullAction>& actions);
@@ -103,13 +114,11 @@
     bool isLargeFleet() const;
     bool isWanted(std::uint32_t chunk) const;
     std::vector<std::size_t> holderCountsInRegion() const;
-    TimePoint originDueAt(std::uint32_t chunk) const;
     TimePoint crossRegionDueAt(std::uint32_t chunk) const;
-    bool isHeldAnywhere(std::uint32_t chunk) const;
+    bool isHeldAnywhere(std::uint32_t chunk) const { return m_held.contains(chunk) || m_chunks[chunk].otherHolders > 0; }
     std::vector<std::string> fetchersInOtherRegions(std::uint32_t chunk) const;
     Milliseconds chunkTime() const;
     Milliseconds originChunkTime() const;
-    Milliseconds originTime() const { return originChunkTime() * m_held.capacity(); }
 
     PullSettings m_settings;
     std::string m_key;
@@ -117,6 +126,11 @@
     RandomSource m_random;
     TimePoint m_startedAt;
     TimePoint m_originFailedAt;
+    TimePoint m_originProgressAt; // when a chunk was last found that no VM had held before
+    TimePoint m_turnsStart; // of the chunks' turns at the origin's link
+    unsigned m_originFailures = 0; // of this VM since its last chunk from the origin
+    bool m_hasOriginProgress = false; // since the last advance()
+    bool m_areTurnsSuspended = false; // the origin failed and no chunk has been found since
     ChunkSet m_held;
     ChunkSet m_announced;
     std::vector<ChunkState> m_chunks;
--- a/modules/hyssopwick_distribution/swarm/PushDecision.h
+++ b/modules/hyssopwick_distribution/swarm/PushDecision.h
@@ -37,6 +37,8 @@
 struct FetchFromOrigin {
     std::uint32_t chunk;
     TimePoint deadline;
+    TimePoint beginBy = TimePoint::max(); ///< the answer has to begin before this time
+    Milliseconds stallTimeout { 0 }; ///< maximum time between its pieces; 0 for any
 };
 
 /// Offers chunks to a member, which accepts at most one.
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.cpp
@@ -4,18 +4,12 @@
 
 namespace {
     constexpr Milliseconds connectTimeout { 400 };
-    constexpr Milliseconds manifestTimeout { 1500 };
-    constexpr Milliseconds manifestRetryDelay { 60 };
-    // Every so many attempts, the origin is asked for the manifest instead of a peer.
-    constexpr unsigned attemptsPerOriginRequest = 6;
-    // VMs that ask the origin for the manifest from their first attempt on; the others ask peers first.
-    constexpr std::size_t manifestLeaderCount = 2;
     // Ratio of the time to fetch a copy to the time of its bytes on the VM's link (docs/RESULTS.md).
     constexpr double transferOverhead = 1.6;
     // Without a new chunk for this long, the version's source is taken for unreachable.
     constexpr Milliseconds stallTimeout { 1500 };
-    // A busy origin accepts connections late because its link is saturated.
-    constexpr Milliseconds originConnectTimeout { 1500 };
+    // Failures of the origin in a row that are logged one by one.
+    constexpr unsigned maxLoggedFailures = 4;
     // Share of a VM's link for weights; the rest is left to calls and streams.
     constexpr double weightsShareOfLink = 0.85;
     // Share for weights while the engine serves nothing.
@@ -33,6 +27,7 @@
     , m_weights(std::move(weights))
     , m_service(std::move(service))
     , m_self(std::move(self))
+    , m_manifestRequests(pathOf(m_weights), m_self.id)
     , m_timer(context.loop)
     , m_startedAt(monotonicNow())
     , m_lastProgressAt(m_startedAt)
@@ -83,28 +78,18 @@
     advance();
 }
 
-// A few VMs fetch the manifest from the origin and the others from these, so that the
-// origin's link is left to the chunks.
 void WeightsSwarm::fetchManifest()
 {
     if (m_isStopped)
         return;
-    std::vector<std::string> ids { m_self.id };
+    std::vector<std::string> others;
     for (const auto& peer : m_peers)
-        ids.push_back(peer.member.id);
-    const auto order = rendezvousOrder("manifest/" + pathOf(m_weights), ids);
-    const auto leadersEnd = order.begin() + static_cast<std::ptrdiff_t>(std::min(manifestLeaderCount, order.size()));
-    const bool isLeader = std::find(order.begin(), leadersEnd, m_self.id) != leadersEnd;
-    const bool asksOrigin = isLeader || m_manifestAttempts % attemptsPerOriginRequest == attemptsPerOriginRequest - 1;
-    auto address = m_service.originAddress;
-    auto call = m_context.ports.engines->encodeManifestCall(m_weights);
-    if (!asksOrigin) {
-        address = addressOf(order[m_manifestAttempts % std::min(order.size(), 2 * manifestLeaderCount)]);
-        call = { "GET", "/weights/manifest/" + pathOf(m_weights), {}, "" };
-    }
-    ++m_manifestAttempts;
-    const auto now = monotonicNow();
-    fetchWhole(m_context.loop, address, std::move(call), now + connectTimeout, now + manifestTimeout, [self = shared_from_this(), asksOrigin](const WholeResponse& response) {
+        others.push_back(peer.member.id);
+    const auto request = m_manifestRequests.next(std::move(others), monotonicNow());
+    const bool asksOrigin = request.member.empty();
+    const auto address = asksOrigin ? m_service.originAddress : addressOf(request.member);
+    auto call = asksOrigin ? m_context.ports.engines->encodeManifestCall(m_weights) : HttpCall { "GET", "/weights/manifest/" + pathOf(m_weights), {}, "" };
+    fetchWhole(m_context.loop, address, std::move(call), TransferLimits { request.connectBy, request.beginBy, request.stallTimeout, request.deadline }, [self = shared_from_this(), asksOrigin](const WholeResponse& response) {
         if (self->m_isStopped)
             return;
         auto manifest = response.isComplete() && response.status == statusOk ? self->m_context.ports.engines->decodeManifest(response.body) : Outcome<WeightsManifest>(failure(ErrorCode::Unavailable, exchangeEndName(response.end)));
@@ -114,7 +99,7 @@
         self->m_context.metrics.count("manifest_failures_total", asksOrigin ? "origin" : "peer");
         if (asksOrigin)
             self->m_context.log.write("manifest.failed", { { "model", self->m_weights.model }, { "version", std::to_string(self->m_weights.version) }, { "status", std::to_string(response.status) }, { "problem", manifest ? "for other weights" : manifest.error().message } });
-        self->m_timer.expires_after(manifestRetryDelay);
+        self->m_timer.expires_at(ManifestRequests::retryAt(monotonicNow()));
         self->m_timer.async_wait([self](boost::system::error_code error) {
             if (!error)
                 self->fetchManifest();
@@ -188,17 +173,22 @@
 
 void WeightsSwarm::perform(const FetchFromOrigin& action)
 {
-    const auto now = monotonicNow();
-    fetchWhole(m_context.loop, m_service.originAddress, m_context.ports.engines->encodeChunkCall(m_weights, action.chunk), TransferLimits { now + originConnectTimeout, action.deadline, Milliseconds(0), action.deadline, m_manifest->chunkBytes }, [self = shared_from_this(), chunk = action.chunk](WholeResponse response) {
+    fetchWhole(m_context.loop, m_service.originAddress, m_context.ports.engines->encodeChunkCall(m_weights, action.chunk), TransferLimits { action.beginBy, action.beginBy, action.stallTimeout, action.deadline, m_manifest->chunkBytes }, [self = shared_from_this(), chunk = action.chunk](WholeResponse response) {
         if (self->m_isStopped)
             return;
         if (response.isComplete() && response.status == statusOk) {
             self->m_context.metrics.count("origin_bytes_total", "", response.body.size());
+            if (self->m_originFailures > 0)
+                self->m_context.log.write("origin.resumed", { { "version", std::to_string(self->m_weights.version) }, { "chunk", std::to_string(chunk) }, { "failures", std::to_string(self->m_originFailures) }, { "failing_ms", std::to_string(millisecondsBetween(self->m_originFailingSince, monotonicNow())) } });
+            self->m_originFailures = 0;
             self->storeChunk(chunk, std::move(response.body), "");
             return self->advance();
         }
         self->m_context.metrics.count("origin_failures_total", exchangeEndName(response.end));
-        self->m_context.log.write("origin.failed", { { "version", std::to_string(self->m_weights.version) }, { "chunk", std::to_string(chunk) }, { "problem", exchangeEndName(response.end) }, { "status", std::to_string(response.status) } });
+        if (self->m_originFailures++ == 0)
+            self->m_originFailingSince = monotonicNow();
+        if (self->m_originFailures <= maxLoggedFailures)
+            self->m_context.log.write("origin.failed", { { "version", std::to_string(self->m_weights.version) }, { "chunk", std::to_string(chunk) }, { "problem", exchangeEndName(response.end) }, { "status", std::to_string(response.status) } });
         self->m_decision->recordOriginFailure(chunk, monotonicNow());
         self->advance();
     });
--- a/modules/hyssopwick_gateway/agent/WeightsSwarm.h
+++ b/modules/hyssopwick_gateway/agent/WeightsSwarm.h
@@ -92,6 +92,7 @@
     WeightsVersion m_weights;
     ServiceDescription m_service;
     SwarmMember m_self;
+    ManifestRequests m_manifestRequests;
     LoopTimer m_timer;
     std::vector<Peer> m_peers;
     std::optional<WeightsManifest> m_manifest;
@@ -101,7 +102,8 @@
     std::function<void()> m_onComplete;
     TimePoint m_startedAt;
     TimePoint m_lastProgressAt;
-    unsigned m_manifestAttempts = 0;
+    TimePoint m_originFailingSince;
+    unsigned m_originFailures = 0; // since its last answer
     unsigned m_uploads = 0;
     std::list<std::pair<ServerExchangePointer, unsigned>> m_uploadQueue;
     bool m_mayBeStaged = false;
