ColdFormat: an old engine update lacks the division, too

Cause: the test took the last field of an update for the cold time; since the merge the division follows it, so that the test removed another field.

Change: the test removes all fields that old processes did not send.

--- a/tests/platform/ColdUpstreamFleetTests.cpp
+++ b/tests/platform/ColdUpstreamFleetTests.cpp
@@ -184,7 +184,9 @@
     const auto bytes = encodePeerMessage(update);
     CHECK(std::get<EngineUpdate>(decodePeerMessage(bytes).value()).report.coldLeft == Milliseconds(700));
     auto old = nlohmann::json::from_cbor(bytes);
-    old.erase(old.size() - 1);
+    constexpr std::size_t oldFields = 17; // before the cold time and the division
+    while (old.size() > oldFields)
+        old.erase(old.size() - 1);
     std::string oldBytes;
     nlohmann::json::to_cbor(old, oldBytes);
     CHECK(std::get<EngineUpdate>(decodePeerMessage(oldBytes).value()).report.coldLeft == Milliseconds(0));
