--- a/modules/hyssopwick_requests/placing/EngineDivision.cpp
+++ b/modules/hyssopwick_requests/placing/EngineDivision.cpp
@@ -9,9 +9,10 @@
     // Part of the subscribers whose demand has to be known.
     constexpr double minKnownPart = 0.5;
     // Part of the engine time that admitted calls may take. The demand counts each call as if it ran
-    // to its stated length while all slots are taken, and engines do more than that: with 0.85 and with
-    // 1.15, calls were refused that they would have served in time (docs/design/pool-division.md).
-    constexpr double admittedPart = 1.4;
+    // to its stated length while all slots are taken, and calls that return after an outage count
+    // again: with 0.85, 1.15 and 1.4, calls were refused that engines would have served in time
+    // (docs/design/pool-division.md).
+    constexpr double admittedPart = 3;
     // A level that rises faster admits, at the end of a burst, more than the engines have time for
     // before the next demands arrive, and would fall again.
     constexpr double maxRisePerSecond = 0.25;
