Agents divide their engine only where entry VMs use parts of the fleet

Change: an agent states a share only where an entry VM uses a part of the engines.

Conclusion: earlier small deployments are served with even shares as before.

--- a/modules/hyssopwick_gateway/agent/EngineUpdates.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineUpdates.cpp
@@ -85,6 +85,8 @@
     m_lastUpdateAt = now;
     expireSubscribers(now);
     divide(update, entries.size(), engines, now);
+    // Where all entry VMs use all engines, even shares served more calls (docs/design/pool-division.md).
+    const bool isDivided = !EngineSubset::isWholeOf(engines);
     std::set<std::string> addresses;
     for (const auto& [address, subscribedAt] : m_subscribers)
         addresses.insert(address);
@@ -96,7 +98,8 @@
     }
     for (const auto& address : addresses) {
         auto message = update;
-        message.division = m_division.statementFor(address);
+        if (isDivided)
+            message.division = m_division.statementFor(address);
         m_socket.send(address, message);
     }
 }
