Agents state no admission level yet

Change: EngineDivision has a switch for the level, which agents turn off; its part of the engine time is 0.85 again, as in the model, and the tests state what they stated before.

--- a/modules/hyssopwick_gateway/agent/EngineUpdates.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineUpdates.cpp
@@ -24,6 +24,9 @@
     , m_socket(socket)
     , m_random(stableHash(context.description.node) ^ context.incarnation)
 {
+    // The demand overstates the engine time of calls and counts returned ones again, so that a level
+    // refuses calls which the engines would serve in time (docs/design/pool-division.md).
+    m_division.setUsesLevel(false);
 }
 
 bool EngineUpdates::recordSubscription(const std::string& address, const UpdateSubscription& subscription)
--- a/modules/hyssopwick_requests/placing/EngineDivision.cpp
+++ b/modules/hyssopwick_requests/placing/EngineDivision.cpp
@@ -8,11 +8,9 @@
 namespace {
     // Part of the subscribers whose demand has to be known.
     constexpr double minKnownPart = 0.5;
-    // Part of the engine time that admitted calls may take. The demand counts each call as if it ran
-    // to its stated length while all slots are taken, and calls that return after an outage count
-    // again: with 0.85, 1.15 and 1.4, calls were refused that engines would have served in time
-    // (docs/design/pool-division.md).
-    constexpr double admittedPart = 3;
+    // Part of the engine time that calls above the level may take. Queues at an engine grow
+    // without bound as its use nears 1; late calls use the rest (CallQueue).
+    constexpr double admittedPart = 0.85;
     // A level that rises faster admits, at the end of a burst, more than the engines have time for
     // before the next demands arrive, and would fall again.
     constexpr double maxRisePerSecond = 0.25;
@@ -76,7 +74,7 @@
         lowest = priority;
         ++priorities;
     }
-    if (!m_isDivided || priorities < 2) {
+    if (!m_usesLevel || !m_isDivided || priorities < 2) {
         m_level = {};
         return;
     }
--- a/modules/hyssopwick_requests/placing/EngineDivision.h
+++ b/modules/hyssopwick_requests/placing/EngineDivision.h
@@ -34,6 +34,9 @@
     /// Validity of a demand: three subscriptions.
     static constexpr Milliseconds demandLifetime { 3000 };
 
+    /// Sets whether a level is stated, if the demand has several priorities.
+    void setUsesLevel(bool usesLevel) { m_usesLevel = usesLevel; }
+
     /// Sets how many entry VMs should use the engine.
     void setExpectedSubscribers(double count) { m_expectedSubscribers = count; }
 
@@ -75,6 +78,7 @@
     void updateLevel(TimePoint now);
 
     std::map<std::string, Subscriber> m_subscribers; // by address
+    bool m_usesLevel = true;
     double m_expectedSubscribers = 1;
     double m_offset = 0;
     double m_engineTime = 1000;
--- a/tests/PoolDivisionTests.cpp
+++ b/tests/PoolDivisionTests.cpp
@@ -269,7 +269,7 @@
 {
     EngineDivision division;
     auto demand = demandOf(400, 0);
-    demand.add(demandOf(8700, 1));
+    demand.add(demandOf(2000, 1));
     division.recordSubscription("a", demand, at(0));
     division.advance(at(200));
     const double low = division.level().value();
