Log how attempts are cancelled, unread requests and late loops

Change: call.cancelled has the reason, the time to connect, unacknowledged bytes and retransmissions; call.ended has how long the request was unread; loop.late and loop_delay show a late event loop. No decision changes.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -133,7 +133,7 @@
         if (!refuseWithoutUpstream() && isChanged && m_isQueued)
             m_services.queue(m_service->name).setAllowedRegions(m_id, m_regions.allowed());
     } else if (!m_attempt->isSent() && !m_services.eligibility().isEligible(m_service->name, m_upstream, m_regions.allowed())) {
-        m_attempt->cancel();
+        cancelAttempt("not-eligible");
         releaseUpstream();
         place();
     }
@@ -245,7 +245,7 @@
 {
     m_services.context().metrics.count("calls_taken_back_total");
     const bool isSent = m_attempt->isSent();
-    m_attempt->cancel();
+    cancelAttempt("old-weights");
     releaseUpstream();
     m_sentAttempts += isSent;
     handleAttemptFailure(isSent ? lostAttempt() : AttemptFailure::NotSent, "old-weights");
@@ -266,8 +266,7 @@
 void CallFlow::cutAnswer(const char* reason)
 {
     m_services.context().metrics.count("answers_cut_total", reason);
-    if (m_attempt)
-        m_attempt->cancel();
+    cancelAttempt(reason);
     if (!isEngineCall() && m_service)
         m_services.plainPool(m_service->name).recordResult(m_upstream, false, monotonicNow());
     releaseUpstream();
@@ -275,6 +274,16 @@
     handleAttemptFailure(lostAttempt(), reason);
 }
 
+void CallFlow::cancelAttempt(const char* reason)
+{
+    if (!m_attempt)
+        return;
+    const auto connectedAt = m_attempt->connectedAt();
+    const auto transmission = m_attempt->transmission().value_or(TransmissionState());
+    m_services.context().log.write("call.cancelled", { { "request", m_call.requestId }, { "upstream", m_upstream }, { "reason", reason }, { "after_ms", millisecondsText(elapsed()) }, { "connect_ms", connectedAt ? std::to_string(millisecondsBetween(m_sentAt, *connectedAt)) : "none" }, { "unacknowledged", std::to_string(transmission.unacknowledgedBytes) }, { "retransmissions", std::to_string(transmission.retransmissions) }, { "round_trip_ms", millisecondsText(transmission.roundTrip) } });
+    m_attempt->cancel();
+}
+
 void CallFlow::handleBody(std::string_view bytes)
 {
     if (m_isStreamAnswer)
@@ -421,8 +430,7 @@
 {
     if (m_phase == Phase::Ended)
         return;
-    if (m_attempt)
-        m_attempt->cancel();
+    cancelAttempt("deadline");
     if (m_eventsForwarded > 0)
         return abortStream("deadline-in-stream");
     const bool isNotRun = m_sentAttempts == 0 && !(m_attempt && m_attempt->isSent());
@@ -433,8 +441,7 @@
 {
     if (m_phase == Phase::Ended)
         return;
-    if (m_attempt)
-        m_attempt->cancel();
+    cancelAttempt("caller-left");
     m_services.context().metrics.count("callers_left_total");
     end("caller-left", 0);
 }
@@ -443,7 +450,7 @@
 {
     if (m_phase == Phase::Ended || m_upstreamAddress != address || !mayRunAgain() || !m_attempt)
         return;
-    m_attempt->cancel();
+    cancelAttempt("engine-down");
     recordLost(address);
     releaseUpstream();
     ++m_sentAttempts;
@@ -454,8 +461,7 @@
 {
     if (m_phase == Phase::Ended)
         return;
-    if (m_attempt)
-        m_attempt->cancel();
+    cancelAttempt("process-stops");
     const bool isNotRun = m_sentAttempts == 0 && !(m_attempt && m_attempt->isSent());
     if (m_eventsForwarded > 0)
         return abortStream("process-stops");
@@ -475,7 +481,7 @@
     m_retryTimer.cancel();
     m_beginTimer.cancel();
     auto& context = m_services.context();
-    context.log.write("call.ended", { { "request", m_call.requestId }, { "route", m_route ? m_route->name : "none" }, { "account", m_account.empty() ? "none" : m_account }, { "regions", m_regions.allowed().text() }, { "outcome", outcome }, { "status", std::to_string(status) }, { "took_ms", millisecondsText(elapsed()) }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "paused_ms", millisecondsText(m_stream->pausedTime()) }, { "predicted_ms", std::to_string(static_cast<int>(m_predictedFirstEventDelay)) }, { "first_ms", std::to_string(m_firstEventDelay) }, { "answered_version", std::to_string(m_answer.weightsVersion) }, { "configuration", m_routes ? std::to_string(m_routes->configuration().version) : "none" } });
+    context.log.write("call.ended", { { "request", m_call.requestId }, { "route", m_route ? m_route->name : "none" }, { "account", m_account.empty() ? "none" : m_account }, { "regions", m_regions.allowed().text() }, { "outcome", outcome }, { "status", std::to_string(status) }, { "took_ms", millisecondsText(elapsed()) }, { "unread_ms", millisecondsText(m_exchange->request().waitedUnread) }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "paused_ms", millisecondsText(m_stream->pausedTime()) }, { "predicted_ms", std::to_string(static_cast<int>(m_predictedFirstEventDelay)) }, { "first_ms", std::to_string(m_firstEventDelay) }, { "answered_version", std::to_string(m_answer.weightsVersion) }, { "configuration", m_routes ? std::to_string(m_routes->configuration().version) : "none" } });
     context.metrics.count("calls_total", outcome);
     const auto self = shared_from_this();
     if (m_onEnd)
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -65,6 +65,7 @@
     void forwardEvents(std::string_view bytes);
     void handleAttemptFailure(AttemptFailure failure, const char* reason);
     void cutAnswer(const char* reason);
+    void cancelAttempt(const char* reason);
     void forwardWholeAnswer();
     void refuse(RefusalReason reason, unsigned status, Milliseconds retryAfter);
     bool refuseIfCrashSuspected();
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -22,6 +22,8 @@
     // Time left before the bound on stopping when calls are aborted.
     constexpr Milliseconds stopMargin { 300 };
     constexpr Milliseconds stopCheckPeriod { 50 };
+    // A process that is later than this shows in the latency of its calls.
+    constexpr Milliseconds reportedLoopDelay { 100 };
     // With each of them repeating to one other once a period, an entry that was away knows what the
     // others know well before the bound within which it counts as back (3 s at least).
     constexpr Milliseconds repeatPeriod { 400 };
@@ -308,15 +310,25 @@
     m_context.log.write("entry.ready", { { "revision", std::to_string(m_view.revision()) } });
 }
 
+void EntryGateway::recordLoopDelay(TimePoint expectedAt)
+{
+    const auto delay = Milliseconds(millisecondsBetween(expectedAt, monotonicNow()));
+    m_context.metrics.observe("loop_delay", double(delay.count()));
+    if (delay >= reportedLoopDelay)
+        m_context.log.write("loop.late", { { "delay_ms", std::to_string(delay.count()) }, { "calls", std::to_string(m_calls.size()) } });
+}
+
 void EntryGateway::maintain()
 {
     const auto next = m_services.maintain();
     reconsiderCalls();
     repeatToPeer();
     m_maintenanceTimer.expires_at(next);
-    m_maintenanceTimer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            maintain();
+    m_maintenanceTimer.async_wait([this, next](boost::system::error_code error) {
+        if (error)
+            return;
+        recordLoopDelay(next);
+        maintain();
     });
 }
 
--- a/modules/hyssopwick_gateway/entry/EntryGateway.h
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.h
@@ -41,6 +41,7 @@
     void membersChanged();
     void updateReadiness();
     void maintain();
+    void recordLoopDelay(TimePoint expectedAt);
     void reconsiderCalls();
     void registerInStore();
     void renewRegistration();
--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -4,8 +4,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/optional.hpp>
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 
 namespace hyssopwick {
 
@@ -58,6 +56,7 @@
     ExchangeHandlers handlers;
     TransferLimits limits;
     TimePoint deadline; // of the next piece of the answer
+    std::optional<TimePoint> connectedAt;
     http::request<http::string_body> request;
     boost::beast::flat_buffer buffer { maxBufferedBytes };
     boost::optional<http::response_parser<http::buffer_body>> parser;
@@ -98,12 +97,9 @@
 
 bool HttpExchange::isSent() const { return m_state->isSent; }
 
-// Returns whether bytes of the request wait for the server's acknowledgement.
-bool HttpExchange::hasUnsentBytes() const
-{
-    int bytes = 0;
-    return m_state->socket.is_open() && ioctl(m_state->socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
-}
+std::optional<TimePoint> HttpExchange::connectedAt() const { return m_state->connectedAt; }
+
+std::optional<TransmissionState> HttpExchange::transmission() const { return TransmissionState::of(m_state->socket); }
 
 void HttpExchange::cancel()
 {
@@ -112,7 +108,8 @@
     m_state->handlers = {};
     // Otherwise the system would still send the rest of the request. A reset is not sent again
     // when it is lost, so a request that arrived whole is ended by an ordinary close.
-    if (hasUnsentBytes()) {
+    const auto state = transmission();
+    if (state && state->unacknowledgedBytes > 0) {
         error_code ignored; // without a connection there is nothing to discard
         m_state->socket.set_option(asio::socket_base::linger(true, 0), ignored);
     }
@@ -219,6 +216,7 @@
 void HttpExchange::sendRequest()
 {
     auto& state = *m_state;
+    state.connectedAt = monotonicNow();
     prepareSocket(state.socket);
     state.request.method_string(state.call.method);
     state.request.target(state.call.target);
--- a/modules/hyssopwick_gateway/http/HttpExchange.h
+++ b/modules/hyssopwick_gateway/http/HttpExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "KeptConnections.h"
+#include "TransmissionState.h"
 
 #include <functional>
 #include <memory>
@@ -81,12 +82,17 @@
     /// Returns whether a byte of the request may have left this VM.
     bool isSent() const;
 
+    /// Returns when the connection was established, or nothing before that.
+    std::optional<TimePoint> connectedAt() const;
+
+    /// Returns the state of the open connection, or nothing without one.
+    std::optional<TransmissionState> transmission() const;
+
 private:
     struct State;
 
     explicit HttpExchange(EventLoop& loop);
 
-    bool hasUnsentBytes() const;
     void run();
     void connect();
     bool retryOnNewConnection();
--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -1,5 +1,7 @@
 #include "ServerConnection.h"
 
+#include "TransmissionState.h"
+
 #include <boost/beast/http/status.hpp>
 
 namespace hyssopwick {
@@ -293,6 +295,8 @@
     request.host = hostWithoutPort(message[http::field::host]);
     request.body = std::move(message.body());
     request.receivedAt = monotonicNow();
+    if (const auto transmission = TransmissionState::of(m_socket))
+        request.waitedUnread = transmission->sinceReceived;
     m_exchange = std::make_shared<Exchange>(weak_from_this(), std::move(request));
     ++m_listener->openExchanges;
     m_sendBy.reset();
--- a/modules/hyssopwick_gateway/http/ServerExchange.h
+++ b/modules/hyssopwick_gateway/http/ServerExchange.h
@@ -14,7 +14,8 @@
     HeaderFields fields;
     std::string body;
     std::string host; ///< without a port
-    TimePoint receivedAt;
+    TimePoint receivedAt; ///< when its last byte was read
+    Milliseconds waitedUnread { 0 }; ///< between the arrival of its last byte at this VM and receivedAt, if known
 };
 
 /// The answer to one request: either respond(), or startStream(), write()... and finish().
--- /dev/null
+++ b/modules/hyssopwick_gateway/http/TransmissionState.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "NetworkTypes.h"
+
+#include <optional>
+
+namespace hyssopwick {
+
+/// What this host's TCP knows of a connection's transmission, at one time.
+struct TransmissionState {
+    std::size_t unacknowledgedBytes = 0; ///< written, and not acknowledged by the other host; an unacknowledged close counts as one
+    unsigned retransmissions = 0; ///< of packets, since the connection was opened
+    Milliseconds roundTrip { 0 }; ///< smoothed
+    Milliseconds sinceReceived { 0 }; ///< since the last byte arrived, read or not
+
+    /// Returns the state of an open connection, or nothing if the system does not tell it.
+    static std::optional<TransmissionState> of(TcpSocket& socket);
+
+    auto tied() const { return std::tie(unacknowledgedBytes, retransmissions, roundTrip, sinceReceived); }
+    bool operator==(const TransmissionState& other) const { return tied() == other.tied(); }
+    bool operator!=(const TransmissionState& other) const { return !(*this == other); }
+};
+
+}
