Callers' times count from the arrival of their requests

What callers saw: an entry that is late took their deadline for later than it was, and let upstreams work on until then. Cause: ServerRequest::receivedAt was the time of the reading. Change: it is the time at which the last byte arrived, as TCP_INFO tells; elsewhere as before.

--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -294,10 +294,10 @@
         request.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
     request.host = hostWithoutPort(message[http::field::host]);
     request.body = std::move(message.body());
-    request.receivedAt = monotonicNow();
     if (const auto transmission = TransmissionState::of(m_socket))
         request.waitedUnread = transmission->sinceReceived;
     m_exchange = std::make_shared<Exchange>(weak_from_this(), std::move(request));
+    request.receivedAt = monotonicNow() - request.waitedUnread;
     ++m_listener->openExchanges;
     m_sendBy.reset();
     // No handler of the socket is pending while a full read-ahead waits for the answer.
--- a/modules/hyssopwick_gateway/http/ServerExchange.h
+++ b/modules/hyssopwick_gateway/http/ServerExchange.h
@@ -14,8 +14,8 @@
     HeaderFields fields;
     std::string body;
     std::string host; ///< without a port
-    TimePoint receivedAt; ///< when its last byte was read
-    Milliseconds waitedUnread { 0 }; ///< between the arrival of its last byte at this VM and receivedAt, if known
+    TimePoint receivedAt; ///< when its last byte arrived at this VM, from which the caller's times count
+    Milliseconds waitedUnread { 0 }; ///< between receivedAt and the reading, as far as the system tells
 };
 
 /// The answer to one request: either respond(), or startStream(), write()... and finish().
