Notice callers that leave behind unread requests

What callers saw: nothing; their calls ran on until the answer was written. Cause: after 16 KiB of a caller's next requests the connection is left unread, and with it its end. Change: meanwhile the connection's state is checked every 200 ms. Measured: ServerConnection.ACallerThatLeavesBehindManyUnreadRequestsIsNoticed waits 10 s in vain without it; it asks for less than 500 ms.

--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -19,6 +19,7 @@
     // them the connection is left unread until the answer is complete.
     constexpr std::size_t maxReadAheadBytes = 16384;
     constexpr std::size_t readBytes = 4096;
+    constexpr Milliseconds departureCheckPeriod { 200 };
     // A caller's deadline may have passed when its refusal is sent.
     constexpr Milliseconds minSendTime { 100 };
     // A kept connection does not retain the buffer of a long answer.
@@ -312,7 +313,7 @@
 void ServerConnection::watchCaller()
 {
     if (m_buffer.size() >= maxReadAheadBytes)
-        return;
+        return armTimer(monotonicNow() + departureCheckPeriod, [this] { isClosedByPeer(m_socket) ? handleCallerLeft() : watchCaller(); });
     const auto watched = m_exchange;
     m_socket.async_wait(TcpSocket::wait_read, [self = shared_from_this(), watched](error_code error) {
         if (self->m_isClosed || self->m_exchange != watched)
--- a/modules/hyssopwick_gateway/http/TransmissionState.cpp
+++ b/modules/hyssopwick_gateway/http/TransmissionState.cpp
@@ -2,6 +2,7 @@
 
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 
 namespace hyssopwick {
@@ -23,4 +24,10 @@
     return state;
 }
 
+bool isClosedByPeer(TcpSocket& socket)
+{
+    pollfd watched { socket.native_handle(), POLLRDHUP, 0 };
+    return poll(&watched, 1, 0) > 0 && (watched.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 }
--- a/modules/hyssopwick_gateway/http/TransmissionState.h
+++ b/modules/hyssopwick_gateway/http/TransmissionState.h
@@ -21,4 +21,8 @@
     bool operator!=(const TransmissionState& other) const { return !(*this == other); }
 };
 
+/// Returns whether the other host has closed its side of the connection, also behind bytes that
+/// were not read yet.
+bool isClosedByPeer(TcpSocket& socket);
+
 }
--- a/tests/platform/ServerConnectionTests.cpp
+++ b/tests/platform/ServerConnectionTests.cpp
@@ -1,6 +1,7 @@
 #include "../TestSupport.h"
 
 #include <hyssopwick_gateway.h>
+#include <unistd.h>
 
 using namespace hyssopwick;
 
@@ -138,6 +139,30 @@
     LONGS_EQUAL(0, listener.openExchanges());
 }
 
+// Guards against a caller's time that starts anew in an entry that is late.
+TEST(ServerConnection, ARequestCountsFromItsArrivalHoweverLateItIsRead)
+{
+    const auto sentAt = monotonicNow();
+    send(firstRequest);
+    usleep(300'000);
+    runUntil([this] { return received.size() == 1; });
+    CHECK_COMPARE(millisecondsBetween(sentAt, received[0]->request().receivedAt), <=, 50);
+}
+
+TEST(ServerConnection, ACallerThatLeavesBehindManyUnreadRequestsIsNoticed)
+{
+    send(firstRequest);
+    runUntil([this] { return received.size() == 1; });
+    for (int i = 0; i < 1000; ++i)
+        send(secondRequest);
+    for (int i = 0; i < 50; ++i)
+        loop.run_one_for(Milliseconds(1));
+    const auto leftAt = monotonicNow();
+    caller.close();
+    runUntil([this] { return departures == 1; });
+    CHECK_COMPARE(millisecondsBetween(leftAt, monotonicNow()), <, 500);
+}
+
 // Closing with unread bytes resets a connection, which may destroy an answer on its way.
 TEST(ServerConnection, ARequestThatCrossesTheLastAnswerDoesNotDestroyIt)
 {
