Only a stream of events with a receipt continues a stream

What callers saw: the text of an error within their stream, or a stream that ended as if complete. Cause: any answer with status 200 was taken for the rest of a broken stream: plain text with a blank line, one without a receipt, an empty one, events without ids, events that the caller had. Change: an answer needs a receipt, a content type of events or none, and ids that increase; the first events of a continuation need an id. Others are cut at their head, so the call goes to another upstream or ends.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -262,10 +262,14 @@
     m_head = head;
     m_hasHead = true;
     m_answer = m_services.context().ports.calls->decodeAnswer(head.status, head.fields);
-    m_isStreamAnswer = m_route->kind == CallKind::Stream && head.status == statusOk;
+    m_isStreamAnswer = m_route->kind == CallKind::Stream && head.status == statusOk && head.mayBeEventStream();
     if (!m_answer.requestId.empty() && m_answer.requestId != m_call.requestId)
         return cutAnswer("other-request");
     m_services.recordAnswerHead(m_upstream, head.status, m_answer, m_sentAt);
+    if (head.status >= statusOk && head.status < statusMultipleChoices && !m_answer.hasReceipt)
+        return cutAnswer("no-receipt");
+    if (m_eventsForwarded > 0 && !m_isStreamAnswer && !m_answer.isNotRun)
+        return cutAnswer("resume-refused");
 }
 
 // Ends an attempt whose answer cannot be used, without reading the rest of it.
@@ -365,11 +369,6 @@
             recordLost(address); // may be a crash right after the first events
         return this->end("served", m_head.status);
     }
-    if (m_eventsForwarded > 0)
-        return handleAttemptFailure(AttemptFailure::StreamBroken, "resume-refused");
-    const bool isSuccess = m_head.status >= statusOk && m_head.status < statusMultipleChoices;
-    if (isSuccess && !m_answer.hasReceipt)
-        return handleAttemptFailure(AttemptFailure::Lost, "no-receipt");
     if (m_head.status >= statusServerError && mayRunAgain() && m_sentAttempts < m_route->maxUpstreams)
         return handleAttemptFailure(AttemptFailure::Lost, "upstream-error");
     forwardWholeAnswer();
--- a/modules/hyssopwick_gateway/entry/StreamAnswer.cpp
+++ b/modules/hyssopwick_gateway/entry/StreamAnswer.cpp
@@ -24,6 +24,7 @@
 {
     clear();
     m_attempt = attempt;
+    m_isContinuation = !m_lastEventId.empty();
     m_pause.beginAttempt(monotonicNow());
     if (m_pause.isPaused())
         attempt->pause();
@@ -41,8 +42,16 @@
     m_events = m_splitter.feed(bytes);
     const auto partialBytes = m_splitter.partialEvent().size();
     std::size_t completeBytes = 0;
-    for (const auto& event : m_events)
+    auto previousId = m_lastEventId;
+    for (const auto& event : m_events) {
         completeBytes += event.text.size();
+        if (!EventStreamSplitter::mayFollow(event, previousId))
+            return "repeated-event";
+        if (!event.id.empty())
+            previousId = event.id;
+        else if (m_isContinuation && previousId == m_lastEventId && EventStreamSplitter::hasContent(event))
+            return "event-without-id";
+    }
     if (partialBytes > maxEventBytes)
         return "event-too-large";
     if (m_exchange->unsentBytes() + completeBytes > maxUnsentBytes)
@@ -59,8 +68,10 @@
     std::string text;
     for (const auto& event : m_events) {
         text += event.text;
-        if (!event.id.empty())
-            m_lastEventId = event.id;
+        if (event.id.empty())
+            continue;
+        m_lastEventId = event.id;
+        m_isContinuation = false;
     }
     const auto count = static_cast<unsigned>(m_events.size());
     m_events.clear();
--- a/modules/hyssopwick_gateway/entry/StreamAnswer.h
+++ b/modules/hyssopwick_gateway/entry/StreamAnswer.h
@@ -58,6 +58,7 @@
     ReadingPause m_pause;
     std::size_t m_heldPartialBytes = 0;
     bool m_isPauseLogged = false;
+    bool m_isContinuation = false; // of an answer whose events have ids, before the first of this attempt's
 };
 
 }
--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -39,6 +39,13 @@
     return "lost";
 }
 
+bool ResponseHead::mayBeEventStream() const
+{
+    const auto type = headerValue(fields, "Content-Type");
+    const auto end = std::min(type.find_first_of("; \t"), type.size());
+    return type.empty() || headerNamesEqual(type.substr(0, end), "text/event-stream");
+}
+
 struct HttpExchange::State {
     explicit State(EventLoop& eventLoop)
         : loop(eventLoop)
@@ -218,6 +225,8 @@
     auto& state = *m_state;
     state.connectedAt = monotonicNow();
     prepareSocket(state.socket);
+    if (const auto onConnected = std::move(state.handlers.onConnected); onConnected && !onConnected(state.call))
+        return end(ExchangeEnd::NotSent);
     state.request.method_string(state.call.method);
     state.request.target(state.call.target);
     state.request.version(httpVersion);
@@ -225,8 +234,6 @@
         state.request.insert(name, value);
     if (state.request.count(http::field::host) == 0)
         state.request.set(http::field::host, state.address);
-    if (const auto onConnected = std::move(state.handlers.onConnected); onConnected && !onConnected(state.call))
-        return end(ExchangeEnd::NotSent);
     state.request.body() = std::move(state.call.body);
     if (!state.request.body().empty() || state.request.method() == http::verb::post || state.request.method() == http::verb::put)
         state.request.content_length(state.request.body().size());
--- a/modules/hyssopwick_gateway/http/HttpExchange.h
+++ b/modules/hyssopwick_gateway/http/HttpExchange.h
@@ -29,16 +29,19 @@
     /// Returns whether the body has a length or chunks; otherwise it ends with its connection, so
     /// that the end of the server looks like that of the body.
     bool isFramed() const { return !headerValue(fields, "Content-Length").empty() || !headerValue(fields, "Transfer-Encoding").empty(); }
+
+    /// Returns whether the body may be a stream of events: it is declared as one, or as nothing.
+    bool mayBeEventStream() const;
 };
 
 /// Handlers of the events of an exchange. Any of them may be empty.
 struct ExchangeHandlers {
-    std::function<void(const ResponseHead&)> onHead;
-    std::function<void(std::string_view)> onBody;
-    std::function<void(ExchangeEnd)> onEnd; ///< called once, unless the exchange is cancelled
     /// Called when the connection is established, before anything is sent. Completes header fields
     /// that depend on the time; returns false if the call is not to be sent any more.
     std::function<bool(HttpCall&)> onConnected;
+    std::function<void(const ResponseHead&)> onHead;
+    std::function<void(std::string_view)> onBody;
+    std::function<void(ExchangeEnd)> onEnd; ///< called once, unless the exchange is cancelled
 };
 
 /// When to abandon an exchange, and how much it may receive. A server in trouble may send
--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -297,8 +297,8 @@
     request.body = std::move(message.body());
     if (const auto transmission = TransmissionState::of(m_socket))
         request.waitedUnread = transmission->sinceReceived;
-    m_exchange = std::make_shared<Exchange>(weak_from_this(), std::move(request));
     request.receivedAt = monotonicNow() - request.waitedUnread;
+    m_exchange = std::make_shared<Exchange>(weak_from_this(), std::move(request));
     ++m_listener->openExchanges;
     m_sendBy.reset();
     // No handler of the socket is pending while a full read-ahead waits for the answer.
@@ -312,6 +312,7 @@
 // or already sent its next request.
 void ServerConnection::watchCaller()
 {
+    // Unread requests hide the caller's leaving, which has to be asked for.
     if (m_buffer.size() >= maxReadAheadBytes)
         return armTimer(monotonicNow() + departureCheckPeriod, [this] { isClosedByPeer(m_socket) ? handleCallerLeft() : watchCaller(); });
     const auto watched = m_exchange;
--- a/modules/hyssopwick_requests/streams/EventStreamSplitter.cpp
+++ b/modules/hyssopwick_requests/streams/EventStreamSplitter.cpp
@@ -1,5 +1,9 @@
 #include "EventStreamSplitter.h"
 
+#include <charconv>
+#include <cstdint>
+#include <optional>
+
 namespace hyssopwick {
 
 namespace {
@@ -41,6 +45,22 @@
         return id;
     }
 
+    std::optional<std::uint64_t> numberOf(const std::string& id)
+    {
+        std::uint64_t number = 0;
+        const auto result = std::from_chars(id.data(), id.data() + id.size(), number);
+        if (id.empty() || result.ec != std::errc() || result.ptr != id.data() + id.size())
+            return std::nullopt;
+        return number;
+    }
+
+}
+
+bool EventStreamSplitter::mayFollow(const Event& event, const std::string& previous)
+{
+    const auto number = numberOf(event.id);
+    const auto previousNumber = numberOf(previous);
+    return !number || !previousNumber || *number > *previousNumber;
 }
 
 std::vector<EventStreamSplitter::Event> EventStreamSplitter::feed(std::string_view bytes)
--- a/modules/hyssopwick_requests/streams/EventStreamSplitter.h
+++ b/modules/hyssopwick_requests/streams/EventStreamSplitter.h
@@ -16,6 +16,12 @@
         std::string id; ///< "" when the event has none
     };
 
+    /// Returns whether an event may follow the one with the id \p previous. Ids that are numbers increase.
+    static bool mayFollow(const Event& event, const std::string& previous);
+
+    /// Returns whether an event begins with a field, unlike a comment or a blank line.
+    static bool hasContent(const Event& event) { return event.text.front() != ':' && event.text.front() != '\r' && event.text.front() != '\n'; }
+
     /// Adds received bytes and returns the events that they complete.
     std::vector<Event> feed(std::string_view bytes);
 
--- /dev/null
+++ b/tests/platform/ResumedStreamTests.cpp
@@ -0,0 +1,107 @@
+#include "CallFlowSupport.h"
+
+using namespace hyssopwick;
+
+/// Streams that break off after two events, and what their second upstream answers.
+TEST_GROUP_BASE(ResumedStream, CallFlowGroup)
+{
+    const std::string twoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    const std::string brokenStream = okHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(twoEvents);
+
+    void call(const std::string& secondAnswer)
+    {
+        route(CallKind::Stream, 2, true);
+        answerBoth(brokenStream);
+        send();
+        while (requestCount() < 1)
+            loop.run_one();
+        auto& other = first.requests().empty() ? first : second;
+        other.clearAnswers();
+        other.answer(secondAnswer);
+        finish();
+    }
+
+    // The caller receives the events of the first upstream only, and its stream is cut.
+    void checkCut(const std::string& secondAnswer)
+    {
+        call(secondAnswer);
+        LONGS_EQUAL(2, requestCount());
+        STRCMP_EQUAL(twoEvents.c_str(), exchange->body.c_str());
+        CHECK(exchange->isAborted);
+        CHECK_FALSE(exchange->isFinished);
+    }
+};
+
+TEST(ResumedStream, AStreamOfEventsContinuesTheAnswer)
+{
+    call("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s2\r\nContent-Type: Text/Event-Stream; charset=utf-8\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(": comment\n\n") + chunk("id: 10\ndata: c\n\n") + "0\r\n\r\n");
+    STRCMP_EQUAL((twoEvents + ": comment\n\nid: 10\ndata: c\n\n").c_str(), exchange->body.c_str());
+    CHECK(exchange->isFinished);
+}
+
+TEST(ResumedStream, AnErrorIsNotForwarded)
+{
+    checkCut("HTTP/1.1 500 Internal Server Error\r\nRequest-Id: r1\r\nServer-Seal: s2\r\nContent-Type: text/plain\r\nContent-Length: 14\r\n\r\nserver error\n\n");
+}
+
+TEST(ResumedStream, ARefusalIsNotForwarded)
+{
+    checkCut("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nfull\n\n");
+}
+
+TEST(ResumedStream, AnErrorWithTheStatusOfASuccessIsNotForwarded)
+{
+    checkCut("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s2\r\nContent-Type: text/plain\r\nContent-Length: 14\r\n\r\nserver error\n\n");
+}
+
+TEST(ResumedStream, ASuccessWithoutAReceiptIsNotForwarded)
+{
+    checkCut("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 15\r\n\r\nid: 3\ndata: c\n\n");
+}
+
+TEST(ResumedStream, AnEmptySuccessWithoutAReceiptDoesNotEndTheStream)
+{
+    checkCut("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n");
+}
+
+TEST(ResumedStream, ASuccessWithoutContentDoesNotEndTheStream)
+{
+    checkCut("HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\nServer-Seal: s2\r\n\r\n");
+}
+
+TEST(ResumedStream, AnAnswerHeadInTheBodyIsNotForwarded)
+{
+    checkCut("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nHTTP/1.1 502 Bad Gateway\r\nContent-Length: 6\r\n\r\nerror\n");
+}
+
+TEST(ResumedStream, AnErrorAsAnEventWithoutIdIsNotForwarded)
+{
+    checkCut("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s2\r\nContent-Length: 15\r\n\r\nserver error.\n\n");
+}
+
+TEST(ResumedStream, EventsThatTheCallerHasAreNotRepeated)
+{
+    checkCut("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s2\r\nContent-Length: 30\r\n\r\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+
+TEST(ResumedStream, AnErrorInTheMiddleOfAnEventIsNotForwarded)
+{
+    route(CallKind::Stream, 2, true);
+    answerBoth(okHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(twoEvents + "id: 3\nda"));
+    send();
+    while (requestCount() < 2)
+        loop.run_one();
+    finish();
+    CHECK(exchange->isAborted);
+    STRCMP_EQUAL(twoEvents.c_str(), exchange->body.c_str());
+}
+
+TEST(ResumedStream, AStreamWithoutAReceiptIsNotBegun)
+{
+    route(CallKind::Stream, 1, true);
+    answerBoth("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(twoEvents) + "0\r\n\r\n");
+    send();
+    finish();
+    LONGS_EQUAL(502, exchange->status);
+    CHECK_FALSE(exchange->isStream);
+}
