Requests that do not arrive go to another upstream

What callers saw: calls waited behind a request that had not arrived, began at its upstream long after they were sent, and upstreams worked on there after their callers had left. Cause: on a path that loses or holds packets, the system sends a request again for as long as the call lasts; the entry did not look whether it had arrived. Change: a call that may run again is taken back if its upstream's host has acknowledged no byte of it for 220 to 440 ms while bytes are in flight; the connection is reset, so that the rest is never sent. An upstream that reads slowly has acknowledged what it was sent and keeps its request. Conclusion: bounds the time between sending and arrival that nobody subtracts.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -206,7 +206,8 @@
     m_services.context().log.write("call.sent", { { "request", m_call.requestId }, { "upstream", upstreamId }, { "attempt", std::to_string(m_sentAttempts + 1) }, { "left_ms", std::to_string(millisecondsBetween(now, m_deadline)) }, { "resume", m_stream->lastEventId().empty() ? "no" : m_stream->lastEventId() }, { "held", std::to_string(m_services.loadedVersion(*upstream)) }, { "begin_within_ms", beginBy ? std::to_string(millisecondsBetween(now, *beginBy)) : "any" } });
     m_services.crashes().recordSend(m_crashTraits, m_call.requestId);
     m_services.allowances().recordSend(upstreamId);
-    m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), TransferLimits { now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), Milliseconds(0), TimePoint::max(), maxAnswerBytes }, std::move(handlers));
+    const bool mayMove = mayRunAgain() && m_sentAttempts + 1 < m_route->maxUpstreams;
+    m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), TransferLimits { now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), Milliseconds(0), TimePoint::max(), maxAnswerBytes, mayMove ? deliveryTimeout : Milliseconds(0) }, std::move(handlers));
     m_stream->beginAttempt(m_attempt);
     m_loadedVersionsAtSend = m_services.loadedVersions(*upstream);
     armBeginTimer();
--- a/modules/hyssopwick_gateway/entry/CallLimits.h
+++ b/modules/hyssopwick_gateway/entry/CallLimits.h
@@ -14,6 +14,10 @@
 inline constexpr Milliseconds connectRoundDelay { 30 };
 inline constexpr Milliseconds notReadyRetryAfter { 500 };
 inline constexpr Milliseconds overloadRetryAfter { 500 };
+// A request that was not acknowledged after a retransmission (200 ms at the earliest) may arrive long
+// after it was sent. Checked twice, so that it is given up within the 0.5 s in which upstreams have to
+// notice that a caller has left.
+inline constexpr Milliseconds deliveryTimeout { 220 };
 // Longer answers and events than any upstream sends are taken for bytes without end.
 inline constexpr std::uint64_t maxAnswerBytes = std::uint64_t(4) << 20;
 inline constexpr std::size_t maxEventBytes = std::size_t(256) << 10;
--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/optional.hpp>
+#include <limits>
 
 namespace hyssopwick {
 
@@ -33,6 +34,8 @@
         return "malformed";
     case ExchangeEnd::Timeout:
         return "timeout";
+    case ExchangeEnd::Undelivered:
+        return "undelivered";
     case ExchangeEnd::Cancelled:
         return "cancelled";
     }
@@ -51,12 +54,14 @@
         : loop(eventLoop)
         , socket(loop)
         , timer(loop)
+        , deliveryTimer(loop)
     {
     }
 
     EventLoop& loop;
     TcpSocket socket;
     LoopTimer timer;
+    LoopTimer deliveryTimer;
     unsigned timerGeneration = 0;
     std::string address;
     HttpCall call;
@@ -113,16 +118,39 @@
     if (m_state->isEnded)
         return;
     m_state->handlers = {};
-    // Otherwise the system would still send the rest of the request. A reset is not sent again
-    // when it is lost, so a request that arrived whole is ended by an ordinary close.
-    const auto state = transmission();
-    if (state && state->unacknowledgedBytes > 0) {
-        error_code ignored; // without a connection there is nothing to discard
-        m_state->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    }
+    discardUnsent();
     end(ExchangeEnd::Cancelled);
 }
 
+// Otherwise the system would still send the rest of the request. A reset is not sent again
+// when it is lost, so a request that arrived whole is ended by an ordinary close.
+void HttpExchange::discardUnsent()
+{
+    const auto state = transmission();
+    if (!state || state->unacknowledgedBytes == 0)
+        return;
+    error_code ignored; // without a connection there is nothing to discard
+    m_state->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
+// A server that reads slowly has acknowledged what it was sent, so that nothing is in flight.
+void HttpExchange::watchDelivery(std::size_t unacknowledgedBefore)
+{
+    auto& state = *m_state;
+    state.deliveryTimer.expires_after(state.limits.deliveryTimeout);
+    state.deliveryTimer.async_wait([self = shared_from_this(), unacknowledgedBefore](error_code error) {
+        if (error || self->m_state->isEnded || self->m_state->hasAnswerByte)
+            return;
+        const auto transmission = self->transmission();
+        if (!transmission || transmission->unacknowledgedBytes == 0)
+            return;
+        if (!transmission->isInFlight() || transmission->unacknowledgedBytes < unacknowledgedBefore)
+            return self->watchDelivery(transmission->unacknowledgedBytes);
+        self->discardUnsent();
+        self->end(ExchangeEnd::Undelivered);
+    });
+}
+
 void HttpExchange::pause() { m_state->isPaused = true; }
 
 void HttpExchange::resume()
@@ -241,6 +269,8 @@
         state.request.set(http::field::connection, "close");
     state.isSent = true;
     armDeadlineTimer();
+    if (state.limits.deliveryTimeout.count() > 0)
+        watchDelivery(std::numeric_limits<std::size_t>::max());
     // A server may answer before it has read a long body, so reading starts at once.
     http::async_write(state.socket, state.request, [self = shared_from_this(), keepsBody = state.isReused](error_code, std::size_t) {
         if (keepsBody)
@@ -328,6 +358,7 @@
     state.isEnded = true;
     error_code ignored;
     state.timer.cancel(ignored);
+    state.deliveryTimer.cancel(ignored);
     if (end == ExchangeEnd::Complete && state.kept && state.parser->keep_alive() && state.buffer.size() == 0)
         state.kept->keep(std::move(state.socket));
     else
--- a/modules/hyssopwick_gateway/http/HttpExchange.h
+++ b/modules/hyssopwick_gateway/http/HttpExchange.h
@@ -15,6 +15,7 @@
     Lost, ///< the request may have arrived, but no whole answer was received
     Malformed, ///< the answer violates the protocol
     Timeout, ///< the deadline passed after the request was sent
+    Undelivered, ///< the server's host acknowledged no byte of the request in TransferLimits::deliveryTimeout
     Cancelled,
 };
 
@@ -53,6 +54,7 @@
     Milliseconds stallTimeout { 0 }; ///< maximum time between its pieces, once it has begun
     TimePoint endBy; ///< applies to an answer that still makes progress, too
     std::uint64_t maxBodyBytes = defaultMaxBodyBytes; ///< a longer body is malformed
+    Milliseconds deliveryTimeout { 0 }; ///< maximum time, twice this at most, in which bytes of the request are in flight and none is acknowledged; 0 for no limit
 
     /// Far more than a report, an order's answer or a manifest has.
     static constexpr std::uint64_t defaultMaxBodyBytes = std::uint64_t(1) << 20;
@@ -103,6 +105,8 @@
     void connect();
     bool retryOnNewConnection();
     void sendRequest();
+    void discardUnsent();
+    void watchDelivery(std::size_t unacknowledgedBefore);
     void readHead();
     void readBody();
     void end(ExchangeEnd end);
--- a/modules/hyssopwick_gateway/http/TransmissionState.cpp
+++ b/modules/hyssopwick_gateway/http/TransmissionState.cpp
@@ -14,6 +14,9 @@
         return std::nullopt;
     TransmissionState state;
     state.unacknowledgedBytes = static_cast<std::size_t>(unacknowledged);
+    int unsent = 0;
+    if (ioctl(socket.native_handle(), SIOCOUTQNSD, &unsent) == 0)
+        state.unsentBytes = static_cast<std::size_t>(unsent);
     tcp_info info {};
     socklen_t size = sizeof info;
     if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
