Review: one system call for the age of a request, no line for an attempt that has ended

Cause: the read-through. Change: timeSinceReceived() for requests, a condition on the line, the comments.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -291,7 +291,8 @@
         return;
     const auto connectedAt = m_attempt->connectedAt();
     const auto transmission = m_attempt->transmission().value_or(TransmissionState());
-    m_services.context().log.write("call.cancelled", { { "request", m_call.requestId }, { "upstream", m_upstream }, { "reason", reason }, { "after_ms", millisecondsText(elapsed()) }, { "connect_ms", connectedAt ? std::to_string(millisecondsBetween(m_sentAt, *connectedAt)) : "none" }, { "unacknowledged", std::to_string(transmission.unacknowledgedBytes) }, { "retransmissions", std::to_string(transmission.retransmissions) }, { "round_trip_ms", millisecondsText(transmission.roundTrip) } });
+    if (!m_upstream.empty()) // otherwise the attempt has already ended
+        m_services.context().log.write("call.cancelled", { { "request", m_call.requestId }, { "upstream", m_upstream }, { "reason", reason }, { "after_ms", millisecondsText(elapsed()) }, { "connect_ms", connectedAt ? std::to_string(millisecondsBetween(m_sentAt, *connectedAt)) : "none" }, { "unacknowledged", std::to_string(transmission.unacknowledgedBytes) }, { "retransmissions", std::to_string(transmission.retransmissions) }, { "round_trip_ms", millisecondsText(transmission.roundTrip) } });
     m_attempt->cancel();
 }
 
--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -295,8 +295,7 @@
         request.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
     request.host = hostWithoutPort(message[http::field::host]);
     request.body = std::move(message.body());
-    if (const auto transmission = TransmissionState::of(m_socket))
-        request.waitedUnread = transmission->sinceReceived;
+    request.waitedUnread = timeSinceReceived(m_socket);
     request.receivedAt = monotonicNow() - request.waitedUnread;
     m_exchange = std::make_shared<Exchange>(weak_from_this(), std::move(request));
     ++m_listener->openExchanges;
--- a/modules/hyssopwick_gateway/http/TransmissionState.cpp
+++ b/modules/hyssopwick_gateway/http/TransmissionState.cpp
@@ -7,6 +7,16 @@
 
 namespace hyssopwick {
 
+namespace {
+    // Returns the kernel's statistics of a connection; all are 0 if it has none.
+    tcp_info statisticsOf(TcpSocket& socket)
+    {
+        tcp_info info {};
+        socklen_t size = sizeof info;
+        return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 ? info : tcp_info {};
+    }
+}
+
 std::optional<TransmissionState> TransmissionState::of(TcpSocket& socket)
 {
     int unacknowledged = 0;
@@ -17,16 +27,14 @@
     int unsent = 0;
     if (ioctl(socket.native_handle(), SIOCOUTQNSD, &unsent) == 0)
         state.unsentBytes = static_cast<std::size_t>(unsent);
-    tcp_info info {};
-    socklen_t size = sizeof info;
-    if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
-        return state;
-    state.retransmissions = info.tcpi_total_retrans;
-    state.roundTrip = std::chrono::duration_cast<Milliseconds>(std::chrono::microseconds(info.tcpi_rtt));
-    state.sinceReceived = Milliseconds(info.tcpi_last_data_recv);
+    const auto statistics = statisticsOf(socket);
+    state.retransmissions = statistics.tcpi_total_retrans;
+    state.roundTrip = std::chrono::duration_cast<Milliseconds>(std::chrono::microseconds(statistics.tcpi_rtt));
     return state;
 }
 
+Milliseconds timeSinceReceived(TcpSocket& socket) { return Milliseconds(statisticsOf(socket).tcpi_last_data_recv); }
+
 bool isClosedByPeer(TcpSocket& socket)
 {
     pollfd watched { socket.native_handle(), POLLRDHUP, 0 };
