--- a/tests/platform/ColdUpstreamFleetTests.cpp
+++ b/tests/platform/ColdUpstreamFleetTests.cpp
@@ -149,9 +149,9 @@
 TEST(ColdFormat, WhatTheWireSaysOfColdUpstreamsIsDecoded)
 {
     const platform::StoreFormat store;
-    const auto upstream = std::get<Upstream>(store.decodeRecord({ "servers/i-1", R"({"service":"s","address":"a:1","zone":"z","slots":1,"state":"ready","coldLeftMs":1700})", 1, false }));
+    const auto upstream = std::get<Upstream>(store.decodeRecord({ "servers/i-1", R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready","coldLeftMs":1700})", 1, false }));
     CHECK(upstream.coldLeft == Milliseconds(1700));
-    const auto other = std::get<Upstream>(store.decodeRecord({ "servers/i-1", R"({"service":"s","address":"a:1","zone":"z","slots":1,"state":"ready"})", 1, false }));
+    const auto other = std::get<Upstream>(store.decodeRecord({ "servers/i-1", R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready"})", 1, false }));
     CHECK_FALSE(other.coldLeft.has_value());
     const auto configuration = std::get<DeploymentConfiguration>(store.decodeRecord({ "op/config", R"({"version":1,"routes":[],"services":[{"name":"s","coldS":3,"coldPerS":14,"healthPath":"/h"},{"name":"t","coldS":0,"coldPerS":14}]})", 1, false }));
     const auto& service = configuration.services.at("s");
