Review: a frozen machine orders a load long after its check

Cause: the agent checks the staged weights, waits out the rest of the time for draining, and orders the load whenever its timer is handled. A machine that freezes in between orders it seconds after the check.

The case starts an entry and four agents with stand-ins, freezes one agent for 5 s after its check and spoils one staged piece meanwhile.

--- a/review/common/engine.hpp
+++ b/review/common/engine.hpp
@@ -81,6 +81,7 @@
         std::string target;
         std::string body;
         std::uint64_t version = 0;
+        unsigned spoiltPieces = 0; ///< of the load that it ran on, bad for over 3 s when that was ordered
     };
 
     EngineWorker(Store& store, std::string id, const std::string& address, const std::string& zone, unsigned slots, std::uint64_t loaded)
@@ -100,6 +101,28 @@
     const std::string& id() const { return m_id; }
     const std::string& address() const { return m_server.address(); }
 
+    /// Called after a staged piece was read, with its number.
+    void onStageRead(std::function<void(unsigned)> handler) { m_onStageRead = std::move(handler); }
+
+    /// Turns a staged piece bad.
+    void spoil(unsigned number)
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_staged[number][100] ^= 1;
+        m_spoiltAt[number] = Clock::now();
+        NOTE("worker %s: staged piece %u turns bad", m_id.c_str(), number);
+    }
+
+    /// Returns whether all pieces of a version are staged.
+    bool hasStaged(std::uint64_t version)
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        unsigned sound = 0;
+        for (unsigned number = 0; number < pieceCount; ++number)
+            sound += m_staged.count(number) != 0 && m_staged.at(number) == pieceOf(version, number);
+        return sound == pieceCount;
+    }
+
     /// Ends the worker without a word.
     void stop() { m_server.stop(); }
 
@@ -160,15 +183,23 @@
         }
         if (path == "/-/stage-put/" + modelName) {
             std::lock_guard<std::mutex> lock(m_mutex);
-            m_staged[static_cast<unsigned>(std::stoul(request.parameter("num")))] = request.body;
+            const auto number = static_cast<unsigned>(std::stoul(request.parameter("num")));
+            m_staged[number] = request.body;
+            m_spoiltAt.erase(number);
             return connection.send(answerText(200, {}, ""));
         }
         if (path == "/-/stage-get/" + modelName) {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            const auto found = m_staged.find(static_cast<unsigned>(std::stoul("0" + request.parameter("num"))));
+            std::unique_lock<std::mutex> lock(m_mutex);
+            const auto number = static_cast<unsigned>(std::stoul("0" + request.parameter("num")));
+            const auto found = m_staged.find(number);
             if (found == m_staged.end())
                 return connection.send(answerText(404, {}, ""));
-            return connection.send(answerText(200, {}, found->second));
+            const auto answer = answerText(200, {}, found->second);
+            lock.unlock();
+            const bool isSent = connection.send(answer);
+            if (m_onStageRead)
+                m_onStageRead(number);
+            return isSent;
         }
         if (path == "/-/order")
             return order(Json::parse(request.body), connection);
@@ -189,16 +220,22 @@
         if (status == 202) {
             ++m_sequence;
             m_isLoading = true;
-            unsigned sound = 0;
-            for (unsigned number = 0; number < pieceCount; ++number)
-                sound += m_staged.count(number) != 0 && m_staged.at(number) == pieceOf(version, number);
-            NOTE("worker %s begins to load version %llu, %u of %u pieces sound", m_id.c_str(), static_cast<unsigned long long>(version), sound, pieceCount);
-            std::thread([this, version] { load(version); }).detach();
+            unsigned spoilt = 0;
+            for (unsigned number = 0; number < pieceCount; ++number) {
+                if (m_staged.count(number) != 0 && m_staged.at(number) == pieceOf(version, number))
+                    continue;
+                const auto at = m_spoiltAt.find(number);
+                const double badForS = at == m_spoiltAt.end() ? 1000 : std::chrono::duration<double>(Clock::now() - at->second).count();
+                NOTE("worker %s: piece %u has been bad for %.2f s", m_id.c_str(), number, badForS);
+                spoilt += badForS > 3;
+            }
+            NOTE("worker %s accepts the order to load version %llu", m_id.c_str(), static_cast<unsigned long long>(version));
+            std::thread([this, version, spoilt] { load(version, spoilt); }).detach();
         }
         return connection.send(answerText(status, {}, ""));
     }
 
-    void load(std::uint64_t version)
+    void load(std::uint64_t version, unsigned spoilt)
     {
         std::unique_lock<std::mutex> lock(m_mutex);
         m_free.wait(lock, [this] { return m_running == 0; });
@@ -208,6 +245,7 @@
         sleepMs(300);
         lock.lock();
         m_loaded = version;
+        m_spoiltPieces = spoilt;
         m_isLoading = false;
         lock.unlock();
         m_free.notify_all();
@@ -228,8 +266,9 @@
             return connection.send(answerText(503, { { "Request-Id", requestId }, { "Not-Executed", "1" } }, ""));
         ++m_running;
         const auto version = m_loaded;
+        const auto spoilt = m_spoiltPieces;
         lock.unlock();
-        const bool isWhole = stream(request, requestId, version, connection);
+        const bool isWhole = stream(request, requestId, version, spoilt, connection);
         lock.lock();
         --m_running;
         lock.unlock();
@@ -237,7 +276,7 @@
         return isWhole;
     }
 
-    bool stream(const Request& request, const std::string& requestId, std::uint64_t version, Connection& connection)
+    bool stream(const Request& request, const std::string& requestId, std::uint64_t version, unsigned spoilt, Connection& connection)
     {
         unsigned prompt = 0;
         unsigned answer = 0;
@@ -245,7 +284,7 @@
         sleepMs(prompt / 19.1);
         {
             std::lock_guard<std::mutex> lock(runsMutex());
-            allRuns()[requestId].push_back({ m_id, request.target, request.body, version });
+            allRuns()[requestId].push_back({ m_id, request.target, request.body, version, spoilt });
         }
         NOTE("worker %s runs %s on version %llu, %zu bytes", m_id.c_str(), requestId.c_str(), static_cast<unsigned long long>(version), request.body.size());
         if (!connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: " + requestId + "\r\nServer-Seal: seal-" + requestId + "\r\nWeight-Versions: " + std::to_string(version) + "\r\n\r\n"))
@@ -268,7 +307,10 @@
     std::mutex m_mutex;
     std::condition_variable m_free;
     std::map<unsigned, std::string> m_staged;
+    std::map<unsigned, Clock::time_point> m_spoiltAt;
+    std::function<void(unsigned)> m_onStageRead;
     std::uint64_t m_loaded;
+    unsigned m_spoiltPieces = 0;
     std::uint64_t m_sequence = 0;
     bool m_isLoading = false;
     unsigned m_waiting = 0;
--- a/review/common/standins.hpp
+++ b/review/common/standins.hpp
@@ -27,6 +27,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -413,6 +414,80 @@
     std::shared_ptr<State> m_state;
 };
 
+/// The link between a client and a server: passes bytes on in both directions, and holds them up
+/// while it is cut.
+class Link {
+public:
+    Link(const std::string& address, std::string to)
+        : m_state(std::make_shared<State>())
+        , m_server(address, [state = m_state, to = std::move(to)](int client) { pass(state, client, to); })
+    {
+    }
+
+    const std::string& address() const { return m_server.address; }
+
+    void cut() { m_state->isCut = true; }
+    void heal() { m_state->isCut = false; }
+
+private:
+    struct State {
+        std::atomic<bool> isCut { false };
+    };
+
+    // Accepts connections without reading from them.
+    struct Acceptor {
+        Acceptor(const std::string& at, std::function<void(int)> handler)
+            : address(at)
+        {
+            const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            const int on = 1;
+            setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+            const auto to = addressOf(at);
+            if (bind(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 || listen(fd, 512) != 0) {
+                std::fprintf(stderr, "cannot listen on %s\n", at.c_str());
+                std::exit(couldNotRun);
+            }
+            std::thread([fd, handler = std::move(handler)] {
+                for (;;) {
+                    const int client = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
+                    if (client >= 0)
+                        std::thread([handler, client] { handler(client); }).detach();
+                }
+            }).detach();
+        }
+
+        std::string address;
+    };
+
+    static void pass(const std::shared_ptr<State>& state, int clientFd, const std::string& to)
+    {
+        Connection client(clientFd);
+        const auto server = connectTo(to);
+        if (!server)
+            return;
+        pollfd ends[2] = { { client.fd(), POLLIN, 0 }, { server->fd(), POLLIN, 0 } };
+        for (;;) {
+            if (state->isCut) {
+                sleepMs(1);
+                continue;
+            }
+            if (poll(ends, 2, 1) <= 0 || state->isCut)
+                continue;
+            for (int from = 0; from < 2; ++from) {
+                if (ends[from].revents == 0)
+                    continue;
+                char bytes[16384];
+                const auto size = recv(ends[from].fd, bytes, sizeof bytes, 0);
+                if (size <= 0 || !(from == 0 ? *server : client).send({ bytes, static_cast<std::size_t>(size) }))
+                    return;
+            }
+        }
+    }
+
+    std::shared_ptr<State> m_state;
+    Acceptor m_server;
+};
+
 inline std::string base64(const std::string& bytes)
 {
     std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
@@ -746,6 +821,7 @@
     {
         m_id = fork();
         if (m_id == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // should the case be ended from outside
             const int log = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
             dup2(log, STDOUT_FILENO);
             dup2(log, STDERR_FILENO);
