--- a/review/common/standins.hpp
+++ b/review/common/standins.hpp
@@ -733,7 +733,7 @@
     {
         for (int index = 0; index < portCount; ++index) {
             const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-            const auto address = addressOf("0.0.0.0:" + std::to_string(port(index)));
+            const auto address = addressOf(at(1, index));
             const bool isBound = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
             ::close(fd);
             if (!isBound)
