Verify staged weights again when the order to load is late

Cause: EngineActivation sent the order when its timer was handled, however long before the staged chunks had been verified. A VM that is suspended in between, or in the middle of the check, orders the load of chunks that were not verified for seconds. Change: a verification is valid for 2.5 s from its first read, which is asked before the order and when its connection is established; otherwise the activation waits for its turn again (order.postponed, orders_postponed_total). An order that was not sent is no longer taken for one that may have been accepted.

--- a/modules/hyssopwick_deployment/ports/EngineCodec.h
+++ b/modules/hyssopwick_deployment/ports/EngineCodec.h
@@ -14,6 +14,7 @@
     AlreadyInEffect,
     Conflict, ///< does not fit the engine's state
     Refused, ///< not acceptable in this form
+    NotSent, ///< the engine got no byte of the order
     Unknown, ///< no answer, or an inconclusive one
 };
 
--- a/modules/hyssopwick_gateway/agent/EngineActivation.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineActivation.cpp
@@ -9,6 +9,29 @@
     // Longer than a load plus the longest running answer that the engine finishes before the load.
     constexpr Milliseconds maxLoadTime { 12000 };
 
+    // Between the first read of a verification and the order. An engine may use a chunk that became
+    // corrupt less than 3 s before it was loaded; the rest is for the order's way to the engine.
+    constexpr Milliseconds verificationValidity { 2500 };
+
+    const char* resultName(OrderResult result)
+    {
+        switch (result) {
+        case OrderResult::Begun:
+            return "begun";
+        case OrderResult::AlreadyInEffect:
+            return "in-effect";
+        case OrderResult::Conflict:
+            return "conflict";
+        case OrderResult::Refused:
+            return "refused";
+        case OrderResult::NotSent:
+            return "not-sent";
+        case OrderResult::Unknown:
+            return "unknown";
+        }
+        return "unknown";
+    }
+
     const char* phaseName(EngineActivation::Phase phase)
     {
         switch (phase) {
@@ -88,6 +111,7 @@
     if (m_isStopped || m_phase != Phase::Waiting || !m_mayLoad())
         return;
     m_drainingSince = monotonicNow();
+    m_verificationValidUntil = m_drainingSince + verificationValidity;
     enter(Phase::Draining);
     verify(0);
 }
@@ -119,20 +143,36 @@
     if (m_isStopped)
         return;
     m_orderedAt = monotonicNow();
+    if (m_orderedAt >= m_verificationValidUntil)
+        return returnToWaiting("verification-expired");
     m_sequenceBeforeOrder = m_report.orderSequence;
     enter(Phase::Ordered);
-    m_engine.order({ weights(), m_sequenceBeforeOrder }, [self = shared_from_this()](OrderResult result) {
-        if (self->m_isStopped || result == OrderResult::Begun || result == OrderResult::AlreadyInEffect)
-            return;
-        // Without an answer the load may have begun; the next reports show whether it has.
-        self->m_context.log.write("order.failed", { { "version", std::to_string(self->weights().version) }, { "result", result == OrderResult::Conflict ? "conflict" : result == OrderResult::Refused ? "refused"
-                                                                                                                                                                                                      : "unknown" },
-                                                      { "sequence", std::to_string(self->m_sequenceBeforeOrder) } });
-        if (result != OrderResult::Unknown)
-            self->enter(Phase::Failed);
+    m_engine.order({ weights(), m_sequenceBeforeOrder }, m_verificationValidUntil, [self = shared_from_this()](OrderResult result) {
+        if (!self->m_isStopped)
+            self->recordOrderResult(result);
     });
 }
 
+void EngineActivation::recordOrderResult(OrderResult result)
+{
+    if (result == OrderResult::Begun || result == OrderResult::AlreadyInEffect)
+        return;
+    m_context.log.write("order.failed", { { "version", std::to_string(weights().version) }, { "result", resultName(result) }, { "sequence", std::to_string(m_sequenceBeforeOrder) } });
+    if (result == OrderResult::NotSent)
+        return returnToWaiting("order-not-sent");
+    // Without an answer the load may have begun; the next reports show whether it has.
+    if (result != OrderResult::Unknown)
+        enter(Phase::Failed);
+}
+
+// The slot may have been passed on meanwhile. The next report continues the activation.
+void EngineActivation::returnToWaiting(const char* reason)
+{
+    m_context.metrics.count("orders_postponed_total", reason);
+    m_context.log.write("order.postponed", { { "version", std::to_string(weights().version) }, { "reason", reason }, { "verification_age_ms", std::to_string(millisecondsBetween(m_drainingSince, monotonicNow())) } });
+    enter(Phase::Waiting);
+}
+
 void EngineActivation::recordReport(const EngineReport& report)
 {
     m_report = report;
--- a/modules/hyssopwick_gateway/agent/EngineActivation.h
+++ b/modules/hyssopwick_gateway/agent/EngineActivation.h
@@ -6,7 +6,8 @@
 
 /// Puts one complete version into service on the engine of this VM: stages its chunks,
 /// waits for its slot in the activation order, verifies the staged chunks again right before
-/// the order to load, since they may have become corrupt, and watches the load. Running calls
+/// the order to load, since they may have become corrupt, and watches the load. An order that is
+/// late, for example because the VM was suspended, is not sent before another verification. Running calls
 /// are not moved to other engines: the engine finishes them before it loads.
 class EngineActivation : public std::enable_shared_from_this<EngineActivation> {
 public:
@@ -49,6 +50,8 @@
     void verify(unsigned chunk);
     void scheduleOrder();
     void sendOrder();
+    void recordOrderResult(OrderResult result);
+    void returnToWaiting(const char* reason);
 
     GatewayContext& m_context;
     EngineClient& m_engine;
@@ -59,6 +62,7 @@
     EngineReport m_report;
     std::uint64_t m_sequenceBeforeOrder = 0;
     TimePoint m_drainingSince;
+    TimePoint m_verificationValidUntil;
     TimePoint m_orderedAt;
     bool m_isStopped = false;
 };
--- a/modules/hyssopwick_gateway/agent/EngineClient.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineClient.cpp
@@ -81,11 +81,19 @@
         m_kept);
 }
 
-void EngineClient::order(const LoadOrder& order, std::function<void(OrderResult)> handler)
+void EngineClient::order(const LoadOrder& order, TimePoint sendBy, std::function<void(OrderResult)> handler)
 {
-    fetch(m_context.ports.engines->encodeOrder(order), [this, handler = std::move(handler)](const WholeResponse& response) {
-        handler(response.isComplete() ? m_context.ports.engines->decodeOrderAnswer(response.status) : OrderResult::Unknown);
-    });
+    const auto now = monotonicNow();
+    const TransferLimits limits { std::min(now + connectTimeout, sendBy), now + answerTimeout, Milliseconds(0), now + answerTimeout, maxAnswerBytes };
+    // The process may have been suspended while it connected.
+    const auto maySend = [sendBy](HttpCall&) { return monotonicNow() < sendBy; };
+    fetchWhole(
+        m_context.loop, m_context.description.engineAddress, m_context.ports.engines->encodeOrder(order), limits, [this, handler = std::move(handler)](const WholeResponse& response) {
+            if (response.end == ExchangeEnd::NotSent)
+                return handler(OrderResult::NotSent);
+            handler(response.isComplete() ? m_context.ports.engines->decodeOrderAnswer(response.status) : OrderResult::Unknown);
+        },
+        nullptr, maySend);
 }
 
 }
--- a/modules/hyssopwick_gateway/agent/EngineClient.h
+++ b/modules/hyssopwick_gateway/agent/EngineClient.h
@@ -20,7 +20,8 @@
     /// Writes a chunk into the staging area and replaces the one that is there.
     void writeStaged(const std::string& model, unsigned chunk, std::string bytes, std::function<void(Outcome<void>)> handler);
 
-    void order(const LoadOrder& order, std::function<void(OrderResult)> handler);
+    /// Sends an order. \param sendBy  the order is not sent after this time, however late this process is
+    void order(const LoadOrder& order, TimePoint sendBy, std::function<void(OrderResult)> handler);
 
 private:
     void checkHealth(const std::string& path);
--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -374,10 +374,11 @@
     return fetchWhole(loop, address, std::move(call), TransferLimits { connectBy, deadline, Milliseconds(0), deadline }, std::move(handler));
 }
 
-HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, std::function<void(WholeResponse)> handler, std::shared_ptr<KeptConnections> kept)
+HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, std::function<void(WholeResponse)> handler, std::shared_ptr<KeptConnections> kept, std::function<bool(HttpCall&)> onConnected)
 {
     const auto response = std::make_shared<WholeResponse>();
     ExchangeHandlers handlers;
+    handlers.onConnected = std::move(onConnected);
     handlers.onHead = [response](const ResponseHead& head) {
         response->beganAt = monotonicNow();
         response->status = head.status;
--- a/modules/hyssopwick_gateway/http/HttpExchange.h
+++ b/modules/hyssopwick_gateway/http/HttpExchange.h
@@ -133,7 +133,8 @@
 /// Sends a request and reads the whole answer.
 /// \param handler  called once, unless the exchange is cancelled
 /// \param kept  as for HttpExchange::start()
-HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, std::function<void(WholeResponse)> handler, std::shared_ptr<KeptConnections> kept = nullptr);
+/// \param onConnected  as in ExchangeHandlers
+HttpExchangePointer fetchWhole(EventLoop& loop, const std::string& address, HttpCall call, const TransferLimits& limits, std::function<void(WholeResponse)> handler, std::shared_ptr<KeptConnections> kept = nullptr, std::function<bool(HttpCall&)> onConnected = nullptr);
 
 /// Sends a request and reads the whole answer.
 /// \param handler  called once, unless the exchange is cancelled
--- a/tests/ClockTests.cpp
+++ b/tests/ClockTests.cpp
@@ -1,15 +1,14 @@
+#include "SuspendedClock.h"
 #include "TestSupport.h"
 
-#include <atomic>
 #include <sys/syscall.h>
 #include <time.h>
 #include <unistd.h>
 
 using namespace hyssopwick;
 
-namespace {
+namespace hyssopwick {
 
-// Seconds for which the VM was suspended, as its clocks show them.
 std::atomic<time_t> suspendedSeconds { 0 };
 
 }
--- a/tests/platform/AgentEvacuationTests.cpp
+++ b/tests/platform/AgentEvacuationTests.cpp
@@ -3,17 +3,6 @@
 
 using namespace hyssopwick;
 
-namespace {
-
-// Differ between test processes, so that they can run side by side.
-std::string loopbackIp(int number)
-{
-    constexpr int octets = 250;
-    return "127." + std::to_string(2 + getpid() / octets % octets) + "." + std::to_string(getpid() % octets) + "." + std::to_string(number);
-}
-
-}
-
 /// An agent whose engine serves version 1 while version 2 is staged, and a peer whose engine is loading.
 TEST_GROUP(AgentEvacuation)
 {
