An answer that ends inside its head is not complete

Cause: libcurl reports no error when a connection ends inside the head, unless no byte arrived at all. Change: HttpClient records the end of the head and fails the transfer with UnknownResult without it.

--- a/modules/hyssopwick_transport/http/HttpClient.cpp
+++ b/modules/hyssopwick_transport/http/HttpClient.cpp
@@ -18,6 +18,7 @@
     // Probes reach every node in turn; idle connections must not grow with the fleet.
     constexpr long defaultMaxIdleConnections = 32;
     constexpr int statusOk = 200;
+    constexpr std::string_view statusLinePrefix = "HTTP/";
 
     struct Transfer {
         HttpClientRequest request;
@@ -29,6 +30,7 @@
         HttpClient::TransferId id = 0;
         std::size_t sent = 0;
         bool isTooLarge = false;
+        bool isHeadComplete = false; // of the latest answer, which follows any interim ones
 
         ~Transfer()
         {
@@ -62,6 +64,9 @@
     {
         auto& transfer = *static_cast<Transfer*>(context);
         const std::string_view line(data, size * count);
+        const bool isStatusLine = line.substr(0, statusLinePrefix.size()) == statusLinePrefix;
+        const bool isHeadEnd = line.find_first_not_of("\r\n") == std::string_view::npos;
+        transfer.isHeadComplete = !isStatusLine && (isHeadEnd || transfer.isHeadComplete);
         const auto colon = line.find(':');
         if (colon == std::string_view::npos)
             return line.size();
@@ -212,6 +217,11 @@
         transfer->onDone(boost::outcome_v2::failure(transferError(*transfer, code)));
         return;
     }
+    // libcurl takes a connection that ends inside the head for the end of an answer without a body.
+    if (!transfer->isHeadComplete) {
+        transfer->onDone(failure(ErrorCode::UnknownResult, transfer->request.method + " " + transfer->request.url + ": the answer ended inside its head"));
+        return;
+    }
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     transfer->response.status = static_cast<int>(status);
