A stopping entry VM accepts a call that may run only once if its time ends before

Change: calls that may not run again need their deadline before the end of the stop; mayRunAgain() is one function.

--- a/modules/hyssopwick_gateway/entry/CallAdmission.cpp
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.cpp
@@ -48,8 +48,12 @@
     return admitted;
 }
 
+bool mayRunAgain(const CallRoute& route) { return route.kind == CallKind::Idempotent || (route.kind == CallKind::Stream && route.isResumable); }
+
 bool canEndBefore(TimePoint stopBy, const AdmittedCall& call, const EnginePool* engines, TimePoint now)
 {
+    if (!mayRunAgain(*call.route))
+        return call.deadline <= stopBy;
     auto needed = call.route->latencyObjective * plainCallSafetyFactor;
     if (engines)
         needed = Milliseconds(static_cast<std::int64_t>(engines->predictIdle(call.size).endMilliseconds * stoppingSafetyFactor));
--- a/modules/hyssopwick_gateway/entry/CallAdmission.h
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.h
@@ -34,9 +34,13 @@
 /// \param draw  random number in [0, 1) that selects one of the route's services
 CallAdmission admitCall(const ServerRequest& request, const CallDescription& call, const RouteTable& routes, double draw);
 
+/// Returns whether a call may be sent to another upstream after one that may have run it. Pure.
+bool mayRunAgain(const CallRoute& route);
+
 /// Returns whether a stopping process would end a call before \p stopBy. Such a process still
 /// accepts calls of callers that cache its address, but none that it would have to abort: a
-/// refused call has not run and can go to another entry at once. Pure.
+/// refused call has not run and can go to another entry at once. A call that may not run again
+/// has to end by its deadline, others are expected to end long before it. Pure.
 /// \param engines  those of the call's service; nullptr for a plain service
 bool canEndBefore(TimePoint stopBy, const AdmittedCall& call, const EnginePool* engines, TimePoint now);
 
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -376,7 +376,7 @@
     forwardWholeAnswer();
 }
 
-bool CallFlow::mayRunAgain() const { return m_route->kind == CallKind::Idempotent || (m_route->kind == CallKind::Stream && m_route->isResumable); }
+bool CallFlow::mayRunAgain() const { return hyssopwick::mayRunAgain(*m_route); }
 
 void CallFlow::handleAttemptFailure(AttemptFailure failure, const char* reason)
 {
--- a/tests/platform/CallAdmissionTests.cpp
+++ b/tests/platform/CallAdmissionTests.cpp
@@ -82,6 +82,22 @@
     CHECK_FALSE(canEndBefore(at(needed - 1), admitted, &engines, at(0)));
 }
 
+// Guards against a call that a stopping process aborts although its caller may not repeat it.
+TEST(CallAdmission, AStoppingProcessAcceptsACallThatMayRunOnlyOnceIfItsTimeEndsBefore)
+{
+    call.callerTimeout = Milliseconds(2500);
+    EnginePool engines(1);
+    for (const auto kind : { CallKind::AtMostOnce, CallKind::Stream }) {
+        configuration.routes[0].kind = kind;
+        const RouteTable routes(configuration);
+        const auto admitted = std::get<AdmittedCall>(admitCall(request, call, routes, 0.5));
+        for (const auto* pool : { static_cast<const EnginePool*>(nullptr), static_cast<const EnginePool*>(&engines) }) {
+            CHECK(canEndBefore(at(2500), admitted, pool, at(0)));
+            CHECK_FALSE(canEndBefore(at(2499), admitted, pool, at(0)));
+        }
+    }
+}
+
 // Guards against a call that waits for an engine although none can ever hold it.
 TEST(CallAdmission, ACallThatExceedsAnEnginesWholeTokenMemoryIsRefusedAtOnce)
 {
--- a/tests/platform/CallFlowTests.cpp
+++ b/tests/platform/CallFlowTests.cpp
@@ -52,6 +52,21 @@
     LONGS_EQUAL(200, exchange->status);
 }
 
+// Guards against a call that is passed on late in a planned stop and has no answer when the process ends.
+TEST(CallFlow, AStoppingEntryRefusesACallThatMayRunOnlyOnceAndOutlastIt)
+{
+    route(CallKind::AtMostOnce, 2, false);
+    configuration.routes.front().latencyObjective = Milliseconds(100);
+    configuration.version = 2;
+    services.setConfiguration(configuration);
+    services.setStopBy(monotonicNow() + Milliseconds(1400)); // the caller waits for 1500 ms
+    send();
+    for (const auto until = monotonicNow() + Milliseconds(300); !exchange->hasEnded && monotonicNow() < until;)
+        loop.run_one_for(Milliseconds(5));
+    LONGS_EQUAL(0, requestCount());
+    LONGS_EQUAL(503, exchange->status);
+}
+
 // Regression (kalupahana mix --seed 558576159074, LOST): a stream accepted 4.1 s after
 // SIGTERM needed 3.4 s on a slow engine and was aborted.
 TEST(CallFlow, AStoppingEntryLeavesTimeForASlowEngine)
