Followers ask another peer beside a source that is slow or does not answer

Cause: a follower asks one source after the other, and each that does not begin its answer takes its whole wait of 0.8 s; one that makes progress slowly is waited for up to 8 s. Evidence: front-central-a-8 gave up three sources from 27.98 to 30.24, each with a timeout or a lag, and had the configuration at 32.00, entries of another region from 26.83 on. Change: another peer, of another region if there is one, is asked beside an answer that is not whole after 1.0 s, or 0.2 s when a source has failed or lagged. The slow answer goes on. view.source-slow, view.source-changed and their counters show it; a source that lags was replaced without a line before. Tests: View.AFollowerOfASlowSourceGetsALargeConfigurationFromAnotherInTime and View.AFollowerOfSilentSourcesGetsAConfigurationFromAnotherInTime fail without the change (2 s are asked for), pass with it; the alternative's choice has a test of its own.

--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
@@ -151,6 +151,33 @@
 
 ViewSource ViewSourceDecision::source() const { return m_sources[m_position]; }
 
+std::optional<PeerSource> ViewSourceDecision::alternative() const
+{
+    const auto current = source();
+    if (std::holds_alternative<StoreSource>(current))
+        return std::nullopt;
+    std::vector<PeerSource> regional;
+    std::vector<PeerSource> outside;
+    const auto add = [&](std::size_t position, const ViewSource& candidate) {
+        const auto* peer = std::get_if<PeerSource>(&candidate);
+        if (peer && !(candidate == current))
+            (position < m_regionalSources ? regional : outside).push_back(*peer);
+    };
+    for (std::size_t position = 0; position < m_sources.size(); ++position) {
+        const auto roaming = m_roaming.find(position);
+        if (roaming == m_roaming.end()) {
+            add(position, m_sources[position]);
+            continue;
+        }
+        for (const auto& candidate : roaming->second.candidates)
+            add(position, candidate);
+    }
+    const auto& candidates = outside.empty() ? regional : outside;
+    if (candidates.empty())
+        return std::nullopt;
+    return candidates[m_failures % candidates.size()]; // another one after each failure
+}
+
 bool ViewSourceDecision::mayLeaveRegion(TimePoint now) const
 {
     // A region whose sources do not answer at all cannot become current, so its processes do
--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.h
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.h
@@ -46,6 +46,11 @@
     /// Returns the source to ask now.
     ViewSource source() const;
 
+    /// Returns a peer to ask beside the current one, whose answer arrives slowly: of another region if
+    /// there is one, since all followers of the region share the slow link. Nothing if there is none, or if
+    /// the store is followed, whose answers share no link but this VM's own.
+    std::optional<PeerSource> alternative() const;
+
     /// Returns whether this process follows the store while all sources work.
     bool isDesignated() const { return m_isDesignated; }
 
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -18,6 +18,12 @@
     constexpr Milliseconds maxTransferTime { 8000 };
     // Several times a configuration at the store's limit on values, encoded.
     constexpr std::uint64_t maxViewAnswerBytes = std::uint64_t(16) << 20;
+    // An answer that takes this long after the request arrives over a narrow link; the shortest bound on
+    // the propagation of a change is 2 s.
+    constexpr Milliseconds slowAnswerTime = peerWait + peerRoundTripTime + Milliseconds(200);
+    // After a failure, or while sources lag, one that has news should answer at once.
+    constexpr Milliseconds slowAnswerTimeInTrouble { 200 };
+    constexpr Milliseconds alternativeRetryDelay { 300 };
     constexpr Milliseconds connectTimeout { 400 };
     constexpr Milliseconds readTimeout { 1500 };
     constexpr Milliseconds firstRetryDelay { 50 };
@@ -25,6 +31,7 @@
     // A source that lags answers at once, so that asking costs little.
     constexpr unsigned triesPerLagDelay = 4; // the delay doubles after so many
     constexpr unsigned maxLagDoublings = 3;
+    constexpr Milliseconds minSourceLogInterval { 1000 };
     // The first failure may be that of one connection.
     constexpr unsigned failuresToLoseSource = 2;
 
@@ -62,6 +69,7 @@
     , m_decision(std::move(self), isEntry, seedsOf(context))
     , m_followTimer(context.loop)
     , m_peerTimer(context.loop)
+    , m_alternativeTimer(context.loop)
     , m_restorationTimer(context.loop)
 {
 }
@@ -72,8 +80,27 @@
     follow();
 }
 
+// A source that lags is replaced without a failure, so that "view.source-lost" does not show it.
+void ViewReplicator::logSource()
+{
+    const auto now = monotonicNow();
+    const auto source = m_decision.source();
+    if (!(source == m_followedSource)) {
+        m_followedSource = source;
+        m_context.metrics.count("view_source_changes_total", std::holds_alternative<StoreSource>(source) ? "store" : "peer");
+        ++m_sourceChanges;
+    }
+    if (m_sourceChanges == 0 || now < m_sourceLoggedAt + minSourceLogInterval)
+        return;
+    m_context.log.write("view.source-changed", { { "from", describe(m_loggedSource) }, { "to", describe(source) }, { "changes", std::to_string(m_sourceChanges) }, { "failures", std::to_string(m_consecutiveFailures) }, { "age_ms", std::to_string(m_decision.age(now).count()) } });
+    m_sourceLoggedAt = now;
+    m_sourceChanges = 0;
+    m_loggedSource = source;
+}
+
 void ViewReplicator::follow()
 {
+    logSource();
     struct Visitor {
         ViewReplicator& replicator;
         void operator()(const StoreSource&) const
@@ -166,7 +193,9 @@
     const auto now = monotonicNow();
     HttpCall call;
     call.target = encodeViewTarget(m_view.position());
-    fetchWhole(m_context.loop, peer.address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, peer, now](WholeResponse response) {
+    scheduleAlternative(peer, m_consecutiveFailures > 0 ? slowAnswerTimeInTrouble : slowAnswerTime);
+    m_peerExchange = fetchWhole(m_context.loop, peer.address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, peer, now](WholeResponse response) {
+        endPeerTransfer();
         auto transfer = recordTransfer(peer, { now }, response);
         if (response.isComplete() && response.status == statusUnavailable)
             return handleLag(peer);
@@ -183,6 +212,56 @@
     });
 }
 
+void ViewReplicator::endPeerTransfer()
+{
+    m_alternativeTimer.cancel();
+    for (auto* exchange : { &m_peerExchange, &m_alternativeExchange }) {
+        if (*exchange)
+            (*exchange)->cancel(); // no effect on one that has ended
+        exchange->reset();
+    }
+}
+
+void ViewReplicator::scheduleAlternative(const PeerSource& slow, Milliseconds delay)
+{
+    m_alternativeTimer.expires_after(delay);
+    m_alternativeTimer.async_wait([this, slow](boost::system::error_code error) {
+        if (!error && m_peerExchange)
+            askAlternative(slow);
+    });
+}
+
+// The slow answer goes on meanwhile: if all sources are slow, dropping it would begin it anew from zero.
+void ViewReplicator::askAlternative(const PeerSource& slow)
+{
+    const auto peer = m_decision.alternative();
+    if (!peer)
+        return;
+    const auto now = monotonicNow();
+    m_context.metrics.count("view_slow_answers_total");
+    m_context.log.write("view.source-slow", { { "source", slow.id }, { "asked", peer->id }, { "age_ms", std::to_string(m_decision.age(now).count()) } });
+    HttpCall call;
+    call.target = encodeViewTarget(m_view.position());
+    m_alternativeExchange = fetchWhole(m_context.loop, peer->address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, slow, peer = *peer, now](const WholeResponse& response) { handleAlternativeAnswer(slow, peer, { now }, response); });
+}
+
+void ViewReplicator::handleAlternativeAnswer(const PeerSource& slow, const PeerSource& peer, Transfer transfer, const WholeResponse& response)
+{
+    transfer = recordTransfer(peer, transfer, response);
+    const auto answer = response.isComplete() && response.status == statusOk ? decodeView(response.fields, response.body) : Outcome<ReceivedView>(failure(ErrorCode::Unavailable, exchangeEndName(response.end)));
+    const bool isUsable = answer && answer.value().update.era >= m_view.position().era && !ViewSourceDecision::isTooOld(answer.value().age);
+    if (!isUsable)
+        return scheduleAlternative(slow, alternativeRetryDelay);
+    endPeerTransfer();
+    transfer.versionAges = answer.value().versionAges;
+    const bool isChanged = apply(answer.value().update, peer.id, transfer);
+    m_decision.recordAnswer(peer, answer.value().age, transfer.beganAt);
+    if (isChanged)
+        answerWaitingPeers();
+    m_decision.recordLag(slow, monotonicNow());
+    follow();
+}
+
 ViewReplicator::Transfer ViewReplicator::recordTransfer(const ViewSource& source, Transfer transfer, const WholeResponse& response)
 {
     m_context.metrics.count("view_bytes_received_total", std::holds_alternative<StoreSource>(source) ? "store" : "peer", response.body.size());
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -50,10 +50,15 @@
     };
 
     void follow();
+    void logSource();
     void scheduleFollow(Milliseconds delay);
     void readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before);
     void watchStore();
     void followPeer(const PeerSource& peer);
+    void scheduleAlternative(const PeerSource& slow, Milliseconds delay);
+    void askAlternative(const PeerSource& slow);
+    void handleAlternativeAnswer(const PeerSource& slow, const PeerSource& peer, Transfer transfer, const WholeResponse& response);
+    void endPeerTransfer();
     /// Returns the era of an answer of the store, and nothing if it is of an earlier era than the view.
     std::optional<std::uint64_t> currentEra(const WholeResponse& response) const;
     void handleFailure(const ViewSource& source, const std::string& problem, const Transfer& transfer);
@@ -85,8 +90,15 @@
     Observer m_observer;
     LoopTimer m_followTimer;
     LoopTimer m_peerTimer;
+    LoopTimer m_alternativeTimer;
+    HttpExchangePointer m_peerExchange; // the request to the source that is followed, if it is a peer
+    HttpExchangePointer m_alternativeExchange; // the request to another peer beside it
     LoopTimer m_restorationTimer;
     std::list<WaitingPeer> m_waitingPeers;
+    ViewSource m_followedSource;
+    ViewSource m_loggedSource; // as in the last log line
+    TimePoint m_sourceLoggedAt;
+    unsigned m_sourceChanges = 0; // that are not logged yet
     unsigned m_consecutiveFailures = 0;
     bool m_isFullReadNeeded = true;
     bool m_isSourceLost = false;
--- a/tests/ViewSourceTests.cpp
+++ b/tests/ViewSourceTests.cpp
@@ -70,3 +70,16 @@
     // Fewer than if a tenth of the entries followed the store.
     CHECK(storeCalls < 72 / 10 * 24 + 200);
 }
+
+// Guards against a second request to a peer that shares the slow link of the first.
+TEST(ViewSourceFailover, TheAlternativeToASlowSourceIsInAnotherRegionIfThereIsOne)
+{
+    ViewSourceDecision agent({ "agent", "agent:1", "north", "north-a", "agent" }, false);
+    CHECK_FALSE(agent.alternative().has_value()); // it follows the store
+    agent.setEntries({ entry("a", "north"), entry("b", "north") });
+    const auto followed = std::get<PeerSource>(agent.source());
+    CHECK(agent.alternative().has_value());
+    CHECK(!(*agent.alternative() == followed));
+    agent.setEntries({ entry("a", "north"), entry("b", "north"), entry("c", "south") });
+    STRCMP_EQUAL("c", agent.alternative()->id.c_str());
+}
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -189,6 +189,65 @@
     LONGS_EQUAL(0, unusedStore.requests().size());
 }
 
+// Guards against a source behind a narrow link, whose followers all wait for its answer to the end.
+TEST(View, AFollowerOfASlowSourceGetsALargeConfigurationFromAnotherInTime)
+{
+    readStore("op/config", configurationText(1370));
+    PacedSource slow(loop, { { snapshotAnswer(), 40 } }, Milliseconds(100)); // 4 s
+    ScriptedUpstream other(loop);
+    other.answer(snapshotAnswer());
+    ViewProcess follower(loop, "follower", unusedStore.address(), false);
+    follower.replicator.setEntries({ { "source", slow.address(), "north", "north-a", "entry" }, { "other", other.address(), "south", "south-a", "entry" } });
+    const auto begin = monotonicNow();
+    follower.replicator.start({});
+    while (follower.replicator.revision() == 0)
+        loop.run_one();
+    CHECK(monotonicNow() < begin + follower.context.description.configurationBound);
+    LONGS_EQUAL(1, slow.requests());
+    LONGS_EQUAL(0, unusedStore.requests().size());
+}
+
+// Guards against sources behind full links, which are asked one after the other although each takes its whole wait.
+TEST(View, AFollowerOfSilentSourcesGetsAConfigurationFromAnotherInTime)
+{
+    readStore("op/config", configurationText(1370));
+    ScriptedUpstream silent(loop);
+    ScriptedUpstream other(loop);
+    for (int answer = 0; answer < 4; ++answer)
+        other.answer(snapshotAnswer());
+    const std::vector<std::string> south { "s1", "s2", "s3" };
+    const auto first = rendezvousFirst("store-followers/south", south);
+    std::vector<VmIdentity> entries { { "n1", silent.address(), "north", "north-a", "entry" }, { "n2", silent.address(), "north", "north-a", "entry" } };
+    for (const auto& id : south)
+        entries.push_back({ id, id == first ? silent.address() : other.address(), "south", "south-a", "entry" });
+    ViewProcess follower(loop, "follower", unusedStore.address(), false);
+    follower.replicator.setEntries(entries);
+    const auto begin = monotonicNow();
+    follower.replicator.start({});
+    while (follower.replicator.revision() == 0)
+        loop.run_one();
+    CHECK(monotonicNow() < begin + follower.context.description.configurationBound);
+    LONGS_EQUAL(0, unusedStore.requests().size());
+}
+
+// A second source that is no better must not end the transfer from the first.
+TEST(View, ASlowAnswerGoesOnWhileAnotherSourceFails)
+{
+    readStore("op/config", configurationText(1370));
+    PacedSource slow(loop, { { snapshotAnswer(), 20 } }, Milliseconds(100)); // 2 s
+    ScriptedUpstream other(loop);
+    other.answer("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    other.answer("", true);
+    ViewProcess follower(loop, "follower", unusedStore.address(), false);
+    follower.replicator.setEntries({ { "source", slow.address(), "north", "north-a", "entry" }, { "other", other.address(), "south", "south-a", "entry" } });
+    follower.replicator.start({});
+    while (follower.replicator.revision() == 0)
+        loop.run_one();
+    CHECK(other.requests().size() >= 2);
+    LONGS_EQUAL(1, slow.requests());
+    LONGS_EQUAL(0, unusedStore.requests().size());
+}
+
 // Regression: one large configuration saturated the links of a region's entry VMs.
 TEST(View, ALargeConfigurationIsSentInAFifthOfItsSize)
 {
