Tests of agents share the description of their process

Result: the groups AgentEvacuation, SuspendedAgent, VersionAtAgent and GatewayStop pass. Conclusion: test set-up only, the programs are the same.

--- a/tests/platform/AgentEvacuationTests.cpp
+++ b/tests/platform/AgentEvacuationTests.cpp
@@ -33,15 +33,7 @@
     std::vector<std::string> lines;
     EventLog log { "test", [&lines](const std::string& line) { lines.push_back(line); } };
     MetricsRegistry metrics;
-    ProcessDescription description;
-    description.node = "agent";
-    description.ip = ip;
-    description.region = "north";
-    description.failureDomain = "north-a";
-    description.internalPort = internalPort;
-    description.metricsPort = metricsPort;
-    description.storeAddress = description.engineAddress = ip + ":" + std::to_string(platformPort);
-    description.engineService = "s";
+    const auto description = describeAgent(ip);
     GatewayContext context { loop, description, platform::platformPorts(), log, metrics, 1 };
     PendingRequestServer platform(loop, ip.c_str(), platformPort, [this](const std::string& target) { return target.rfind("/-/kv-watch", 0) == 0 ? std::nullopt : std::optional<std::string>(answerOf(target)); });
     UdpSocket peer(loop, asio::ip::udp::endpoint(ipAddress(peerAddress.c_str()), internalPort));
--- a/tests/platform/StopSupport.h
+++ b/tests/platform/StopSupport.h
@@ -28,6 +28,21 @@
 
 inline std::string platformAddress() { return std::string(ownIp) + ":" + std::to_string(platformPort); }
 
+/// Describes an agent whose store and engine are one server on the same address.
+inline ProcessDescription describeAgent(const std::string& ip)
+{
+    ProcessDescription description;
+    description.node = "agent";
+    description.ip = ip;
+    description.region = "north";
+    description.failureDomain = "north-a";
+    description.internalPort = internalPort;
+    description.metricsPort = metricsPort;
+    description.storeAddress = description.engineAddress = ip + ":" + std::to_string(platformPort);
+    description.engineService = "s";
+    return description;
+}
+
 inline asio::ip::address_v4 ipAddress(const char* ip) { return asio::ip::make_address_v4(ip); }
 
 /// Child process for code that may be ended by a signal.
--- a/tests/platform/SuspendedAgentTests.cpp
+++ b/tests/platform/SuspendedAgentTests.cpp
@@ -85,15 +85,7 @@
     {
         EventLog log { "test", [](const std::string&) {} };
         MetricsRegistry metrics;
-        ProcessDescription description;
-        description.node = "agent";
-        description.ip = ip;
-        description.region = "north";
-        description.failureDomain = "north-a";
-        description.internalPort = internalPort;
-        description.metricsPort = metricsPort;
-        description.storeAddress = description.engineAddress = ip + ":" + std::to_string(platformPort);
-        description.engineService = "s";
+        const auto description = describeAgent(ip);
         GatewayContext context { loop, description, platform::platformPorts(), log, metrics, 1 };
         HttpListener platform(
             loop, [this](const ServerExchangePointer& exchange) { serve(exchange); }, [] { return CallerLimits(); });
