Log lines that tell apart why a stream ended around a planned stop

Cause: the logs could not tell whether a stopping entry had accepted a call that outlasts it, why a failed attempt was not followed by another one, and what was still open when the process exited. Change: call.stop-check for each call that arrives during a stop, obstacle in call.attempt-failed (findRetryObstacle, pure), connections and unsent bytes in entry.stopped, entry.exit with what is open at the very end; counter calls_while_stopping_total. The decisions are the same.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -63,12 +63,22 @@
     m_regions.set(admitted.allowedRegions, m_routes);
     m_size = admitted.size;
     m_crashTraits = admitted.crashTraits;
+    return !refuseIfOutlastsStop(admitted) && !refuseIfCrashSuspected();
+}
+
+bool CallFlow::refuseIfOutlastsStop(const AdmittedCall& admitted)
+{
     const auto stopBy = m_services.stopBy();
-    if (stopBy && !canEndBefore(*stopBy, admitted, isEngineCall() ? m_services.enginePool(m_service->name) : nullptr, monotonicNow())) {
-        refuse(RefusalReason::EntryLeaving, statusUnavailable, Milliseconds(0));
+    if (!stopBy)
         return false;
-    }
-    return !refuseIfCrashSuspected();
+    const auto now = monotonicNow();
+    const bool isAccepted = canEndBefore(*stopBy, admitted, isEngineCall() ? m_services.enginePool(m_service->name) : nullptr, now);
+    auto& context = m_services.context();
+    context.metrics.count("calls_while_stopping_total", isAccepted ? "accepted" : "refused");
+    context.log.write("call.stop-check", { { "request", m_call.requestId }, { "accepted", isAccepted ? "true" : "false" }, { "left_ms", std::to_string(millisecondsBetween(now, m_deadline)) }, { "stop_in_ms", std::to_string(millisecondsBetween(now, *stopBy)) }, { "repeatable", mayRunAgain() ? "true" : "false" } });
+    if (!isAccepted)
+        refuse(RefusalReason::EntryLeaving, statusUnavailable, Milliseconds(0));
+    return !isAccepted;
 }
 
 bool CallFlow::refuseIfCrashSuspected()
@@ -382,15 +392,16 @@
 {
     auto& context = m_services.context();
     context.metrics.count("attempts_failed_total", attemptFailureName(failure));
-    context.log.write("call.attempt-failed", { { "request", m_call.requestId }, { "failure", attemptFailureName(failure) }, { "reason", reason }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "after_ms", millisecondsText(elapsed()) } });
+    auto obstacle = findRetryObstacle(failure, *m_route, m_sentAttempts, m_deadline, monotonicNow());
+    if (failure != AttemptFailure::NotSent && obstacle == RetryObstacle::None && !m_services.budget().tryTake())
+        obstacle = RetryObstacle::BudgetSpent;
+    context.log.write("call.attempt-failed", { { "request", m_call.requestId }, { "failure", attemptFailureName(failure) }, { "reason", reason }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "after_ms", millisecondsText(elapsed()) }, { "obstacle", retryObstacleName(obstacle) } });
     m_mayHaveRun = m_mayHaveRun || failure == AttemptFailure::Lost || failure == AttemptFailure::StreamBroken;
     if (failure == AttemptFailure::NotSent && isEngineCall() && ++m_connectRounds > maxEngineConnects)
         return refuse(RefusalReason::NoUpstream, statusUnavailable, overloadRetryAfter);
     if (failure == AttemptFailure::NotSent)
         return place();
-    const bool isRetrySafe = failure == AttemptFailure::Refused || mayRunAgain();
-    const bool isRetryAllowed = isRetrySafe && m_sentAttempts < m_route->maxUpstreams && monotonicNow() < m_deadline;
-    if (isRetryAllowed && m_services.budget().tryTake()) {
+    if (obstacle == RetryObstacle::None) {
         context.metrics.count("retries_total", attemptFailureName(failure));
         m_phase = m_eventsForwarded > 0 ? Phase::Answering : Phase::Waiting;
         return place();
@@ -399,7 +410,7 @@
         return abortStream("broken");
     if (failure == AttemptFailure::Refused)
         return refuse(RefusalReason::UpstreamBusy, m_mayHaveRun ? statusBadGateway : statusUnavailable, m_services.restOfAll(m_service->name, m_regions.allowed()).value_or(overloadRetryAfter));
-    refuse(isRetrySafe && isRetryAllowed ? RefusalReason::RetryBudgetSpent : RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
+    refuse(obstacle == RetryObstacle::BudgetSpent ? RefusalReason::RetryBudgetSpent : RefusalReason::UpstreamFailed, statusBadGateway, Milliseconds(0));
 }
 
 void CallFlow::forwardWholeAnswer()
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -4,6 +4,7 @@
 #include "../http/ServerExchange.h"
 #include "CallAdmission.h"
 #include "EntryServices.h"
+#include "RetryObstacle.h"
 #include "StreamAnswer.h"
 
 namespace hyssopwick {
@@ -69,6 +70,7 @@
     void cancelAttempt(const char* reason);
     void forwardWholeAnswer();
     void refuse(RefusalReason reason, unsigned status, Milliseconds retryAfter);
+    bool refuseIfOutlastsStop(const AdmittedCall& admitted);
     bool refuseIfCrashSuspected();
     bool refuseWithoutUpstream();
     void recordLost(const std::string& address);
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -445,9 +445,12 @@
     for (const auto& [id, call] : calls)
         call->abort();
     m_gossip.announceDeparture();
-    m_context.log.write("entry.stopped", { { "cut", std::to_string(calls.size()) } });
+    m_context.log.write("entry.stopped", { { "cut", std::to_string(calls.size()) }, { "connections", std::to_string(m_callers.openConnections()) }, { "unsent", std::to_string(m_callers.bufferedBytes()) } });
     m_stopTimer.expires_after(stopCheckPeriod);
-    m_stopTimer.async_wait([this](boost::system::error_code) { m_context.loop.stop(); });
+    m_stopTimer.async_wait([this](boost::system::error_code) {
+        m_context.log.write("entry.exit", { { "calls", std::to_string(m_calls.size()) }, { "connections", std::to_string(m_callers.openConnections()) }, { "unsent", std::to_string(m_callers.bufferedBytes()) } });
+        m_context.loop.stop();
+    });
 }
 
 }
