A stopping entry accepts a call only if its deadline is before the end of the stop

Cause: a call that may run again was accepted if five times (plain: ten times) its expected time was left. The wait in the queue, full and slow engines were not in the estimate, and a stream that has begun cannot be refused any more when the stop ends. Evidence: call waited 2.8 s in the queue, ran for 2.4 s, for 1.6 s, all cut at 7.7 s. Change: endsBefore() goes by the deadline alone, for calls of all kinds, since nothing else bounds them; what may last longer is refused at once as not run, and its caller goes to another entry. Ends of calls share giveUp(). CallAdmission.AStoppingProcessAcceptsWhatItWouldEndInTime expected the estimate, which is the fault; it now expects the deadline for idempotent calls and resumable streams, with an objective of 1 ms that the estimate would accept. In CallFlow.AStoppingEntryLeavesTimeForASlowEngine the caller's time ended 2 s before the stop, so nothing could be cut; the stop now ends 0.1 s before it.

--- a/modules/hyssopwick_gateway/entry/CallAdmission.cpp
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.cpp
@@ -7,11 +7,6 @@
 namespace {
 
     constexpr Milliseconds defaultCallerTimeout { 10000 }; // for callers that send none, on routes without a bound
-    // A stopping process accepts a call only if this many times its expected time is left: for
-    // engine calls that of an idle engine, for others the latency objective. Slow upstreams take
-    // four times as long (a fault that the platform specifies), and the call may have to wait.
-    constexpr double stoppingSafetyFactor = 5;
-    constexpr int plainCallSafetyFactor = 10;
 
     TimePoint deadlineOf(const CallDescription& call, const CallRoute& route, TimePoint received)
     {
@@ -50,14 +45,6 @@
 
 bool mayRunAgain(const CallRoute& route) { return route.kind == CallKind::Idempotent || (route.kind == CallKind::Stream && route.isResumable); }
 
-bool canEndBefore(TimePoint stopBy, const AdmittedCall& call, const EnginePool* engines, TimePoint now)
-{
-    if (!mayRunAgain(*call.route))
-        return call.deadline <= stopBy;
-    auto needed = call.route->latencyObjective * plainCallSafetyFactor;
-    if (engines)
-        needed = Milliseconds(static_cast<std::int64_t>(engines->predictIdle(call.size).endMilliseconds * stoppingSafetyFactor));
-    return now + needed <= stopBy;
-}
+bool endsBefore(TimePoint stopBy, const AdmittedCall& call) { return call.deadline <= stopBy; }
 
 }
--- a/modules/hyssopwick_gateway/entry/CallAdmission.h
+++ b/modules/hyssopwick_gateway/entry/CallAdmission.h
@@ -37,11 +37,9 @@
 /// Returns whether a call may be sent to another upstream after one that may have run it. Pure.
 bool mayRunAgain(const CallRoute& route);
 
-/// Returns whether a stopping process would end a call before \p stopBy. Such a process still
-/// accepts calls of callers that cache its address, but none that it would have to abort: a
-/// refused call has not run and can go to another entry at once. A call that may not run again
-/// has to end by its deadline, others are expected to end long before it. Pure.
-/// \param engines  those of the call's service; nullptr for a plain service
-bool canEndBefore(TimePoint stopBy, const AdmittedCall& call, const EnginePool* engines, TimePoint now);
+/// Returns whether a call is over before \p stopBy, however long it waits and runs. A stopping process
+/// still accepts calls of callers that cache its address, but none that it might have to abort: a
+/// refused call has not run and can go to another entry at once. Pure.
+bool endsBefore(TimePoint stopBy, const AdmittedCall& call);
 
 }
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -72,10 +72,10 @@
     if (!stopBy)
         return false;
     const auto now = monotonicNow();
-    const bool isAccepted = canEndBefore(*stopBy, admitted, isEngineCall() ? m_services.enginePool(m_service->name) : nullptr, now);
+    const bool isAccepted = endsBefore(*stopBy, admitted);
     auto& context = m_services.context();
     context.metrics.count("calls_while_stopping_total", isAccepted ? "accepted" : "refused");
-    context.log.write("call.stop-check", { { "request", m_call.requestId }, { "accepted", isAccepted ? "true" : "false" }, { "left_ms", std::to_string(millisecondsBetween(now, m_deadline)) }, { "stop_in_ms", std::to_string(millisecondsBetween(now, *stopBy)) }, { "repeatable", mayRunAgain() ? "true" : "false" } });
+    context.log.write("call.stop-check", { { "request", m_call.requestId }, { "accepted", isAccepted ? "true" : "false" }, { "left_ms", std::to_string(millisecondsBetween(now, m_deadline)) }, { "stop_in_ms", std::to_string(millisecondsBetween(now, *stopBy)) } });
     if (!isAccepted)
         refuse(RefusalReason::EntryLeaving, statusUnavailable, Milliseconds(0));
     return !isAccepted;
@@ -444,17 +444,20 @@
     end(refusalReasonName(reason), status);
 }
 
-void CallFlow::handleDeadline()
+void CallFlow::giveUp(const char* cancelReason, const char* streamOutcome, RefusalReason refusalReason, unsigned statusIfSent)
 {
     if (m_phase == Phase::Ended)
         return;
-    cancelAttempt("deadline");
+    cancelAttempt(cancelReason);
     if (m_eventsForwarded > 0)
-        return abortStream("deadline-in-stream");
-    const bool isNotRun = m_sentAttempts == 0 && !(m_attempt && m_attempt->isSent());
-    refuse(RefusalReason::DeadlinePassed, isNotRun ? statusUnavailable : statusGatewayTimeout, Milliseconds(0));
+        return abortStream(streamOutcome);
+    refuse(refusalReason, hasBeenSent() ? statusIfSent : statusUnavailable, Milliseconds(0));
 }
 
+void CallFlow::handleDeadline() { giveUp("deadline", "deadline-in-stream", RefusalReason::DeadlinePassed, statusGatewayTimeout); }
+
+void CallFlow::abort() { giveUp("process-stops", "process-stops", RefusalReason::EntryLeaving, statusBadGateway); }
+
 void CallFlow::handleCallerLeft()
 {
     if (m_phase == Phase::Ended)
@@ -475,17 +478,6 @@
     handleAttemptFailure(lostAttempt(), "engine-down");
 }
 
-void CallFlow::abort()
-{
-    if (m_phase == Phase::Ended)
-        return;
-    cancelAttempt("process-stops");
-    const bool isNotRun = m_sentAttempts == 0 && !(m_attempt && m_attempt->isSent());
-    if (m_eventsForwarded > 0)
-        return abortStream("process-stops");
-    refuse(RefusalReason::EntryLeaving, isNotRun ? statusUnavailable : statusBadGateway, Milliseconds(0));
-}
-
 void CallFlow::end(const char* outcome, unsigned status)
 {
     if (m_phase == Phase::Ended)
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -75,6 +75,7 @@
     bool refuseWithoutUpstream();
     void recordLost(const std::string& address);
     void abortStream(const char* outcome);
+    void giveUp(const char* cancelReason, const char* streamOutcome, RefusalReason refusalReason, unsigned statusIfSent);
     void handleDeadline();
     void handleCallerLeft();
     void end(const char* outcome, unsigned status);
@@ -82,6 +83,8 @@
     bool isWaitingAtEngine() const;
     void withdraw();
     bool mayRunAgain() const;
+    /// Returns whether an upstream may have received a part of the call.
+    bool hasBeenSent() const { return m_sentAttempts > 0 || (m_attempt && m_attempt->isSent()); }
     AttemptFailure lostAttempt() const { return m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost; }
     bool isEngineCall() const { return m_service && m_service->engine.has_value(); }
     /// Returns when the first event of the attempt arrived.
--- a/tests/platform/CallAdmissionTests.cpp
+++ b/tests/platform/CallAdmissionTests.cpp
@@ -29,6 +29,15 @@
         call.accountKey = "key";
     }
 
+    // Checks that a call is accepted if the process stops at this time, and not if it stops earlier.
+    void checkAcceptedUntil(int milliseconds) const
+    {
+        const RouteTable routes(configuration);
+        const auto admitted = std::get<AdmittedCall>(admitCall(request, call, routes, 0.5));
+        CHECK(endsBefore(at(milliseconds), admitted));
+        CHECK_FALSE(endsBefore(at(milliseconds - 1), admitted));
+    }
+
     CallAdmission admit() const { return admitCall(request, call, RouteTable(configuration), 0.5); }
 };
 
@@ -70,31 +79,25 @@
     CHECK(deadline() == at(6000));
 }
 
+// Guards against a call that a stopping process aborts because it took longer than expected.
 TEST(CallAdmission, AStoppingProcessAcceptsWhatItWouldEndInTime)
 {
-    const RouteTable routes(configuration);
-    const auto admitted = std::get<AdmittedCall>(admitCall(request, call, routes, 0.5));
-    CHECK(canEndBefore(at(1000), admitted, nullptr, at(0))); // ten times the objective
-    CHECK_FALSE(canEndBefore(at(999), admitted, nullptr, at(0)));
-    EnginePool engines(1);
-    const auto needed = static_cast<std::int64_t>(engines.predictIdle(admitted.size).endMilliseconds * 5);
-    CHECK(canEndBefore(at(needed), admitted, &engines, at(0)));
-    CHECK_FALSE(canEndBefore(at(needed - 1), admitted, &engines, at(0)));
+    call.callerTimeout = Milliseconds(2500);
+    configuration.routes[0].latencyObjective = Milliseconds(1);
+    for (const auto kind : { CallKind::Idempotent, CallKind::Stream }) {
+        configuration.routes[0].kind = kind;
+        configuration.routes[0].isResumable = true;
+        checkAcceptedUntil(2500);
+    }
 }
 
 // Guards against a call that a stopping process aborts although its caller may not repeat it.
 TEST(CallAdmission, AStoppingProcessAcceptsACallThatMayRunOnlyOnceIfItsTimeEndsBefore)
 {
     call.callerTimeout = Milliseconds(2500);
-    EnginePool engines(1);
     for (const auto kind : { CallKind::AtMostOnce, CallKind::Stream }) {
         configuration.routes[0].kind = kind;
-        const RouteTable routes(configuration);
-        const auto admitted = std::get<AdmittedCall>(admitCall(request, call, routes, 0.5));
-        for (const auto* pool : { static_cast<const EnginePool*>(nullptr), static_cast<const EnginePool*>(&engines) }) {
-            CHECK(canEndBefore(at(2500), admitted, pool, at(0)));
-            CHECK_FALSE(canEndBefore(at(2499), admitted, pool, at(0)));
-        }
+        checkAcceptedUntil(2500);
     }
 }
 
--- a/tests/platform/CallFlowTests.cpp
+++ b/tests/platform/CallFlowTests.cpp
@@ -76,8 +76,7 @@
     configuration.services["plain"].engine = speed;
     route(CallKind::Stream, 1, true);
     tokenCounts = "0,94";
-    const auto typicalMilliseconds = services.enginePool("plain")->predictIdle({ 0, speed.typicalAnswerTokens }).endMilliseconds;
-    services.setStopBy(monotonicNow() + Milliseconds(static_cast<int>(typicalMilliseconds * 4)));
+    services.setStopBy(monotonicNow() + Milliseconds(1400)); // the caller waits for 1500 ms
     send();
     CHECK(exchange->hasEnded);
     LONGS_EQUAL(503, exchange->status);
