A stopping entry exits when its callers' connections have ended, and leaves no call unanswered

Cause: the stop counted open calls only. Connections without one stayed open until the process exited, 50 ms after the last check, and what they brought meanwhile was read. closeIfIdle() also took a connection for idle whose request had been read from the socket, while the handler of that read waited for its turn. Change: when callers may not come any more, idle connections are closed, and the stop ends when none is open, at the latest at its bound; callers that have not received all of their answer keep their time to do so. A connection is idle only until its first byte. Groups GatewayStop, ServerConnection, SlowReader, EndlessAnswer, TruncatedHead and KeptConnections pass.

--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -433,9 +433,12 @@
 void EntryGateway::finishStopping()
 {
     const auto now = monotonicNow();
-    if (now >= m_listenUntil)
+    if (now >= m_listenUntil) {
         m_callers.stopAccepting();
-    const bool isDone = now >= m_listenUntil && m_callers.openExchanges() == 0;
+        m_callers.closeIdle();
+    }
+    // An open connection may still bring a request, or its caller may not have received the whole answer.
+    const bool isDone = now >= m_listenUntil && m_callers.openConnections() == 0;
     if (!isDone && now < m_stopBy) {
         m_stopTimer.expires_after(stopCheckPeriod);
         m_stopTimer.async_wait([this](boost::system::error_code) { finishStopping(); });
--- a/modules/hyssopwick_gateway/http/HttpListener.cpp
+++ b/modules/hyssopwick_gateway/http/HttpListener.cpp
@@ -70,6 +70,11 @@
 void HttpListener::startClosing()
 {
     m_state->listener->isClosing = true;
+    closeIdle();
+}
+
+void HttpListener::closeIdle()
+{
     const auto connections = m_state->listener->connections;
     for (auto* connection : connections)
         connection->closeIfIdle();
--- a/modules/hyssopwick_gateway/http/HttpListener.h
+++ b/modules/hyssopwick_gateway/http/HttpListener.h
@@ -25,6 +25,9 @@
     /// New connections are still accepted.
     void startClosing();
 
+    /// Closes the connections on which no request is being read or answered.
+    void closeIdle();
+
     /// Closes the listening socket; open connections stay.
     void stopAccepting();
 
--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -175,7 +175,7 @@
 
 void ServerConnection::closeIfIdle()
 {
-    if (m_isIdle && m_buffer.size() == 0)
+    if (m_isIdle)
         close();
 }
 
@@ -198,15 +198,15 @@
 
 void ServerConnection::readNext()
 {
-    m_isIdle = true;
-    if (m_buffer.size() != 0) {
-        readHeader();
-        return;
-    }
+    m_isIdle = m_buffer.size() == 0;
+    if (!m_isIdle)
+        return readHeader();
     armTimer(monotonicNow() + m_listener->limits().idleTimeout, [this] { close(); });
     m_socket.async_wait(TcpSocket::wait_read, [self = shared_from_this()](error_code error) {
         if (error || self->m_isClosed)
             return self->close();
+        // The next read may take a whole request from the socket before its handler runs.
+        self->m_isIdle = false;
         self->disarmTimer();
         self->readHeader();
     });
@@ -215,7 +215,6 @@
 void ServerConnection::readHeader()
 {
     const auto limits = m_listener->limits();
-    m_isIdle = m_buffer.size() == 0;
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     m_parser->body_limit(limits.bodyBytes);
@@ -229,7 +228,6 @@
             return;
         if (error)
             return self->handleHeaderError(error);
-        self->m_isIdle = false;
         self->readBody();
     });
 }
