Signals that follow a start at once are handled, not fatal

Cause: the signals were caught only after the process had been created and started. Change: they are caught before anything else is set up; one that comes meanwhile waits until the loop runs. Test: GatewayStop.SignalsDuringTheStartAreHandledAfterIt failed before (ended by signal 1) and passes. Conclusion: no request was lost by it, since such a process has read none; the time until the handlers are installed at the start of main() remains.

--- a/modules/hyssopwick_gateway/runtime/GatewayMain.cpp
+++ b/modules/hyssopwick_gateway/runtime/GatewayMain.cpp
@@ -104,6 +104,8 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     EventLoop loop(1);
+    // Until they are caught, these signals end the process; a stop or a reload may follow a start at once.
+    asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     StandardOutputLog output;
     LogFlusher flusher(loop, output);
     const auto description = ports.readSettings();
@@ -124,7 +126,6 @@
         log.write("start.failed", { { "program", program }, { "problem", started.error().message } });
         return exitFailure;
     }
-    asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     SettingsWatcher settings(context, [&process](const ProcessDescription& changed) { process->reload(changed); });
     handleSignals(signals, settings, *process);
     settings.checkPeriodically();
--- a/tests/platform/GatewayStopTests.cpp
+++ b/tests/platform/GatewayStopTests.cpp
@@ -55,6 +55,29 @@
     bool& m_outlivedByLoop;
 };
 
+/// A process that is told to reload and to stop while it starts.
+class InterruptedProcess : public GatewayProcess {
+public:
+    explicit InterruptedProcess(GatewayContext& context)
+        : m_context(context)
+    {
+    }
+
+    Outcome<void> start() override
+    {
+        std::raise(SIGHUP);
+        std::raise(SIGTERM);
+        return success();
+    }
+
+    void stop() override { m_context.loop.stop(); }
+
+    void reload(const ProcessDescription&) override { }
+
+private:
+    GatewayContext& m_context;
+};
+
 ProcessDescription describe(const std::string& node)
 {
     ProcessDescription description;
@@ -113,6 +136,15 @@
     LONGS_EQUAL(0, child.waitForEnd([] {}));
 }
 
+// Guards against a reload or a planned stop that ends a starting process by the signal itself.
+TEST(GatewayStop, SignalsDuringTheStartAreHandledAfterIt)
+{
+    child.start([] {
+        return runGateway("test", portsOf(describe("short")), [](GatewayContext& context) { return std::make_unique<InterruptedProcess>(context); });
+    });
+    LONGS_EQUAL(0, child.waitForEnd([] {}));
+}
+
 // Memory errors at shutdown are found by the sanitizers; without them only some end in a signal.
 TEST(GatewayStop, ABusyAgentStopsCleanly)
 {
