A stream stays at an upstream that only seems to be down, as long as it sends or none other may take it

Cause: when an agent gets no report from its engine twice, each entry ended all its runs there that may run again, and sent them elsewhere. That the engine goes on with its streams was not looked at, and a stream that could not continue elsewhere (attempts used, budget spent, the next upstream refuses) was cut. Change: a call stays where it is if no other attempt is allowed; one whose answer has begun leaves only if nothing of it arrives for 300 ms after its upstream seemed to be down. The time to begin on older weights is a class of its own. Tests: SilentUpstream.AStreamThatNoOtherUpstreamMayContinueStays and AStreamOfWhichMoreArrivesStays failed before (the stream ended at once) and pass; AStreamOfWhichNothingArrivesContinuesAtAnother passes on both.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -20,7 +20,8 @@
     , m_onEnd(std::move(onEnd))
     , m_deadlineTimer(services.context().loop)
     , m_retryTimer(services.context().loop)
-    , m_beginTimer(services.context().loop)
+    , m_silenceTimer(services.context().loop)
+    , m_beginLimit(services)
     , m_id(nextCallId++)
     , m_body(services.answerMemory())
     , m_stream(std::make_shared<StreamAnswer>(services.context(), m_exchange, services.answerMemory()))
@@ -219,7 +220,7 @@
     const bool mayMove = mayRunAgain() && m_sentAttempts + 1 < m_route->maxUpstreams;
     m_attempt = HttpExchange::start(m_services.context().loop, upstream->address, std::move(call), TransferLimits { now + connectTimeouts[std::min(connectRound, lastConnectRound)], TimePoint::max(), Milliseconds(0), TimePoint::max(), maxAnswerBytes, mayMove ? deliveryTimeout : Milliseconds(0) }, std::move(handlers));
     m_stream->beginAttempt(m_attempt);
-    m_loadedVersionsAtSend = m_services.loadedVersions(*upstream);
+    m_beginLimit.begin(*upstream);
     armBeginTimer();
 }
 
@@ -241,31 +242,24 @@
 // A call may wait at an engine for longer than predicted.
 void CallFlow::armBeginTimer()
 {
-    const auto until = isWaitingAtEngine() ? m_services.usableUntil(m_upstream, m_loadedVersionsAtSend) : std::nullopt;
-    if (!until || *until >= m_deadline)
-        return;
-    m_beginTimer.expires_at(*until);
-    m_beginTimer.async_wait([weak = weak_from_this(), attempt = std::weak_ptr<HttpExchange>(m_attempt)](boost::system::error_code error) {
-        const auto self = weak.lock();
-        if (error || !self || self->m_attempt != attempt.lock() || !self->isWaitingAtEngine())
-            return;
-        const auto until = self->m_services.usableUntil(self->m_upstream, self->m_loadedVersionsAtSend);
-        if (until && *until <= monotonicNow())
-            self->withdraw();
-        else
-            self->armBeginTimer();
-    });
+    if (isWaitingAtEngine())
+        m_beginLimit.arm(m_deadline, weakTimerHandler(weak_from_this(), &CallFlow::handleBeginLimit));
+}
+
+void CallFlow::handleBeginLimit()
+{
+    const auto until = isWaitingAtEngine() ? m_beginLimit.until() : std::nullopt;
+    if (until && *until <= monotonicNow())
+        withdraw();
+    else
+        armBeginTimer();
 }
 
 // The engine drops the call when its connection closes.
 void CallFlow::withdraw()
 {
     m_services.context().metrics.count("calls_taken_back_total");
-    const bool isSent = m_attempt->isSent();
-    cancelAttempt("old-weights");
-    releaseUpstream();
-    m_sentAttempts += isSent;
-    handleAttemptFailure(isSent ? lostAttempt() : AttemptFailure::NotSent, "old-weights");
+    abandonAttempt("old-weights");
 }
 
 void CallFlow::handleHead(const ResponseHead& head)
@@ -287,12 +281,18 @@
 void CallFlow::cutAnswer(const char* reason)
 {
     m_services.context().metrics.count("answers_cut_total", reason);
-    cancelAttempt(reason);
     if (!isEngineCall() && m_service)
         m_services.plainPool(m_service->name).recordResult(m_upstream, false, monotonicNow());
+    abandonAttempt(reason);
+}
+
+void CallFlow::abandonAttempt(const char* reason)
+{
+    const bool isSent = m_attempt->isSent();
+    cancelAttempt(reason);
     releaseUpstream();
-    ++m_sentAttempts;
-    handleAttemptFailure(lostAttempt(), reason);
+    m_sentAttempts += isSent;
+    handleAttemptFailure(isSent ? lostAttempt() : AttemptFailure::NotSent, reason);
 }
 
 void CallFlow::cancelAttempt(const char* reason)
@@ -308,6 +308,7 @@
 
 void CallFlow::handleBody(std::string_view bytes)
 {
+    m_lastBytesAt = monotonicNow();
     if (m_isStreamAnswer)
         return forwardEvents(bytes);
     if (!m_body.append(bytes))
@@ -386,8 +387,6 @@
     forwardWholeAnswer();
 }
 
-bool CallFlow::mayRunAgain() const { return hyssopwick::mayRunAgain(*m_route); }
-
 void CallFlow::handleAttemptFailure(AttemptFailure failure, const char* reason)
 {
     auto& context = m_services.context();
@@ -469,13 +468,31 @@
 
 void CallFlow::handleUpstreamDown(const std::string& address)
 {
-    if (m_phase == Phase::Ended || m_upstreamAddress != address || !mayRunAgain() || !m_attempt)
+    if (m_phase == Phase::Ended || m_upstreamAddress != address || !m_attempt)
         return;
-    cancelAttempt("engine-down");
-    recordLost(address);
-    releaseUpstream();
-    ++m_sentAttempts;
-    handleAttemptFailure(lostAttempt(), "engine-down");
+    // The upstream may only be silent, and still complete an answer that none other could.
+    if (findRetryObstacle(lostAttempt(), *m_route, m_sentAttempts + 1, m_deadline, monotonicNow()) != RetryObstacle::None || m_services.budget().isSpent()) {
+        m_services.context().metrics.count("calls_left_at_silent_upstreams_total");
+        return;
+    }
+    if (m_firstEventDelay < 0)
+        return leaveSilentUpstream();
+    m_suspectedAt = monotonicNow();
+    m_silenceTimer.expires_after(silenceToLeaveUpstream);
+    m_silenceTimer.async_wait(weakTimerHandler(weak_from_this(), &CallFlow::handleSilence));
+}
+
+void CallFlow::handleSilence()
+{
+    const bool isSilent = m_lastBytesAt <= m_suspectedAt && m_sentAt <= m_suspectedAt && !m_stream->isPaused();
+    if (m_phase != Phase::Ended && !m_upstream.empty() && isSilent)
+        leaveSilentUpstream();
+}
+
+void CallFlow::leaveSilentUpstream()
+{
+    recordLost(m_upstreamAddress);
+    abandonAttempt("engine-down");
 }
 
 void CallFlow::end(const char* outcome, unsigned status)
@@ -489,7 +506,8 @@
     m_phase = Phase::Ended;
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
-    m_beginTimer.cancel();
+    m_silenceTimer.cancel();
+    m_beginLimit.cancel();
     auto& context = m_services.context();
     context.log.write("call.ended", { { "request", m_call.requestId }, { "route", m_route ? m_route->name : "none" }, { "account", m_account.empty() ? "none" : m_account }, { "regions", m_regions.allowed().text() }, { "outcome", outcome }, { "status", std::to_string(status) }, { "took_ms", millisecondsText(elapsed()) }, { "unread_ms", millisecondsText(m_exchange->request().waitedUnread) }, { "sent", std::to_string(m_sentAttempts) }, { "events", std::to_string(m_eventsForwarded) }, { "paused_ms", millisecondsText(m_stream->pausedTime()) }, { "predicted_ms", std::to_string(static_cast<int>(m_predictedFirstEventDelay)) }, { "first_ms", std::to_string(m_firstEventDelay) }, { "answered_version", std::to_string(m_answer.weightsVersion) }, { "configuration", m_routes ? std::to_string(m_routes->configuration().version) : "none" } });
     context.metrics.count("calls_total", outcome);
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -2,6 +2,7 @@
 
 #include "../http/HttpExchange.h"
 #include "../http/ServerExchange.h"
+#include "BeginLimit.h"
 #include "CallAdmission.h"
 #include "EntryServices.h"
 #include "RetryObstacle.h"
@@ -23,8 +24,9 @@
 
     void start();
 
-    /// Cancels the attempt if it is at the upstream at \p address, which was found to be down, and
-    /// the call may run again. It is then sent to another upstream; a resumable answer continues.
+    /// Sends the call to another upstream if it is at the one at \p address, which seems to be down; a
+    /// resumable answer continues. A call that may not be sent again stays where it is, and one whose answer
+    /// has begun as long as more of it arrives.
     void handleUpstreamDown(const std::string& address);
 
     /// Limits how long the call may wait at an engine with older weights. Call when a version
@@ -67,6 +69,7 @@
     void forwardEvents(std::string_view bytes);
     void handleAttemptFailure(AttemptFailure failure, const char* reason);
     void cutAnswer(const char* reason);
+    void abandonAttempt(const char* reason);
     void cancelAttempt(const char* reason);
     void forwardWholeAnswer();
     void refuse(RefusalReason reason, unsigned status, Milliseconds retryAfter);
@@ -80,9 +83,12 @@
     void handleCallerLeft();
     void end(const char* outcome, unsigned status);
     void releaseUpstream();
+    void handleSilence();
+    void leaveSilentUpstream();
+    void handleBeginLimit();
     bool isWaitingAtEngine() const;
     void withdraw();
-    bool mayRunAgain() const;
+    bool mayRunAgain() const { return hyssopwick::mayRunAgain(*m_route); }
     /// Returns whether an upstream may have received a part of the call.
     bool hasBeenSent() const { return m_sentAttempts > 0 || (m_attempt && m_attempt->isSent()); }
     AttemptFailure lostAttempt() const { return m_eventsForwarded > 0 ? AttemptFailure::StreamBroken : AttemptFailure::Lost; }
@@ -97,7 +103,8 @@
     EndHandler m_onEnd;
     LoopTimer m_deadlineTimer;
     LoopTimer m_retryTimer;
-    LoopTimer m_beginTimer;
+    LoopTimer m_silenceTimer;
+    BeginLimit m_beginLimit;
     std::uint64_t m_id;
     Phase m_phase = Phase::Waiting;
     CallDescription m_call;
@@ -128,7 +135,8 @@
     bool m_isQueued = false;
     double m_predictedFirstEventDelay = 0; // milliseconds after m_sentAt
     TimePoint m_sentAt;
-    std::map<std::string, std::uint64_t> m_loadedVersionsAtSend; // by the attempt's engine, by model
+    TimePoint m_lastBytesAt; // of an answer's body
+    TimePoint m_suspectedAt; // when the attempt's upstream seemed to be down
     std::int64_t m_firstEventDelay = -1; // milliseconds after m_sentAt; -1 before the first event
     bool m_isRecordedAsAnswered = false; // the attempt shows that its prompt crashes no engine
 };
--- a/modules/hyssopwick_gateway/entry/CallLimits.h
+++ b/modules/hyssopwick_gateway/entry/CallLimits.h
@@ -18,6 +18,9 @@
 // after it was sent. Checked twice, so that it is given up within the 0.5 s in which upstreams have to
 // notice that a caller has left.
 inline constexpr Milliseconds deliveryTimeout { 220 };
+// Within this time an upstream at work sends another part of an answer that it has begun: several steps of
+// an engine, and less than a pause that callers notice.
+inline constexpr Milliseconds silenceToLeaveUpstream { 300 };
 // Longer answers and events than any upstream sends are taken for bytes without end.
 inline constexpr std::uint64_t maxAnswerBytes = std::uint64_t(4) << 20;
 inline constexpr std::size_t maxEventBytes = std::size_t(256) << 10;
--- a/modules/hyssopwick_gateway/entry/StreamAnswer.h
+++ b/modules/hyssopwick_gateway/entry/StreamAnswer.h
@@ -33,6 +33,9 @@
     /// Forwards the whole events that were received. Returns their number.
     unsigned forward();
 
+    /// Returns whether the upstream is not read because the caller reads slowly.
+    bool isPaused() const { return m_pause.isPaused(); }
+
     /// Returns whether bytes of an incomplete event were received.
     bool hasPartialEvent() const { return m_splitter.hasPartialEvent(); }
 
--- a/modules/hyssopwick_requests/retries/RetryDecision.cpp
+++ b/modules/hyssopwick_requests/retries/RetryDecision.cpp
@@ -64,7 +64,7 @@
 
 bool RetryBudget::tryTake()
 {
-    if (m_tokens < 1)
+    if (isSpent())
         return false;
     m_tokens -= 1;
     return true;
--- a/modules/hyssopwick_requests/retries/RetryDecision.h
+++ b/modules/hyssopwick_requests/retries/RetryDecision.h
@@ -35,6 +35,9 @@
 
     void recordFirstAttempt();
 
+    /// Returns whether no retry is left.
+    bool isSpent() const { return m_tokens < 1; }
+
     /// Takes one retry; returns false when the budget is spent.
     bool tryTake();
 
--- a/tests/platform/CallFlowSupport.h
+++ b/tests/platform/CallFlowSupport.h
@@ -185,6 +185,13 @@
     }
 
     void route(CallKind kind, unsigned maxUpstreams, bool isResumable)
+    {
+        configure(kind, maxUpstreams, isResumable);
+        registerUpstream("i-1", first.address());
+        registerUpstream("i-2", second.address());
+    }
+
+    void configure(CallKind kind, unsigned maxUpstreams, bool isResumable)
     {
         CallRoute route;
         route.name = "route";
@@ -197,15 +204,16 @@
         route.targets = { { "plain", 1 } };
         configuration.routes = { route };
         services.setConfiguration(configuration);
-        int number = 0;
-        for (const auto* upstream : { &first, &second }) {
-            Upstream registered;
-            registered.id = "i-" + std::to_string(++number);
-            registered.service = "plain";
-            registered.address = upstream->address();
-            registered.failureDomain = "north-a";
-            services.setUpstream(registered);
-        }
+    }
+
+    void registerUpstream(const std::string& id, const std::string& address)
+    {
+        Upstream registered;
+        registered.id = id;
+        registered.service = "plain";
+        registered.address = address;
+        registered.failureDomain = "north-a";
+        services.setUpstream(registered);
         services.refresh();
     }
 
--- a/tests/platform/ResumedStreamTests.cpp
+++ b/tests/platform/ResumedStreamTests.cpp
@@ -1,4 +1,5 @@
 #include "CallFlowSupport.h"
+#include "SlowEngine.h"
 
 using namespace hyssopwick;
 
@@ -105,3 +106,65 @@
     LONGS_EQUAL(502, exchange->status);
     CHECK_FALSE(exchange->isStream);
 }
+
+/// A stream whose first event has been forwarded when its upstream seems to be down.
+TEST_GROUP_BASE(SilentUpstream, CallFlowGroup)
+{
+    SlowEngine engine { loop };
+
+    void begin(unsigned maxUpstreams)
+    {
+        configure(CallKind::Stream, maxUpstreams, true);
+        registerUpstream("i-1", engine.address());
+        send();
+        while (!engine.isReceiving())
+            loop.run_one();
+        engine.send(okHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("id: 1\ndata: a\n\n"));
+        while (exchange->body.empty())
+            loop.run_one();
+        registerUpstream("i-2", second.address());
+        flow->handleUpstreamDown(engine.address());
+    }
+
+    void checkWhole() const
+    {
+        STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", exchange->body.c_str());
+        CHECK(exchange->isFinished);
+    }
+};
+
+// Guards against an answer that is cut because its upstream's agent got no report for a moment (issue 49).
+TEST(SilentUpstream, AStreamThatNoOtherUpstreamMayContinueStays)
+{
+    begin(1);
+    for (const auto until = monotonicNow() + Milliseconds(500); !exchange->hasEnded && monotonicNow() < until;)
+        loop.run_one_for(Milliseconds(5));
+    CHECK_FALSE(exchange->hasEnded);
+    engine.send(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    finish();
+    checkWhole();
+}
+
+// Guards against a stream that is moved away from an upstream at work, and cut where it cannot go on (issue 49).
+TEST(SilentUpstream, AStreamOfWhichMoreArrivesStays)
+{
+    second.answer(notExecuted);
+    begin(2);
+    engine.send(chunk("id: 2\ndata: b\n\n"));
+    for (const auto until = monotonicNow() + Milliseconds(500); !exchange->hasEnded && monotonicNow() < until;)
+        loop.run_one_for(Milliseconds(5));
+    CHECK_FALSE(exchange->hasEnded);
+    LONGS_EQUAL(0, requestCount());
+    engine.send("0\r\n\r\n");
+    finish();
+    checkWhole();
+}
+
+TEST(SilentUpstream, AStreamOfWhichNothingArrivesContinuesAtAnother)
+{
+    second.answer("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s2\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    begin(2);
+    finish();
+    checkWhole();
+    LONGS_EQUAL(1, requestCount());
+}
