A stopping entry node accepts a request only if its deadline is before the end of its stop

Seen by callers: a planned stop accepted requests in its first 4.5 s whatever their deadline (up to 600 s away) and ended after 120 s; a request that was still in progress then got no answer. The same held for a request that was read in the moment in which acceptance ended. Cause: EntryRequests compared no deadline with the end of the stop, and looked at its closed flag before it parsed a request, while the request counted as in progress only afterwards: the stop could see none in progress and end. Change: PlannedStop (hyssopwick_requests, pure) has the times of a stop and decides. The decision is made where the request becomes one in progress, under the same lock. A refused request has not run, as entry-leaving with other entry VMs. The bound is 5 s before the end of the process, since a claim may be released after a deadline. Ruled out: asking for the usual time of a request; a slow upstream takes all of the time until the deadline.

--- a/modules/hyssopwick_node/entry/EntryNode.cpp
+++ b/modules/hyssopwick_node/entry/EntryNode.cpp
@@ -17,6 +17,8 @@
     constexpr Milliseconds upstreamCheckPeriod { 500 };
     constexpr Milliseconds departureGossipTime { 500 };
     constexpr Milliseconds drainPollPeriod { 50 };
+    // Until gossip has told the other entry VMs not to name this one.
+    constexpr Milliseconds leavingGossipTime { 1500 };
     constexpr std::size_t addressesPerAnswer = 3;
     constexpr int statusOk = 200;
     constexpr int statusNotReady = 503;
@@ -231,14 +233,13 @@
 {
     auto& state = *m_state;
     const auto& vm = state.context.settings.vm;
+    const auto plan = planStop(monotonicNow(), addressLifetime + leavingGossipTime, deadline);
     state.isStopping = true;
+    state.requests.beginStop(plan);
     state.members.with([](MemberTable& table) { table.announceLeaving(monotonicNow()); });
     state.context.log.write("process.stopping", { { "vm", vm.id }, { "reason", "planned" }, { "in_flight", std::to_string(state.requests.inProgress()) } });
     state.coordinators.releaseLeases();
-    // Callers may have cached an answer that names this VM, and other entry VMs may name it until
-    // gossip reaches them, which the added time allows for.
-    std::this_thread::sleep_until(std::min(deadline, monotonicNow() + addressLifetime + Milliseconds(1500)));
-    state.requests.close();
+    std::this_thread::sleep_until(plan.acceptUntil);
     while (monotonicNow() < deadline && state.requests.inProgress() > 0)
         std::this_thread::sleep_for(drainPollPeriod);
     state.members.with([](MemberTable& table) { table.announceDeparture(monotonicNow()); });
--- a/modules/hyssopwick_node/entry/EntryRequests.cpp
+++ b/modules/hyssopwick_node/entry/EntryRequests.cpp
@@ -55,6 +55,12 @@
     m_context.scheduler.every(limitsPeriod, [this] { refreshLimits(); });
 }
 
+void EntryRequests::beginStop(const PlannedStop& stop)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_stop = stop;
+}
+
 std::size_t EntryRequests::inProgress() const
 {
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -114,9 +120,7 @@
     const auto configuration = m_configuration.current();
     auto result = RequestParser::parse(request, *configuration.bundle, now, unixNow());
     std::optional<Refusal> refusal;
-    if (m_isClosed)
-        refusal = Refusal { RefusalReason::EntryLeaving, RunState::NotRun, Milliseconds(0), "this entry VM is leaving", {} };
-    else if (!m_configuration.mayServe(m_members.entryDomains()))
+    if (!m_configuration.mayServe(m_members.entryDomains()))
         refusal = Refusal { RefusalReason::NotReady, RunState::NotRun, defaultRetryAfter, "no configuration is in force here yet", {} };
     else if (auto* parsed = std::get_if<Refusal>(&result))
         refusal = *parsed;
@@ -146,11 +150,16 @@
         std::lock_guard<std::mutex> lock(m_mutex);
         const auto now = monotonicNow();
         flow->id = m_nextId++;
-        auto& admission = admissionFor(flow->query.workerKind, now);
-        refusal = admission.enqueue({ flow->id, flow->account, flow->priority, flow->deadline }, now);
-        if (!refusal)
-            m_flows[flow->id] = flow;
-        changes = admission.advance(now);
+        // Decided under the lock of inProgress(), so that none is accepted after a stop has seen none.
+        if (m_stop && !m_stop->accepts(flow->deadline, now)) {
+            refusal = Refusal { RefusalReason::EntryLeaving, RunState::NotRun, Milliseconds(0), "this entry VM is leaving", {} };
+        } else {
+            auto& admission = admissionFor(flow->query.workerKind, now);
+            refusal = admission.enqueue({ flow->id, flow->account, flow->priority, flow->deadline }, now);
+            if (!refusal)
+                m_flows[flow->id] = flow;
+            changes = admission.advance(now);
+        }
     }
     if (refusal)
         refuse(flow, *refusal);
--- a/modules/hyssopwick_node/entry/EntryRequests.h
+++ b/modules/hyssopwick_node/entry/EntryRequests.h
@@ -21,8 +21,9 @@
 
     void refuse(const RequestFlowPointer& flow, const Refusal& refusal);
 
-    /// Refuses new requests from now on, as not run; the refusals name other entry VMs.
-    void close() { m_isClosed = true; }
+    /// Accepts only the requests that \p stop allows from now on. Others are refused as not run;
+    /// the refusals name other entry VMs.
+    void beginStop(const PlannedStop& stop);
 
     /// Returns the number of requests in progress, including queued ones.
     std::size_t inProgress() const;
@@ -62,8 +63,8 @@
     ActiveConfiguration& m_configuration;
     UpstreamTable& m_upstreams;
     ClaimWriter& m_claims;
-    std::atomic<bool> m_isClosed { false };
     mutable std::mutex m_mutex; // guards the members below; not held while calling m_members, m_configuration, m_upstreams or m_claims
+    std::optional<PlannedStop> m_stop;
     std::uint64_t m_nextId = 1;
     std::map<std::uint64_t, RequestFlowPointer> m_flows;
     std::map<std::string, AdmissionDecision> m_admissions; // by worker kind
--- a/modules/hyssopwick_requests/hyssopwick_requests.h
+++ b/modules/hyssopwick_requests/hyssopwick_requests.h
@@ -15,6 +15,7 @@
 #include "admission/DeferralDecision.h"
 #include "admission/DemandEstimate.h"
 #include "admission/EngineDemand.h"
+#include "admission/PlannedStop.h"
 #include "admission/RateLimitShareDecision.h"
 #include "admission/RegionalCalls.h"
 #include "admission/UpstreamLimitShare.h"
--- /dev/null
+++ b/tests/PlannedStopTests.cpp
@@ -0,0 +1,221 @@
+#include "TestSupport.h"
+
+#include <condition_variable>
+#include <future>
+#include <hyssopwick_fakes.h>
+#include <hyssopwick_membership.h>
+#include <hyssopwick_node.h>
+#include <hyssopwick_operator.h>
+#include <hyssopwick_requests.h>
+#include <thread>
+
+using namespace hyssopwick;
+
+namespace {
+
+// Below the ephemeral range, so that the system does not assign it to other sockets.
+constexpr const char* nodePort = ":21741";
+constexpr Milliseconds startTimeout { 10'000 };
+constexpr Milliseconds answerTimeout { 20'000 };
+
+ProcessSettings settingsOf(const VmIdentity& vm, const std::string& keyValueAddress)
+{
+    ProcessSettings settings;
+    settings.vm = vm;
+    settings.listen = vm.address;
+    settings.keyValueAddress = settings.vmListAddress = keyValueAddress;
+    settings.peerKeyId = "k";
+    settings.peerKey = "test-peer-key-0001";
+    settings.keyValueCallsPerSecond = 40;
+    settings.workerThreads = 3;
+    return settings;
+}
+
+/// Upstream VM of the service "permit" that answers its calls when the test says so.
+class HeldUpstream {
+public:
+    explicit HeldUpstream(const std::string& keyValueAddress)
+        : m_context(
+            settingsOf({ "permit-1", loopbackIp(213) + nodePort, "region-0", "region-0-0", "permit" }, keyValueAddress), [](const std::string&) {}, 1)
+        , m_server({ m_context.settings.listen }, [this](HttpRequest request, HttpResponderPointer responder) { receive(request, std::move(responder)); })
+    {
+        CHECK(m_server.start().has_value());
+    }
+
+    ~HeldUpstream()
+    {
+        m_server.stop();
+        m_context.stop();
+    }
+
+    /// Reports this VM to an entry VM, which may send calls to it for some seconds.
+    void reportTo(const std::string& entryAddress)
+    {
+        const MemberUpdate member { m_context.settings.vm, 1, MemberState::Alive };
+        const nlohmann::json report { { "member", memberUpdateToJson(member) }, { "ready", true }, { "capacity", 8 } };
+        HttpClient client; // new, as an entry VM that has restarted does not know kept connections
+        RpcPeer rpc(client, m_context.authenticator);
+        CHECK(rpc.callAndWait(entryAddress, "report", report, monotonicNow() + startTimeout).has_value());
+    }
+
+    std::size_t callCount()
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        return m_calls.size();
+    }
+
+    /// Waits for call \p index and answers it.
+    void answer(std::size_t index, const std::string& body)
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        CHECK(m_wake.wait_for(lock, answerTimeout, [&] { return m_calls.size() > index; }));
+        m_calls[index].second->send(200, body, { { "x-hyssopwick-attempt", m_calls[index].first } });
+    }
+
+private:
+    void receive(const HttpRequest& request, HttpResponderPointer responder)
+    {
+        if (request.path.rfind("/door/", 0) != 0)
+            return;
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_calls.emplace_back(request.header("x-hyssopwick-attempt"), std::move(responder));
+        m_wake.notify_all();
+    }
+
+    NodeContext m_context;
+    std::mutex m_mutex; // guards m_calls
+    std::condition_variable m_wake;
+    std::vector<std::pair<std::string, HttpResponderPointer>> m_calls; // by attempt
+    HttpServer m_server;
+};
+
+nlohmann::json errorOf(const Outcome<HttpClientResponse>& answer)
+{
+    CHECK(answer.has_value());
+    return nlohmann::json::parse(answer.value().body, nullptr, false).value("error", nlohmann::json::object());
+}
+
+}
+
+TEST_GROUP(PlannedStop) {};
+
+TEST(PlannedStop, AcceptsOnlyRequestsThatEndBeforeItAborts)
+{
+    const PlannedStop stop { at(4500), at(115'000) };
+    CHECK(stop.accepts(at(114'999), at(0)));
+    CHECK_FALSE(stop.accepts(at(115'000), at(0)));
+    CHECK(stop.accepts(at(114'999), at(4499)));
+    CHECK_FALSE(stop.accepts(at(5000), at(4500)));
+}
+
+TEST(PlannedStop, LeavesTimeForFinalAnswersAfterTheLastDeadline)
+{
+    CHECK(planStop(at(0), Milliseconds(4500), at(120'000)) == (PlannedStop { at(4500), at(115'000) }));
+    CHECK(planStop(at(0), Milliseconds(4500), at(6000)) == (PlannedStop { at(1000), at(1000) }));
+}
+
+TEST_GROUP(EntryStop)
+{
+    const std::string entryAddress = loopbackIp(211) + nodePort;
+    FakeKeyValue keyValue { loopbackIp(212) + nodePort };
+    std::atomic<bool> isReceptionHeld { false }; // requests are held, when they have been read, until the entry VM has announced its departure
+    std::unique_ptr<HeldUpstream> upstream;
+    std::unique_ptr<EntryNode> entry;
+    HttpClient client;
+    std::thread stopping;
+
+    void setup() override
+    {
+        CHECK(keyValue.start().has_value());
+        KeyValueClient store(client, keyValue.address(), "operator");
+        const Bundle bundle({ AccountRecord { "caller", Digest::of("secret"), 1, 5, 0 }, ServiceRecord { "permit", "permit", false, false, { "status" }, { "book" } } });
+        CHECK(Applier(store, "test", "1").apply(bundle, std::nullopt).verdict == ApplyVerdict::Accepted);
+        upstream = std::make_unique<HeldUpstream>(keyValue.address());
+        startEntry();
+    }
+
+    void teardown() override
+    {
+        if (stopping.joinable())
+            stopping.join();
+        entry.reset();
+        upstream.reset();
+        client.stop();
+        keyValue.stop();
+    }
+
+    void startEntry()
+    {
+        const VmIdentity vm { "entry-1", entryAddress, "region-0", "region-0-0", "entry" };
+        entry = std::make_unique<EntryNode>(settingsOf(vm, keyValue.address()), [this](const std::string& line) { holdReception(line); });
+        CHECK(entry->start().has_value());
+        for (const auto until = monotonicNow() + startTimeout; entry->revision() == 0 && monotonicNow() < until;)
+            std::this_thread::sleep_for(Milliseconds(5));
+        LONGS_EQUAL(1, entry->revision());
+        upstream->reportTo(entryAddress);
+    }
+
+    void holdReception(const std::string& line)
+    {
+        if (!isReceptionHeld || line.find("event=request.received") == std::string::npos)
+            return;
+        for (const auto until = monotonicNow() + answerTimeout; entry->considersAlive("entry-1") && monotonicNow() < until;)
+            std::this_thread::sleep_for(Milliseconds(5));
+    }
+
+    void stopWithin(Milliseconds time)
+    {
+        stopping = std::thread([this, deadline = monotonicNow() + time] { entry->drainAndStop(deadline); });
+        std::this_thread::sleep_for(Milliseconds(200));
+    }
+
+    std::future<Outcome<HttpClientResponse>> send(Milliseconds timeout, const std::string& method = "status", const std::string& key = "")
+    {
+        HttpClientRequest request;
+        request.method = "POST";
+        request.url = "http://" + entryAddress + "/v1/services/permit/" + method;
+        request.body = std::make_shared<const std::string>("{}");
+        request.deadline = monotonicNow() + answerTimeout;
+        request.freshConnection = true;
+        request.headers = { { "X-Account", "caller" }, { "Authorization", "Bearer secret" }, { "X-Deadline", std::to_string(unixNow() + timeout.count()) } };
+        if (!key.empty()) {
+            request.headers.emplace_back("Idempotency-Key", key);
+            request.headers.emplace_back("X-Issued-At", key);
+        }
+        const auto promise = std::make_shared<std::promise<Outcome<HttpClientResponse>>>();
+        client.start(std::move(request), [promise](Outcome<HttpClientResponse> answer) { promise->set_value(std::move(answer)); });
+        return promise->get_future();
+    }
+};
+
+// Guards against a request that a stopping entry VM passes on and cuts at the end of its stop.
+TEST(EntryStop, ARequestWhoseDeadlineIsAfterTheStopIsRefusedAsNotRun)
+{
+    stopWithin(Milliseconds(7000));
+    const auto error = errorOf(send(Milliseconds(30'000)).get());
+    STRCMP_EQUAL("entry-leaving", error.value("reason", "").c_str());
+    STRCMP_EQUAL("not-run", error.value("run", "").c_str());
+    LONGS_EQUAL(0, upstream->callCount());
+}
+
+// Guards against callers with kept addresses that are refused although there is time for their requests.
+TEST(EntryStop, ARequestWhoseDeadlineIsBeforeTheEndOfTheStopIsServed)
+{
+    stopWithin(Milliseconds(7000));
+    auto answer = send(Milliseconds(1500));
+    upstream->answer(0, "{\"done\":true}");
+    const auto answered = answer.get();
+    CHECK(answered.has_value());
+    LONGS_EQUAL(200, answered.value().status);
+    STRCMP_EQUAL("{\"done\":true}", answered.value().body.c_str());
+}
+
+// Guards against a request that is accepted between the last look at the requests in progress and the end.
+TEST(EntryStop, ARequestThatIsReadWhileAcceptanceEndsIsNotCut)
+{
+    isReceptionHeld = true;
+    stopWithin(Milliseconds(60'000));
+    const auto error = errorOf(send(Milliseconds(15'000)).get());
+    STRCMP_EQUAL("entry-leaving", error.value("reason", "").c_str());
+    LONGS_EQUAL(0, upstream->callCount());
+}
--- a/tests/TestSupport.h
+++ b/tests/TestSupport.h
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace hyssopwick {
@@ -17,6 +18,13 @@
 /// Returns a digest that is distinct for each \p number.
 inline Digest digestOf(int number) { return Digest::of(std::to_string(number)); }
 
+/// Returns an address that differs between test processes, so that they can run side by side.
+inline std::string loopbackIp(int number)
+{
+    constexpr int octets = 250;
+    return "127." + std::to_string(2 + getpid() / octets % octets) + "." + std::to_string(getpid() % octets) + "." + std::to_string(number);
+}
+
 }
 
 inline SimpleString StringFrom(const hyssopwick::Digest& digest) { return SimpleString(digest.hex().c_str()); }
--- a/tests/platform/StopSupport.h
+++ b/tests/platform/StopSupport.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../TestSupport.h"
+
 #include <PlatformAdapter.h>
 #include <csignal>
 #include <fcntl.h>
@@ -19,13 +21,6 @@
 constexpr const char* ownIp = "127.0.0.1";
 constexpr const char* peerIp = "127.0.0.2";
 
-/// Returns an address that differs between test processes, so that they can run side by side.
-inline std::string loopbackIp(int number)
-{
-    constexpr int octets = 250;
-    return "127." + std::to_string(2 + getpid() / octets % octets) + "." + std::to_string(getpid() % octets) + "." + std::to_string(number);
-}
-
 inline std::string platformAddress() { return std::string(ownIp) + ":" + std::to_string(platformPort); }
 
 /// Describes an agent whose store and engine are one server on the same address.
