A planned stop of an entry node waits until its answers are written

Seen by callers: an answer that its caller read slowly broke off at the end of a planned stop. Cause: a request is no longer in progress once its answer is handed to the HTTP server, which writes it as fast as the caller reads. The stop waited 0.5 s from then on, and stopping the server discards what is not written. Change: HttpServer counts writes until they end or their connection does; a stop waits for them, too, until its deadline. A caller that does not read holds a stop until its deadline. Not shown: the same for agents.

--- a/modules/hyssopwick_node/entry/EntryNode.cpp
+++ b/modules/hyssopwick_node/entry/EntryNode.cpp
@@ -72,6 +72,7 @@
     nlohmann::json describe();
     void notifyAgents(const Configuration& configuration);
     void applyLeavingRecord(const Configuration& configuration);
+    bool hasWorkLeft() const { return requests.inProgress() > 0 || server->pendingWrites() > 0; }
     bool isReady() { return configuration.mayServe(members.entryDomains()); }
 };
 
@@ -240,7 +241,7 @@
     state.context.log.write("process.stopping", { { "vm", vm.id }, { "reason", "planned" }, { "in_flight", std::to_string(state.requests.inProgress()) } });
     state.coordinators.releaseLeases();
     std::this_thread::sleep_until(plan.acceptUntil);
-    while (monotonicNow() < deadline && state.requests.inProgress() > 0)
+    while (monotonicNow() < deadline && state.hasWorkLeft())
         std::this_thread::sleep_for(drainPollPeriod);
     state.members.with([](MemberTable& table) { table.announceDeparture(monotonicNow()); });
     state.gossip.announceDeparture();
--- a/modules/hyssopwick_node/entry/EntryNode.h
+++ b/modules/hyssopwick_node/entry/EntryNode.h
@@ -15,8 +15,8 @@
     Outcome<void> start();
 
     /// Withdraws from address answers, serves until the answers that callers may have cached
-    /// expire, waits for requests in progress, then stops. Requests that could outlast the stop
-    /// are refused as not run. \see PlannedStop
+    /// expire, waits for requests in progress and for callers that still read, then stops.
+    /// Requests that could outlast the stop are refused as not run. \see PlannedStop
     /// \param deadline  requests still in progress then are aborted
     void drainAndStop(TimePoint deadline);
 
--- a/modules/hyssopwick_transport/http/HttpServer.cpp
+++ b/modules/hyssopwick_transport/http/HttpServer.cpp
@@ -28,13 +28,34 @@
         return head;
     }
 
+    using WriteCounter = std::shared_ptr<std::atomic<std::size_t>>;
+
+    // Counts a write until Pistache has ended it or has dropped it with its connection.
+    class PendingWrite {
+    public:
+        explicit PendingWrite(WriteCounter counter)
+            : m_counter(std::move(counter))
+        {
+            ++*m_counter;
+        }
+
+        ~PendingWrite() { --*m_counter; }
+
+        PendingWrite(const PendingWrite&) = delete;
+        PendingWrite& operator=(const PendingWrite&) = delete;
+
+    private:
+        WriteCounter m_counter;
+    };
+
     // Pistache's ResponseStream flushes the transport's queue on the calling thread,
     // although that queue allows one consumer only. Responses are therefore passed to
     // Peer::send(), which may be called from any thread.
     class PistacheResponder : public HttpResponder {
     public:
-        explicit PistacheResponder(std::weak_ptr<Pistache::Tcp::Peer> peer)
+        PistacheResponder(std::weak_ptr<Pistache::Tcp::Peer> peer, WriteCounter pendingWrites)
             : m_peer(std::move(peer))
+            , m_pendingWrites(std::move(pendingWrites))
         {
         }
 
@@ -83,11 +104,13 @@
             if (!peer)
                 return false;
             const auto size = message.size();
-            peer->send(Pistache::RawBuffer(std::move(message), size));
+            const auto write = std::make_shared<PendingWrite>(m_pendingWrites);
+            peer->send(Pistache::RawBuffer(std::move(message), size)).then([write](ssize_t) {}, [write](const std::exception_ptr&) {});
             return true;
         }
 
         std::weak_ptr<Pistache::Tcp::Peer> m_peer;
+        WriteCounter m_pendingWrites;
         std::mutex m_mutex;
         std::atomic<bool> m_isClosed { false };
     };
@@ -118,14 +141,16 @@
     public:
         HTTP_PROTOTYPE(PistacheHandler)
 
-        explicit PistacheHandler(HttpHandler handler)
+        PistacheHandler(HttpHandler handler, WriteCounter pendingWrites)
             : m_handler(std::move(handler))
+            , m_pendingWrites(std::move(pendingWrites))
         {
         }
 
         PistacheHandler(const PistacheHandler& other)
             : Http::Handler(other)
             , m_handler(other.m_handler)
+            , m_pendingWrites(other.m_pendingWrites)
         {
         }
 
@@ -138,7 +163,7 @@
             // than the header or body timeout, even while its request is being handled and
             // after the response; the client would take it for its next response.
             peer->setIdle(true);
-            auto responder = std::make_shared<PistacheResponder>(peer);
+            auto responder = std::make_shared<PistacheResponder>(peer, m_pendingWrites);
             m_openResponders[peer->getID()] = responder;
             m_handler(translate(request), std::move(responder));
         }
@@ -155,6 +180,7 @@
 
     private:
         HttpHandler m_handler;
+        WriteCounter m_pendingWrites;
         std::unordered_map<std::size_t, std::weak_ptr<PistacheResponder>> m_openResponders;
     };
 
@@ -163,6 +189,7 @@
 struct HttpServer::State {
     HttpServerOptions options;
     HttpHandler handler;
+    WriteCounter pendingWrites = std::make_shared<std::atomic<std::size_t>>(0);
     std::unique_ptr<Http::Endpoint> endpoint;
     std::string host;
 };
@@ -192,7 +219,7 @@
                                     .headerTimeout(options.headerTimeout)
                                     .bodyTimeout(options.bodyTimeout)
                                     .keepaliveTimeout(keepaliveTimeout));
-        m_state->endpoint->setHandler(std::make_shared<PistacheHandler>(m_state->handler));
+        m_state->endpoint->setHandler(std::make_shared<PistacheHandler>(m_state->handler, m_state->pendingWrites));
         m_state->endpoint->serveThreaded();
     } catch (const std::exception& exception) {
         return failure(ErrorCode::Unavailable, "cannot listen on " + options.address + ": " + exception.what());
@@ -208,6 +235,8 @@
     m_state->endpoint.reset();
 }
 
+std::size_t HttpServer::pendingWrites() const { return *m_state->pendingWrites; }
+
 std::string HttpServer::address() const
 {
     if (!m_state->endpoint)
--- a/modules/hyssopwick_transport/http/HttpServer.h
+++ b/modules/hyssopwick_transport/http/HttpServer.h
@@ -26,6 +26,10 @@
     /// Closes the listening socket and all connections.
     void stop();
 
+    /// Returns the number of answers and parts of streamed ones that are not yet written whole,
+    /// as when callers read slowly. stop() discards them.
+    std::size_t pendingWrites() const;
+
     /// Returns the bound "ip:port".
     std::string address() const;
 
--- a/tests/PlannedStopTests.cpp
+++ b/tests/PlannedStopTests.cpp
@@ -1,5 +1,7 @@
 #include "TestSupport.h"
 
+#include <algorithm>
+#include <arpa/inet.h>
 #include <condition_variable>
 #include <future>
 #include <hyssopwick_fakes.h>
@@ -7,7 +9,9 @@
 #include <hyssopwick_node.h>
 #include <hyssopwick_operator.h>
 #include <hyssopwick_requests.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace hyssopwick;
 
@@ -15,6 +19,8 @@
 
 // Below the ephemeral range, so that the system does not assign it to other sockets.
 constexpr const char* nodePort = ":21741";
+// Two of them are more than the buffers of a connection hold; an upstream's answer may have no more than one.
+constexpr std::size_t largeBodyBytes = 4'000'000;
 constexpr Milliseconds startTimeout { 10'000 };
 constexpr Milliseconds answerTimeout { 20'000 };
 
@@ -64,11 +70,17 @@
         return m_calls.size();
     }
 
-    /// Waits for call \p index and answers it.
-    void answer(std::size_t index, const std::string& body)
+    void awaitCall(std::size_t index)
     {
         std::unique_lock<std::mutex> lock(m_mutex);
         CHECK(m_wake.wait_for(lock, answerTimeout, [&] { return m_calls.size() > index; }));
+    }
+
+    /// Waits for call \p index and answers it.
+    void answer(std::size_t index, const std::string& body)
+    {
+        awaitCall(index);
+        std::lock_guard<std::mutex> lock(m_mutex);
         m_calls[index].second->send(200, body, { { "x-hyssopwick-attempt", m_calls[index].first } });
     }
 
@@ -89,6 +101,56 @@
     HttpServer m_server;
 };
 
+/// Caller that sends a request and reads the answer only when the test says so.
+class SlowCaller {
+public:
+    explicit SlowCaller(const std::string& address)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+        , m_address(address)
+    {
+        constexpr int receiveBufferBytes = 4096;
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
+        const timeval timeout { 5, 0 };
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+        const auto colon = address.find(':');
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+        inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
+        LONGS_EQUAL(0, connect(m_socket, reinterpret_cast<const sockaddr*>(&target), sizeof target));
+    }
+
+    ~SlowCaller() { close(m_socket); }
+
+    void send(const HttpClientRequest& request)
+    {
+        auto text = request.method + " " + request.url.substr(request.url.find('/', request.url.find("//") + 2)) + " HTTP/1.1\r\nHost: " + m_address + "\r\n";
+        for (const auto& [name, value] : request.headers)
+            text += name + ": " + value + "\r\n";
+        text += "Content-Length: " + std::to_string(request.body->size()) + "\r\n\r\n" + *request.body;
+        LONGS_EQUAL(text.size(), ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL));
+    }
+
+    /// Reads until bodies of \p bytes have arrived or none arrives for some seconds, and returns the
+    /// number of bytes of bodies, which consist of 'x'.
+    std::size_t read(std::size_t bytes)
+    {
+        std::size_t bodyBytes = 0;
+        std::vector<char> buffer(65536);
+        while (bodyBytes < bytes) {
+            const auto received = recv(m_socket, buffer.data(), buffer.size(), 0);
+            if (received <= 0)
+                break;
+            bodyBytes += static_cast<std::size_t>(std::count(buffer.begin(), buffer.begin() + received, 'x'));
+        }
+        return bodyBytes;
+    }
+
+private:
+    int m_socket;
+    std::string m_address;
+};
+
 nlohmann::json errorOf(const Outcome<HttpClientResponse>& answer)
 {
     CHECK(answer.has_value());
@@ -169,7 +231,7 @@
         std::this_thread::sleep_for(Milliseconds(200));
     }
 
-    std::future<Outcome<HttpClientResponse>> send(Milliseconds timeout, const std::string& method = "status", const std::string& key = "")
+    HttpClientRequest makeRequest(Milliseconds timeout, const std::string& method = "status", const std::string& key = "")
     {
         HttpClientRequest request;
         request.method = "POST";
@@ -182,8 +244,13 @@
             request.headers.emplace_back("Idempotency-Key", key);
             request.headers.emplace_back("X-Issued-At", key);
         }
+        return request;
+    }
+
+    std::future<Outcome<HttpClientResponse>> send(Milliseconds timeout, const std::string& method = "status", const std::string& key = "")
+    {
         const auto promise = std::make_shared<std::promise<Outcome<HttpClientResponse>>>();
-        client.start(std::move(request), [promise](Outcome<HttpClientResponse> answer) { promise->set_value(std::move(answer)); });
+        client.start(makeRequest(timeout, method, key), [promise](Outcome<HttpClientResponse> answer) { promise->set_value(std::move(answer)); });
         return promise->get_future();
     }
 };
@@ -219,3 +286,16 @@
     STRCMP_EQUAL("entry-leaving", error.value("reason", "").c_str());
     LONGS_EQUAL(0, upstream->callCount());
 }
+
+// Guards against an answer that is cut at the end of a stop because its caller reads it slowly.
+TEST(EntryStop, AnAnswerThatItsCallerReadsSlowlyIsNotCut)
+{
+    SlowCaller caller(entryAddress);
+    for (std::size_t i = 0; i < 2; ++i) {
+        caller.send(makeRequest(Milliseconds(10'000)));
+        upstream->answer(i, std::string(largeBodyBytes, 'x'));
+    }
+    stopWithin(Milliseconds(30'000));
+    std::this_thread::sleep_for(Milliseconds(5500));
+    CHECK(caller.read(2 * largeBodyBytes) >= 2 * largeBodyBytes);
+}
