A planned stop of an entry node waits until outcomes of calls are stored

Seen by callers: after a planned stop, a repeat of a call that may run only once got outcome-unknown, although the first attempt had been answered with 200. Cause: the outcome is submitted to the claim writer with the answer, and the call ends without waiting for it. A stop looked only at requests; with a key-value service that does not answer for some tenths of a second the write was still retried when the process ended. Change: ClaimWriter counts submitted operations until their result, a stop waits for them until its deadline.

--- a/modules/hyssopwick_node/entry/ClaimWriter.cpp
+++ b/modules/hyssopwick_node/entry/ClaimWriter.cpp
@@ -76,6 +76,15 @@
 }
 
 void ClaimWriter::submit(const ClaimIdentity& identity, ClaimOperation operation, ResultHandler onResult)
+{
+    ++m_inProgress;
+    forward(identity, std::move(operation), [this, onResult = std::move(onResult)](Outcome<ClaimResult> result) {
+        onResult(std::move(result));
+        --m_inProgress;
+    });
+}
+
+void ClaimWriter::forward(const ClaimIdentity& identity, ClaimOperation operation, ResultHandler onResult)
 {
     const auto bucketKey = identity.bucketKey();
     const auto entries = m_members.with([](const MemberTable& table) { return table.liveEntries(false); });
--- a/modules/hyssopwick_node/entry/ClaimWriter.h
+++ b/modules/hyssopwick_node/entry/ClaimWriter.h
@@ -23,6 +23,9 @@
     /// Submits an operation; \p onResult is called on any thread.
     void submit(const ClaimIdentity& identity, ClaimOperation operation, ResultHandler onResult);
 
+    /// Returns the number of submitted operations without a result.
+    std::size_t inProgress() const { return m_inProgress; }
+
     /// Handles an operation that another entry VM forwarded.
     void receive(const HttpRequest& request, HttpResponderPointer responder);
 
@@ -45,6 +48,7 @@
         TimePoint usedAt;
     };
 
+    void forward(const ClaimIdentity& identity, ClaimOperation operation, ResultHandler onResult);
     void writeLocally(const std::string& bucketKey, PendingOperation pending);
     void scheduleFlush(const std::string& shard, Shard& state);
     void flush(const std::string& shard);
@@ -55,6 +59,7 @@
     NodeContext& m_context;
     SharedMemberTable& m_members;
     KeyValueLimiter& m_keyValue;
+    std::atomic<std::size_t> m_inProgress { 0 };
     std::mutex m_mutex; // guards the members below
     std::map<std::string, Shard> m_shards;
     std::map<std::string, CachedBucket> m_cache;
--- a/modules/hyssopwick_node/entry/EntryNode.cpp
+++ b/modules/hyssopwick_node/entry/EntryNode.cpp
@@ -72,7 +72,7 @@
     nlohmann::json describe();
     void notifyAgents(const Configuration& configuration);
     void applyLeavingRecord(const Configuration& configuration);
-    bool hasWorkLeft() const { return requests.inProgress() > 0 || server->pendingWrites() > 0; }
+    bool hasWorkLeft() const { return requests.inProgress() > 0 || claims.inProgress() > 0 || server->pendingWrites() > 0; }
     bool isReady() { return configuration.mayServe(members.entryDomains()); }
 };
 
--- a/tests/PlannedStopTests.cpp
+++ b/tests/PlannedStopTests.cpp
@@ -299,3 +299,24 @@
     std::this_thread::sleep_for(Milliseconds(5500));
     CHECK(caller.read(2 * largeBodyBytes) >= 2 * largeBodyBytes);
 }
+
+// Guards against an outcome that is lost at the end of a stop, so that a repeat of the call does not get it.
+TEST(EntryStop, TheOutcomeOfACallThatMayRunOnlyOnceIsStoredBeforeTheEnd)
+{
+    const auto issuedAt = std::to_string(unixNow());
+    auto answer = send(Milliseconds(15'000), "book", issuedAt);
+    stopWithin(Milliseconds(30'000));
+    std::this_thread::sleep_for(Milliseconds(4700));
+    keyValue.setFault("outage", 1);
+    upstream->answer(0, "{\"number\":1}");
+    LONGS_EQUAL(200, answer.get().value().status);
+    std::this_thread::sleep_for(Milliseconds(700));
+    keyValue.setFault("outage", 0);
+    stopping.join();
+    startEntry();
+    const auto repeated = send(Milliseconds(5000), "book", issuedAt).get();
+    CHECK(repeated.has_value());
+    LONGS_EQUAL(200, repeated.value().status);
+    STRCMP_EQUAL("{\"number\":1}", repeated.value().body.c_str());
+    LONGS_EQUAL(1, upstream->callCount());
+}
