The tests of a stopping entry node have a group name of their own

Two groups were called PlannedStop, in tests/ and in tests/platform/, which is one type with two definitions. Renamed only: StopTimes, in tests/EntryStopTests.cpp.

--- a/tests/PlannedStopTests.cpp
+++ b/tests/EntryStopTests.cpp
@@ -159,9 +159,9 @@
 
 }
 
-TEST_GROUP(PlannedStop) {};
+TEST_GROUP(StopTimes) {};
 
-TEST(PlannedStop, AcceptsOnlyRequestsThatEndBeforeItAborts)
+TEST(StopTimes, AcceptsOnlyRequestsThatEndBeforeItAborts)
 {
     const PlannedStop stop { at(4500), at(115'000) };
     CHECK(stop.accepts(at(114'999), at(0)));
@@ -170,7 +170,7 @@
     CHECK_FALSE(stop.accepts(at(5000), at(4500)));
 }
 
-TEST(PlannedStop, LeavesTimeForFinalAnswersAfterTheLastDeadline)
+TEST(StopTimes, LeavesTimeForFinalAnswersAfterTheLastDeadline)
 {
     CHECK(planStop(at(0), Milliseconds(4500), at(120'000)) == (PlannedStop { at(4500), at(115'000) }));
     CHECK(planStop(at(0), Milliseconds(4500), at(6000)) == (PlannedStop { at(1000), at(1000) }));
