--- /dev/null
+++ b/tests/platform/soak/Report.cpp
@@ -0,0 +1,190 @@
+#include "Report.h"
+
+#include <csignal>
+#include <cstring>
+#include <sys/wait.h>
+
+namespace hyssopwick::soak {
+
+namespace {
+    constexpr std::size_t maxElsewhere = 5; // cases printed in full
+    constexpr std::size_t maxLineLength = 330;
+
+    std::string signalName(int number) { return std::string("SIG") + sigabbrev_np(number); }
+
+    template <typename... Functions>
+    struct Overloaded : Functions... {
+        using Functions::operator()...;
+    };
+    template <typename... Functions>
+    Overloaded(Functions...) -> Overloaded<Functions...>;
+}
+
+Report::Report(const Journal& journal, LogSearch logs, std::ostream& output)
+    : m_journal(journal)
+    , m_logs(std::move(logs))
+    , m_output(output)
+{
+    const LossCheck check(journal);
+    for (const auto& attempt : journal.attempts()) {
+        std::visit(Overloaded {
+                       [](const NotLost&) {},
+                       [&](const Lost& lost) { m_lost.push_back({ &attempt, lost }); },
+                       [&](const Excused& excused) { ++m_excused[excused.reason]; },
+                       [&](const LostElsewhere&) { m_elsewhere.push_back(&attempt); } },
+            check.judge(attempt));
+    }
+}
+
+void Report::print()
+{
+    std::set<std::string> ids;
+    for (const auto& lostCase : m_lost)
+        ids.insert(lostCase.attempt->id);
+    for (const auto* attempt : m_elsewhere)
+        ids.insert(attempt->id);
+    auto lines = m_logs.linesOfRequests(ids);
+    for (const auto& lostCase : m_lost)
+        printCase(lostCase, lines[lostCase.attempt->id]);
+    printElsewhere(lines);
+    printOutcomes();
+    printProcesses();
+    m_output << "lost " << m_lost.size() << ", lost away from planned work " << m_elsewhere.size() << "\n";
+    for (const auto& [reason, count] : m_excused)
+        m_output << "excused " << count << ": " << reason << "\n";
+}
+
+std::string Report::relative(TimePoint at, TimePoint zero) const
+{
+    char text[20];
+    std::snprintf(text, sizeof text, "%+9.3f ", secondsBetween(zero, at));
+    return text;
+}
+
+std::int64_t Report::unixMs(TimePoint at) const
+{
+    const auto unix = m_journal.startedAtUnix + std::chrono::duration_cast<std::chrono::system_clock::duration>(at - m_journal.startedAt);
+    return std::chrono::duration_cast<Milliseconds>(unix.time_since_epoch()).count();
+}
+
+void Report::printLine(const LogLine& line, TimePoint zero) const
+{
+    char text[20];
+    std::snprintf(text, sizeof text, "%+9.3f ", double(line.unixMs - unixMs(zero)) / 1000);
+    m_output << text << line.node << " " << line.text.substr(0, maxLineLength) << "\n";
+}
+
+void Report::printCase(const Case& lostCase, const std::vector<LogLine>& lines) const
+{
+    const auto& attempt = *lostCase.attempt;
+    const auto zero = lostCase.lost.signalAt;
+    m_output << "LOST " << attempt.id << " " << attempt.route << " at " << entryName(attempt.entry) << ", times from its " << signalName(lostCase.lost.signal) << " at second " << secondsBetween(m_journal.startedAt, zero) << "\n";
+    m_output << relative(attempt.beganAt, zero) << "caller: attempt " << attempt.number << " begins on a " << (attempt.isOnKeptConnection ? "kept" : "new") << " connection" << (attempt.isSlowReader ? ", reads slowly" : "") << "\n";
+    m_output << relative(*attempt.sentAt, zero) << "caller: last byte sent\n";
+    if (!attempt.eventsAt.empty())
+        m_output << relative(attempt.eventsAt.front(), zero) << "caller: first event\n"
+                 << relative(attempt.eventsAt.back(), zero) << "caller: event " << attempt.eventsAt.size() << ", the last\n";
+    m_output << relative(*attempt.endedAt, zero) << "caller: " << nameOf(attempt.end) << ", status " << attempt.status << "; deadline at " << relative(attempt.deadline, zero) << "\n";
+    printRuns(attempt, zero);
+    for (const auto& line : lines)
+        printLine(line, zero);
+    printOwnLines(attempt, zero);
+    m_output << "\n";
+}
+
+void Report::printRuns(const Attempt& attempt, TimePoint zero) const
+{
+    const auto* runs = m_journal.runsOf(attempt.id);
+    if (!runs) {
+        m_output << "          no server got it\n";
+        return;
+    }
+    for (const auto& run : *runs) {
+        m_output << relative(run.arrivedAt, zero) << run.server << ": arrives";
+        if (run.begunAt)
+            m_output << ", begins " << relative(*run.begunAt, zero);
+        if (run.endedAt)
+            m_output << ", ends " << relative(*run.endedAt, zero);
+        m_output << ": " << nameOf(run.end) << ", status " << run.status << ", events " << run.firstEvent << " to " << run.lastEvent << "\n";
+    }
+}
+
+void Report::printOwnLines(const Attempt& attempt, TimePoint zero) const
+{
+    constexpr std::int64_t aroundMs = 1500;
+    const auto node = entryName(attempt.entry);
+    const auto from = std::min(zero, attempt.beganAt);
+    for (const auto& event : m_journal.processes().at(node)) {
+        if (event.at < from - Milliseconds(aroundMs) || event.at > *attempt.endedAt + Milliseconds(aroundMs))
+            continue;
+        m_output << relative(event.at, zero) << node << ": " << (event.kind == ProcessEventKind::Started ? "process started" : event.kind == ProcessEventKind::Ended ? "process ended, wait status " + std::to_string(event.number)
+                                                                                                                                                                     : signalName(event.number))
+                 << "\n";
+    }
+    for (const auto& line : m_logs.ownLines(node, unixMs(from) - aroundMs, unixMs(*attempt.endedAt) + aroundMs))
+        printLine(line, zero);
+}
+
+void Report::printElsewhere(const std::map<std::string, std::vector<LogLine>>& lines) const
+{
+    for (std::size_t number = 0; number < std::min(maxElsewhere, m_elsewhere.size()); ++number) {
+        const auto& attempt = *m_elsewhere[number];
+        const auto zero = *attempt.sentAt;
+        m_output << "lost away from planned work: " << attempt.id << " " << attempt.route << " at " << entryName(attempt.entry) << ", times from its last byte at second " << secondsBetween(m_journal.startedAt, zero) << "\n"
+                 << relative(*attempt.endedAt, zero) << "caller: " << nameOf(attempt.end) << ", status " << attempt.status << ", events " << attempt.eventsAt.size() << "; deadline at " << relative(attempt.deadline, zero) << "\n";
+        printRuns(attempt, zero);
+        const auto found = lines.find(attempt.id);
+        if (found == lines.end())
+            continue;
+        for (const auto& line : found->second)
+            printLine(line, zero);
+    }
+}
+
+void Report::printOutcomes() const
+{
+    std::map<std::string, std::map<std::string, unsigned>> outcomes;
+    for (const auto& attempt : m_journal.attempts()) {
+        auto outcome = std::string(nameOf(attempt.end));
+        if (attempt.end == AttemptEnd::Answered)
+            outcome += " " + std::to_string(attempt.status);
+        else if (!attempt.eventsAt.empty())
+            outcome += " after events";
+        ++outcomes[attempt.route][outcome];
+    }
+    for (const auto& [route, counts] : outcomes) {
+        m_output << "attempts " << route << ":";
+        for (const auto& [outcome, count] : counts)
+            m_output << " " << outcome << " " << count << ";";
+        m_output << "\n";
+    }
+}
+
+void Report::printProcesses() const
+{
+    std::map<std::string, unsigned> counts;
+    for (const auto& [node, events] : m_journal.processes()) {
+        std::set<int> signals;
+        for (const auto& event : events) {
+            const auto kind = node.substr(0, node.find('-'));
+            if (event.kind == ProcessEventKind::Started) {
+                signals.clear();
+            } else if (event.kind == ProcessEventKind::Signalled) {
+                signals.insert(event.number);
+                ++counts[kind + " " + signalName(event.number)];
+            } else {
+                const bool isExit = WIFEXITED(event.number);
+                const int number = isExit ? WEXITSTATUS(event.number) : WTERMSIG(event.number);
+                const bool isExpected = isExit ? number == 0 && signals.count(SIGTERM) != 0 : signals.count(number) != 0;
+                const auto how = isExit ? "exit " + std::to_string(number) : "by " + signalName(number);
+                ++counts[kind + " ended " + how];
+                if (!isExpected)
+                    m_output << "UNEXPECTED END " << node << " " << how << " at second " << secondsBetween(m_journal.startedAt, event.at) << "\n";
+            }
+        }
+    }
+    for (const auto& [name, count] : counts)
+        m_output << name << ": " << count << "\n";
+}
+
+}
