--- a/tests/platform/soak/ClientConnection.cpp
+++ b/tests/platform/soak/ClientConnection.cpp
@@ -85,7 +85,7 @@
         if (error == asio::error::operation_aborted)
             return;
         if (error) {
-            const bool isComplete = error == asio::error::eof && self->m_reader.endConnection();
+            const bool isComplete = self->m_isBusy && error == asio::error::eof && self->m_reader.endConnection();
             return self->end(isComplete ? ExchangeEnd::Complete : error == asio::error::eof ? ExchangeEnd::Closed
                                                                                             : ExchangeEnd::Reset);
         }
--- a/tests/platform/soak/Report.cpp
+++ b/tests/platform/soak/Report.cpp
@@ -160,6 +160,16 @@
     }
 }
 
+void Report::writeAttempts(std::ostream& table) const
+{
+    table << "id\troute\tentry\tconnection\tattempt\tbegan\tsent_after\thead_after\tended_after\tend\tstatus\tevents\truns\n";
+    for (const auto& attempt : m_journal.attempts()) {
+        const auto after = [&](const std::optional<TimePoint>& at) { return at ? std::to_string(secondsBetween(attempt.beganAt, *at)) : std::string("-"); };
+        const auto* runs = m_journal.runsOf(attempt.id);
+        table << attempt.id << "\t" << attempt.route << "\t" << entryName(attempt.entry) << "\t" << (attempt.isOnKeptConnection ? "kept" : "new") << "\t" << attempt.number << "\t" << secondsBetween(m_journal.startedAt, attempt.beganAt) << "\t" << after(attempt.sentAt) << "\t" << after(attempt.headAt) << "\t" << after(attempt.endedAt) << "\t" << nameOf(attempt.end) << "\t" << attempt.status << "\t" << attempt.eventsAt.size() << "\t" << (runs ? runs->size() : 0) << "\n";
+    }
+}
+
 void Report::printProcesses() const
 {
     std::map<std::string, unsigned> counts;
--- a/tests/platform/soak/Report.h
+++ b/tests/platform/soak/Report.h
@@ -15,6 +15,9 @@
 
     void print();
 
+    /// Writes one line an attempt, with tabs between the fields.
+    void writeAttempts(std::ostream& table) const;
+
     bool holds() const { return m_lost.empty(); }
 
 private:
--- a/tests/platform/soak/soak_main.cpp
+++ b/tests/platform/soak/soak_main.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -76,6 +77,10 @@
     }
     Report report(journal, logsOf(fleet), std::cout);
     report.print();
+    if (!options.logFolder.empty()) {
+        std::ofstream table(folder + "/attempts.tsv");
+        report.writeAttempts(table);
+    }
     std::cout << "seed " << options.seed << ", entries " << options.entries << ", engines " << options.engines << ", streams a second " << options.streamsPerSecond << ", loop late by at most " << secondsBetween({}, TimePoint(fleet.largestLoopDelay())) << " s\n";
     return report.holds() ? exitHeld : exitBroken;
 }
