--- a/tests/platform/soak/Journal.h
+++ b/tests/platform/soak/Journal.h
@@ -82,6 +82,10 @@
     Run& addRun(const std::string& id, const std::string& server);
     void addProcessEvent(const std::string& node, ProcessEvent event) { m_processes[node].push_back(event); }
 
+    /// Records an event that the schedule has drawn.
+    void addNote(std::string text) { m_notes.emplace_back(now(), std::move(text)); }
+
+    const std::vector<std::pair<TimePoint, std::string>>& notes() const { return m_notes; }
     const std::deque<Attempt>& attempts() const { return m_attempts; }
     const std::deque<Run>* runsOf(const std::string& id) const;
     const std::map<std::string, std::vector<ProcessEvent>>& processes() const { return m_processes; }
@@ -96,6 +100,7 @@
     std::deque<Attempt> m_attempts; // references stay valid
     std::unordered_map<std::string, std::deque<Run>> m_runs;
     std::map<std::string, std::vector<ProcessEvent>> m_processes;
+    std::vector<std::pair<TimePoint, std::string>> m_notes;
     mutable std::size_t m_firstOpen = 0;
 };
 
--- a/tests/platform/soak/LogSearch.cpp
+++ b/tests/platform/soak/LogSearch.cpp
@@ -53,6 +53,9 @@
 {
     std::vector<LogLine> found;
     visitLines(node, [&](const std::string& line, LogLine entry) {
+        const auto event = valueOf(line, "event");
+        if (event == "view.changed" || event == "peer.traffic") // one after the other, and of no use here
+            return;
         if (entry.unixMs >= fromUnixMs && entry.unixMs <= toUnixMs && valueOf(line, "request").empty())
             found.push_back(std::move(entry));
     });
--- a/tests/platform/soak/Report.cpp
+++ b/tests/platform/soak/Report.cpp
@@ -12,6 +12,15 @@
 
     std::string signalName(int number) { return std::string("SIG") + sigabbrev_np(number); }
 
+    // The id of an engine is "i-", the number of its machine, and the count of its starts.
+    std::string agentOfEngine(const std::string& id)
+    {
+        if (id.compare(0, 2, "i-") != 0)
+            return {};
+        const auto number = id.substr(2);
+        return "agent-" + number.substr(0, number.find('-'));
+    }
+
     std::string endName(int status) { return WIFEXITED(status) ? "exit " + std::to_string(WEXITSTATUS(status)) : "by " + signalName(WTERMSIG(status)); }
 
     // A signal that announces changed settings must not end a process.
@@ -98,7 +107,7 @@
     printRuns(attempt, zero);
     for (const auto& line : lines)
         printLine(line, zero);
-    printOwnLines(attempt, zero);
+    printSurroundings(attempt, zero);
     m_output << "\n";
 }
 
@@ -119,20 +128,34 @@
     }
 }
 
-void Report::printOwnLines(const Attempt& attempt, TimePoint zero) const
+void Report::printSurroundings(const Attempt& attempt, TimePoint zero) const
 {
-    constexpr std::int64_t aroundMs = 1500;
-    const auto node = entryName(attempt.entry);
-    const auto from = std::min(zero, attempt.beganAt);
-    for (const auto& event : m_journal.processes().at(node)) {
-        if (event.at < from - Milliseconds(aroundMs) || event.at > *attempt.endedAt + Milliseconds(aroundMs))
-            continue;
-        m_output << relative(event.at, zero) << node << ": " << (event.kind == ProcessEventKind::Started ? "process started" : event.kind == ProcessEventKind::Ended ? "process ended, wait status " + std::to_string(event.number)
-                                                                                                                                                                     : signalName(event.number))
-                 << "\n";
+    constexpr Milliseconds around { 1500 };
+    const auto from = std::min(zero, attempt.beganAt) - around;
+    const auto until = *attempt.endedAt + around;
+    const auto isAround = [&](TimePoint at) { return at >= from && at <= until; };
+    for (const auto& [at, text] : m_journal.notes()) {
+        if (isAround(at))
+            m_output << relative(at, zero) << "schedule: " << text << "\n";
+    }
+    std::set<std::string> nodes { entryName(attempt.entry) };
+    if (const auto* runs = m_journal.runsOf(attempt.id)) {
+        for (const auto& run : *runs) {
+            const auto agent = agentOfEngine(run.server);
+            if (m_journal.processes().count(agent) != 0)
+                nodes.insert(agent);
+        }
+    }
+    for (const auto& node : nodes) {
+        for (const auto& event : m_journal.processes().at(node)) {
+            if (isAround(event.at))
+                m_output << relative(event.at, zero) << node << ": " << (event.kind == ProcessEventKind::Started ? "process started" : event.kind == ProcessEventKind::Ended ? "process ended " + endName(event.number)
+                                                                                                                                                                             : signalName(event.number))
+                         << "\n";
+        }
+        for (const auto& line : m_logs.ownLines(node, unixMs(from), unixMs(until)))
+            printLine(line, zero);
     }
-    for (const auto& line : m_logs.ownLines(node, unixMs(from) - aroundMs, unixMs(*attempt.endedAt) + aroundMs))
-        printLine(line, zero);
 }
 
 void Report::printElsewhere(const std::map<std::string, std::vector<LogLine>>& lines) const
--- a/tests/platform/soak/Report.h
+++ b/tests/platform/soak/Report.h
@@ -31,7 +31,7 @@
     void printCase(const Case& lostCase, const std::vector<LogLine>& lines) const;
     void printElsewhere(const std::map<std::string, std::vector<LogLine>>& lines) const;
     void printRuns(const Attempt& attempt, TimePoint zero) const;
-    void printOwnLines(const Attempt& attempt, TimePoint zero) const;
+    void printSurroundings(const Attempt& attempt, TimePoint zero) const;
     void printLine(const LogLine& line, TimePoint zero) const;
 
     std::string relative(TimePoint at, TimePoint zero) const;
--- a/tests/platform/soak/Schedule.cpp
+++ b/tests/platform/soak/Schedule.cpp
@@ -41,10 +41,20 @@
         agent->onStart([this, &process = *agent] { signalAfterStart(process); });
     repeat(1.5, 4, [this] { stopEntries(); });
     repeat(0.3, 1.5, [this] { signalSettings(); });
-    repeat(3, 6, [this] { m_fleet.publishConfiguration(); });
-    repeat(3, 6, [this] { m_fleet.agents()[m_random.below(m_fleet.agents().size())]->stop(); });
+    repeat(3, 6, [this] {
+        m_journal.addNote("new configuration");
+        m_fleet.publishConfiguration();
+    });
+    repeat(3, 6, [this] {
+        auto& agent = *m_fleet.agents()[m_random.below(m_fleet.agents().size())];
+        m_journal.addNote(agent.node() + " gets SIGTERM");
+        agent.stop();
+    });
     repeat(8, 12, [this] { drainEngine(); });
-    repeat(10, 15, [this] { m_fleet.publishWeights(); });
+    repeat(10, 15, [this] {
+        m_journal.addNote("new weights version");
+        m_fleet.publishWeights();
+    });
     for (const std::string kind : troubleKinds) {
         if (m_options.hasTrouble(kind))
             repeat(2, 6, [this, kind] { strike(drawTrouble(kind)); });
@@ -125,12 +135,14 @@
     auto& engine = m_fleet.engine(number);
     if (engine.isLeaving())
         return;
+    m_journal.addNote(engine.id() + " drains");
     engine.drain();
     const auto serving = drainTime + fromSeconds(m_random.between(0.2, maxExtraDrainSeconds));
     runAfter(m_loop, serving, [this, number, id = engine.id()] {
         auto& engine = m_fleet.engine(number);
         if (engine.id() != id)
             return;
+        m_journal.addNote(id + " leaves");
         engine.unregister();
         engine.breakOff();
         m_fleet.replaceEngine(number, fromSeconds(m_random.between(0.5, 2)));
@@ -163,19 +175,39 @@
             auto& processes = isEntry ? schedule.m_fleet.entries() : schedule.m_fleet.agents();
             return *processes[schedule.m_random.below(processes.size())];
         }
-        void operator()(const SlowEngine& slow) const { engine().slowDown(slow.factor, now() + fromSeconds(slow.seconds)); }
-        void operator()(const SilentReports& silent) const { engine().silenceReports(now() + fromSeconds(silent.seconds)); }
+        void note(const std::string& text) const { schedule.m_journal.addNote(text); }
+        void operator()(const SlowEngine& slow) const
+        {
+            note(engine().id() + " slower by " + std::to_string(slow.factor) + " for " + std::to_string(slow.seconds) + " s");
+            engine().slowDown(slow.factor, now() + fromSeconds(slow.seconds));
+        }
+        void operator()(const SilentReports& silent) const
+        {
+            note(engine().id() + " gives no reports for " + std::to_string(silent.seconds) + " s");
+            engine().silenceReports(now() + fromSeconds(silent.seconds));
+        }
         void operator()(const EngineCrash& crash) const
         {
             auto& crashing = engine();
             if (crashing.isLeaving())
                 return;
+            note(crashing.id() + " crashes, back after " + std::to_string(crash.pauseSeconds) + " s");
             crashing.breakOff();
             runAfter(schedule.m_loop, registrationTimeout, [&crashing] { crashing.unregister(); });
             schedule.m_fleet.replaceEngine(engineNumber, fromSeconds(crash.pauseSeconds));
         }
-        void operator()(const FreezeProcess& freeze) const { process(freeze.isEntry).freeze(fromSeconds(freeze.seconds)); }
-        void operator()(const KillProcess& kill) const { process(kill.isEntry).signal(SIGKILL, true); }
+        void operator()(const FreezeProcess& freeze) const
+        {
+            auto& frozen = process(freeze.isEntry);
+            note(frozen.node() + " is suspended for " + std::to_string(freeze.seconds) + " s");
+            frozen.freeze(fromSeconds(freeze.seconds));
+        }
+        void operator()(const KillProcess& kill) const
+        {
+            auto& killed = process(kill.isEntry);
+            note(killed.node() + " is killed");
+            killed.signal(SIGKILL, true);
+        }
     };
     std::visit(Visitor { *this, m_random.below(m_fleet.engineCount()) }, trouble);
 }
