A call that waits for an engine when a stop begins is refused if it may outlast it

A call that waited for an engine at SIGTERM, with a deadline after the stop, could be sent late and cut. Change: when a stop begins, waiting calls that no upstream has received are refused as not run if their deadline is later. Test: CallFlow.ACallThatWaitsWhenAStopBeginsIsRefusedIfItMayOutlastIt failed before and passes.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -140,6 +140,9 @@
     if (m_phase == Phase::Ended)
         return;
     const bool isChanged = m_regions.update(m_exchange->request(), m_call.accountKey, m_services.routes());
+    const auto stopBy = m_services.stopBy();
+    if (stopBy && m_deadline > *stopBy && m_upstream.empty() && !hasBeenSent())
+        return refuse(RefusalReason::EntryLeaving, statusUnavailable, Milliseconds(0));
     if (m_upstream.empty()) {
         if (!refuseWithoutUpstream() && isChanged && m_isQueued)
             m_services.queue(m_service->name).setAllowedRegions(m_id, m_regions.allowed());
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -33,8 +33,8 @@
     /// was published.
     void armBeginTimer();
 
-    /// Applies changed regions or upstreams to a call that no upstream has received: it waits for those
-    /// that it may use now, or is refused at once if there is none.
+    /// Applies changed regions or upstreams, or the end of a stop, to a call that no upstream has received: it
+    /// waits for those that it may use now, or is refused at once if there is none or if it may outlast the stop.
     void reconsider();
 
     /// Ends the call now because the process stops.
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -420,6 +420,7 @@
     const auto now = monotonicNow();
     m_stopBy = now + m_context.description.stopBound - stopMargin;
     m_services.setStopBy(m_stopBy);
+    reconsiderCalls();
     m_listenUntil = std::min(now + addressLifetime * addressLifetimeFactor, m_stopBy - stopMargin);
     m_context.log.write("entry.stopping", { { "calls", std::to_string(m_calls.size()) } });
     m_gossip.setServing(false);
--- a/tests/platform/CallFlowTests.cpp
+++ b/tests/platform/CallFlowTests.cpp
@@ -67,6 +67,22 @@
     LONGS_EQUAL(503, exchange->status);
 }
 
+// Guards against a call that is sent late in a stop, which began while it waited for an engine (issue 49).
+TEST(CallFlow, ACallThatWaitsWhenAStopBeginsIsRefusedIfItMayOutlastIt)
+{
+    configuration.services["plain"].engine = EngineSpeed();
+    route(CallKind::Stream, 2, true);
+    send();
+    services.setStopBy(monotonicNow() + Milliseconds(2000)); // the caller waits for 1500 ms
+    flow->reconsider();
+    CHECK_FALSE(exchange->hasEnded);
+    services.setStopBy(monotonicNow() + Milliseconds(1000));
+    flow->reconsider();
+    CHECK(exchange->hasEnded);
+    LONGS_EQUAL(503, exchange->status);
+    LONGS_EQUAL(0, requestCount());
+}
+
 // Regression (kalupahana mix --seed 558576159074, LOST): a stream accepted 4.1 s after
 // SIGTERM needed 3.4 s on a slow engine and was aborted.
 TEST(CallFlow, AStoppingEntryLeavesTimeForASlowEngine)
