A suspected upstream is watched until it answers, and streams leave it only while they may

Change: as long as the engine seems to be down, the stream is looked at every 300 ms and leaves if nothing of it arrived for that long and another attempt is allowed. A loss is recorded only for attempts that were sent. Tests: SilentUpstream.AStreamStaysAtAnUpstreamThatAnswersItsAgentAgain, AStreamStaysIfTheRetryBudgetIsSpentMeanwhile and AStreamLeavesLaterIfItCouldNotAtFirst failed before and pass. What remains: a stream that is silent for 300 ms and moved with its last attempt is cut if the next upstream refuses it.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -473,28 +473,40 @@
 {
     if (m_phase == Phase::Ended || m_upstreamAddress != address || !m_attempt)
         return;
-    // The upstream may only be silent, and still complete an answer that none other could.
-    if (findRetryObstacle(lostAttempt(), *m_route, m_sentAttempts + 1, m_deadline, monotonicNow()) != RetryObstacle::None || m_services.budget().isSpent()) {
-        m_services.context().metrics.count("calls_left_at_silent_upstreams_total");
-        return;
-    }
-    if (m_firstEventDelay < 0)
+    if (m_eventsForwarded == 0 && mayContinueElsewhere())
         return leaveSilentUpstream();
-    m_suspectedAt = monotonicNow();
+    m_services.context().metrics.count("calls_left_at_silent_upstreams_total");
+    watchSilentUpstream();
+}
+
+bool CallFlow::mayContinueElsewhere() const
+{
+    return findRetryObstacle(lostAttempt(), *m_route, m_sentAttempts + 1, m_deadline, monotonicNow()) == RetryObstacle::None && !m_services.budget().isSpent();
+}
+
+// The upstream may only be silent, and still complete an answer that none other could.
+void CallFlow::watchSilentUpstream()
+{
     m_silenceTimer.expires_after(silenceToLeaveUpstream);
     m_silenceTimer.async_wait(weakTimerHandler(weak_from_this(), &CallFlow::handleSilence));
 }
 
 void CallFlow::handleSilence()
 {
-    const bool isSilent = m_lastBytesAt <= m_suspectedAt && m_sentAt <= m_suspectedAt && !m_stream->isPaused();
-    if (m_phase != Phase::Ended && !m_upstream.empty() && isSilent)
+    if (m_phase == Phase::Ended || m_upstream.empty() || !m_services.seemsDown(m_upstreamAddress))
+        return;
+    const auto silentSince = std::max(m_lastBytesAt, m_sentAt);
+    const bool isSilent = silentSince + silenceToLeaveUpstream <= monotonicNow() && !m_stream->isPaused();
+    if (isSilent && mayContinueElsewhere())
         leaveSilentUpstream();
+    else
+        watchSilentUpstream();
 }
 
 void CallFlow::leaveSilentUpstream()
 {
-    recordLost(m_upstreamAddress);
+    if (m_attempt->isSent())
+        recordLost(m_upstreamAddress);
     abandonAttempt("engine-down");
 }
 
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -25,8 +25,8 @@
     void start();
 
     /// Sends the call to another upstream if it is at the one at \p address, which seems to be down; a
-    /// resumable answer continues. A call that may not be sent again stays where it is, and one whose answer
-    /// has begun as long as more of it arrives.
+    /// resumable answer continues. As long as it seems so, a call that may not be sent again stays where it
+    /// is, and so does one of which the caller has received events, while more of them arrive.
     void handleUpstreamDown(const std::string& address);
 
     /// Limits how long the call may wait at an engine with older weights. Call when a version
@@ -83,6 +83,8 @@
     void handleCallerLeft();
     void end(const char* outcome, unsigned status);
     void releaseUpstream();
+    bool mayContinueElsewhere() const;
+    void watchSilentUpstream();
     void handleSilence();
     void leaveSilentUpstream();
     void handleBeginLimit();
@@ -136,7 +138,6 @@
     double m_predictedFirstEventDelay = 0; // milliseconds after m_sentAt
     TimePoint m_sentAt;
     TimePoint m_lastBytesAt; // of an answer's body
-    TimePoint m_suspectedAt; // when the attempt's upstream seemed to be down
     std::int64_t m_firstEventDelay = -1; // milliseconds after m_sentAt; -1 before the first event
     bool m_isRecordedAsAnswered = false; // the attempt shows that its prompt crashes no engine
 };
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -171,6 +171,12 @@
     return found == m_engineStatus.end() || monotonicNow() - found->second.receivedAt > maxUpdateAge ? nullptr : &found->second;
 }
 
+bool EntryServices::seemsDown(const std::string& address) const
+{
+    const auto found = m_engineStatus.find(address);
+    return found != m_engineStatus.end() && !found->second.update.isAnswering;
+}
+
 bool EntryServices::isUsableEngine(const Upstream& upstream) const
 {
     const auto loaded = loadedVersions(upstream);
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -95,6 +95,9 @@
     /// longer registered may still begin the call on the weights that were loaded at the send.
     std::optional<TimePoint> usableUntil(const std::string& upstreamId, const std::map<std::string, std::uint64_t>& loadedVersionsAtSend) const;
 
+    /// Returns whether the engine at \p address did not answer its agent when that was last heard.
+    bool seemsDown(const std::string& address) const;
+
     /// Returns for how long after the publication of a version calls may begin on older weights.
     Milliseconds oldWeightsGracePeriod() const;
 
--- a/tests/platform/ResumedStreamTests.cpp
+++ b/tests/platform/ResumedStreamTests.cpp
@@ -123,9 +123,25 @@
         while (exchange->body.empty())
             loop.run_one();
         registerUpstream("i-2", second.address());
+        report(false);
         flow->handleUpstreamDown(engine.address());
     }
 
+    // What the agent of the upstream says of it.
+    void report(bool isAnswering)
+    {
+        EngineUpdate update;
+        update.engineAddress = engine.address();
+        update.isAnswering = isAnswering;
+        services.recordEngineUpdate(update);
+    }
+
+    void runFor(Milliseconds time)
+    {
+        for (const auto until = monotonicNow() + time; !exchange->hasEnded && monotonicNow() < until;)
+            loop.run_one_for(Milliseconds(5));
+    }
+
     void checkWhole() const
     {
         STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", exchange->body.c_str());
@@ -137,8 +153,7 @@
 TEST(SilentUpstream, AStreamThatNoOtherUpstreamMayContinueStays)
 {
     begin(1);
-    for (const auto until = monotonicNow() + Milliseconds(500); !exchange->hasEnded && monotonicNow() < until;)
-        loop.run_one_for(Milliseconds(5));
+    runFor(Milliseconds(500));
     CHECK_FALSE(exchange->hasEnded);
     engine.send(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
     finish();
@@ -150,9 +165,9 @@
 {
     second.answer(notExecuted);
     begin(2);
+    runFor(Milliseconds(100));
     engine.send(chunk("id: 2\ndata: b\n\n"));
-    for (const auto until = monotonicNow() + Milliseconds(500); !exchange->hasEnded && monotonicNow() < until;)
-        loop.run_one_for(Milliseconds(5));
+    runFor(Milliseconds(250));
     CHECK_FALSE(exchange->hasEnded);
     LONGS_EQUAL(0, requestCount());
     engine.send("0\r\n\r\n");
@@ -168,3 +183,44 @@
     checkWhole();
     LONGS_EQUAL(1, requestCount());
 }
+
+// Guards against a stream that is cut although its upstream answered its agent again (issue 49).
+TEST(SilentUpstream, AStreamStaysAtAnUpstreamThatAnswersItsAgentAgain)
+{
+    second.answer(notExecuted);
+    begin(2);
+    runFor(Milliseconds(100));
+    report(true);
+    runFor(Milliseconds(500));
+    CHECK_FALSE(exchange->hasEnded);
+    LONGS_EQUAL(0, requestCount());
+    engine.send(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    finish();
+    checkWhole();
+}
+
+// Guards against streams of one silent upstream that are cut because the retry budget lasts for some of them only.
+TEST(SilentUpstream, AStreamStaysIfTheRetryBudgetIsSpentMeanwhile)
+{
+    begin(2);
+    while (services.budget().tryTake()) { }
+    runFor(Milliseconds(500));
+    CHECK_FALSE(exchange->hasEnded);
+    engine.send(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    finish();
+    checkWhole();
+}
+
+// Guards against a stream that waits for a dead upstream until its deadline although another could continue it.
+TEST(SilentUpstream, AStreamLeavesLaterIfItCouldNotAtFirst)
+{
+    second.answer("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s2\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    begin(2);
+    while (services.budget().tryTake()) { }
+    runFor(Milliseconds(400));
+    CHECK_FALSE(exchange->hasEnded);
+    while (services.budget().isSpent())
+        services.budget().recordFirstAttempt();
+    finish();
+    checkWhole();
+}
