A planned stop of an entry node answers the requests that it aborts

Seen by callers: a request that was still in progress at the end of a planned stop (accepted before it, with a deadline after its end) got no answer. Cause: the stop ended the server before the requests, whose final answers then had no connection. Upstreams are not blamed for cancelled attempts.

--- a/modules/hyssopwick_node/entry/EntryNode.cpp
+++ b/modules/hyssopwick_node/entry/EntryNode.cpp
@@ -241,8 +241,11 @@
     state.context.log.write("process.stopping", { { "vm", vm.id }, { "reason", "planned" }, { "in_flight", std::to_string(state.requests.inProgress()) } });
     state.coordinators.releaseLeases();
     std::this_thread::sleep_until(plan.acceptUntil);
-    while (monotonicNow() < deadline && state.hasWorkLeft())
+    while (monotonicNow() < deadline && state.hasWorkLeft()) {
+        if (monotonicNow() >= plan.abortAt)
+            state.requests.abort();
         std::this_thread::sleep_for(drainPollPeriod);
+    }
     state.members.with([](MemberTable& table) { table.announceDeparture(monotonicNow()); });
     state.gossip.announceDeparture();
     std::this_thread::sleep_for(departureGossipTime);
--- a/modules/hyssopwick_node/entry/EntryNode.h
+++ b/modules/hyssopwick_node/entry/EntryNode.h
@@ -17,7 +17,8 @@
     /// Withdraws from address answers, serves until the answers that callers may have cached
     /// expire, waits for requests in progress and for callers that still read, then stops.
     /// Requests that could outlast the stop are refused as not run. \see PlannedStop
-    /// \param deadline  requests still in progress then are aborted
+    /// \param deadline  when the process ends at the latest; some seconds before, requests still in
+    ///                  progress are aborted with a final answer
     void drainAndStop(TimePoint deadline);
 
     /// Stops at once as if killed: without draining and without announcing the departure.
--- a/modules/hyssopwick_node/entry/EntryRequests.cpp
+++ b/modules/hyssopwick_node/entry/EntryRequests.cpp
@@ -21,6 +21,8 @@
 
     Milliseconds remaining(TimePoint deadline) { return Milliseconds(std::max<std::int64_t>(0, millisecondsBetween(monotonicNow(), deadline))); }
 
+    Refusal leavingRefusal() { return { RefusalReason::EntryLeaving, RunState::NotRun, Milliseconds(0), "this entry VM is leaving", {} }; }
+
     std::string headerOf(const HttpClientResponse& response, const char* name)
     {
         const auto found = response.headers.find(name);
@@ -61,6 +63,30 @@
     m_stop = stop;
 }
 
+void EntryRequests::abort()
+{
+    m_isAborting = true;
+    std::vector<RequestFlowPointer> queued;
+    std::vector<HttpClient::TransferId> transfers;
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        const auto now = monotonicNow();
+        for (auto flow = m_flows.begin(); flow != m_flows.end();) {
+            const auto& pointer = flow->second;
+            if (const auto transfer = pointer->transfer.load())
+                transfers.push_back(transfer);
+            const bool wasQueued = admissionFor(pointer->query.workerKind, now).withdraw(pointer->id);
+            if (wasQueued)
+                queued.push_back(pointer);
+            flow = wasQueued ? m_flows.erase(flow) : std::next(flow);
+        }
+    }
+    for (const auto transfer : transfers)
+        m_context.client.cancel(transfer);
+    for (const auto& flow : queued)
+        refuse(flow, leavingRefusal());
+}
+
 std::size_t EntryRequests::inProgress() const
 {
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -152,7 +178,7 @@
         flow->id = m_nextId++;
         // Decided under the lock of inProgress(), so that none is accepted after a stop has seen none.
         if (m_stop && !m_stop->accepts(flow->deadline, now)) {
-            refusal = Refusal { RefusalReason::EntryLeaving, RunState::NotRun, Milliseconds(0), "this entry VM is leaving", {} };
+            refusal = leavingRefusal();
         } else {
             auto& admission = admissionFor(flow->query.workerKind, now);
             refusal = admission.enqueue({ flow->id, flow->account, flow->priority, flow->deadline }, now);
@@ -244,6 +270,10 @@
         refuseFinally(flow, { RefusalReason::DeadlinePassed, RunState::NotRun, Milliseconds(0), "the deadline passed", {} });
         return;
     }
+    if (m_isAborting) {
+        refuseFinally(flow, leavingRefusal());
+        return;
+    }
     const auto verdict = m_upstreams.verdict(flow->digest);
     if (verdict == CrashVerdict::Refuse) {
         refuseFinally(flow, { RefusalReason::CrashSuspected, RunState::NotRun, Milliseconds(0), "this request has stopped upstreams before", {} });
@@ -330,6 +360,12 @@
     }
     if (!answered) {
         const bool wasNotSent = answered.error().code == ErrorCode::Unavailable;
+        // An aborted attempt is no failure of the upstream.
+        if (m_isAborting) {
+            flow->mayHaveRun = flow->mayHaveRun || !wasNotSent;
+            refuseFinally(flow, leavingRefusal());
+            return;
+        }
         const bool mayHaveCrashed = !wasNotSent && !flow->hasCallerLeft && flow->responder->isConnected() && answered.error().code != ErrorCode::Timeout;
         // The caller's deadline is no failure of the upstream.
         if (answered.error().code == ErrorCode::Timeout && monotonicNow() >= flow->deadline) {
--- a/modules/hyssopwick_node/entry/EntryRequests.h
+++ b/modules/hyssopwick_node/entry/EntryRequests.h
@@ -25,6 +25,10 @@
     /// the refusals name other entry VMs.
     void beginStop(const PlannedStop& stop);
 
+    /// Ends the requests in progress with a final answer that says whether they ran. Call it again
+    /// while inProgress(): a request may be between two steps.
+    void abort();
+
     /// Returns the number of requests in progress, including queued ones.
     std::size_t inProgress() const;
 
@@ -63,6 +67,7 @@
     ActiveConfiguration& m_configuration;
     UpstreamTable& m_upstreams;
     ClaimWriter& m_claims;
+    std::atomic<bool> m_isAborting { false };
     mutable std::mutex m_mutex; // guards the members below; not held while calling m_members, m_configuration, m_upstreams or m_claims
     std::optional<PlannedStop> m_stop;
     std::uint64_t m_nextId = 1;
--- a/tests/EntryStopTests.cpp
+++ b/tests/EntryStopTests.cpp
@@ -320,3 +320,14 @@
     STRCMP_EQUAL("{\"number\":1}", repeated.value().body.c_str());
     LONGS_EQUAL(1, upstream->callCount());
 }
+
+// Guards against a caller that sees its connection close when a stop aborts what is left.
+TEST(EntryStop, ARequestThatTheStopAbortsGetsAFinalAnswer)
+{
+    auto answer = send(Milliseconds(60'000));
+    upstream->awaitCall(0);
+    stopWithin(Milliseconds(6000));
+    const auto error = errorOf(answer.get());
+    STRCMP_EQUAL("entry-leaving", error.value("reason", "").c_str());
+    STRCMP_EQUAL("unknown", error.value("run", "").c_str());
+}
