Log lines for calls on old weights that are taken back late or begin late

Cause: the lines could not tell an entry whose timer is late from one that watches no limit or counts it late. Change: call.taken-back and call.begun-late with the time since the limit and the versions that the engine was taken to hold at the send and now; counter calls_begun_late_total, histogram withdrawal_delay.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -261,7 +261,7 @@
 // The engine drops the call when its connection closes.
 void CallFlow::withdraw()
 {
-    m_services.context().metrics.count("calls_taken_back_total");
+    m_beginLimit.recordWithdrawal(m_call.requestId);
     abandonAttempt("old-weights");
 }
 
@@ -278,6 +278,8 @@
         return cutAnswer("no-receipt");
     if (m_eventsForwarded > 0 && !m_isStreamAnswer && !m_answer.isNotRun)
         return cutAnswer("resume-refused");
+    if (isEngineCall() && !m_isStreamAnswer && !m_answer.isNotRun)
+        m_beginLimit.recordAnswerBegin(m_call.requestId);
 }
 
 // Ends an attempt whose answer cannot be used, without reading the rest of it.
@@ -327,6 +329,8 @@
     if (m_firstEventDelay < 0) {
         m_firstEventDelay = millisecondsBetween(m_sentAt, monotonicNow());
         m_services.context().metrics.observe("first_event_after_send", double(m_firstEventDelay));
+        if (isEngineCall())
+            m_beginLimit.recordAnswerBegin(m_call.requestId);
     }
     if (m_eventsForwarded == 0) {
         m_phase = Phase::Answering;
