A version's bound counts from before its publication, however late a process reads of it

Callers got answers of old weights after the bound, by the users' report; that these ways were its cause is not shown. Cause: the time at which an answer is read was taken for that at which it was sent. A process that is late by less than the wait and a round trip dated a version up to 1.3 s (store) or 0.8 s (peer) late, and handed that age on; 0.5 s are in the margin. Refused calls (429), cut watches and time limits that the process itself noticed late counted as an outage of the store, after which a version dates from now. Change: the view keeps since when it certainly was current: the request of an answer, or the end of the wait of a watch without changes. Peers tell for how long they held a request and since when their view is confirmed. Such times are all before the publication, so the latest is used, and ages do not grow from process to process. An outage is two failures that the process did not cause, over 2 s. A date after an outage gives way to a measured one.

--- a/modules/hyssopwick_deployment/view/VersionPublications.cpp
+++ b/modules/hyssopwick_deployment/view/VersionPublications.cpp
@@ -10,22 +10,27 @@
     constexpr std::size_t maxReportedVersions = 32;
 }
 
-TimePoint VersionPublications::record(const WeightsVersion& version, TimePoint earliestPublication, bool isMeasured)
+Publication VersionPublications::record(const WeightsVersion& version, const Publication& publication)
 {
-    const Publication publication { earliestPublication, isMeasured };
     auto& known = m_publications.emplace(version, publication).first->second;
-    if (isMeasured == known.isMeasured)
-        known.earliest = std::min(known.earliest, earliestPublication);
-    else if (isMeasured)
+    if (publication.basis > known.basis)
         known = publication;
-    return known.earliest;
+    else if (publication.basis == known.basis)
+        known.earliest = known.basis == PublicationBasis::Measured ? std::max(known.earliest, publication.earliest) : std::min(known.earliest, publication.earliest);
+    return known;
+}
+
+std::optional<Publication> VersionPublications::find(const WeightsVersion& version) const
+{
+    const auto known = m_publications.find(version);
+    return known == m_publications.end() ? std::nullopt : std::optional<Publication>(known->second);
 }
 
 VersionAges VersionPublications::ages(TimePoint now) const
 {
     std::vector<std::pair<TimePoint, WeightsVersion>> latest;
     for (const auto& [version, publication] : m_publications) {
-        if (publication.isMeasured)
+        if (publication.basis != PublicationBasis::FoundAtStart)
             latest.emplace_back(publication.earliest, version);
     }
     std::sort(latest.rbegin(), latest.rend());
--- a/modules/hyssopwick_deployment/view/VersionPublications.h
+++ b/modules/hyssopwick_deployment/view/VersionPublications.h
@@ -3,6 +3,8 @@
 #include "../model/WeightsVersion.h"
 
 #include <map>
+#include <optional>
+#include <tuple>
 
 namespace hyssopwick {
 
@@ -10,27 +12,39 @@
 /// instead of times because the clocks of VMs differ.
 using VersionAges = std::map<WeightsVersion, Milliseconds>;
 
+/// What a time of publication is based on, the best last.
+enum class PublicationBasis {
+    FoundAtStart, ///< the process has no view from before the version
+    AfterOutage, ///< the store was unreachable before, which postpones the bound
+    Measured, ///< the version was published at that time or later
+};
+
+/// The earliest time at which a version may have been published, as far as a process knows.
+struct Publication {
+    TimePoint earliest;
+    PublicationBasis basis = PublicationBasis::FoundAtStart;
+
+    auto tied() const { return std::tie(earliest, basis); }
+    bool operator==(const Publication& other) const { return tied() == other.tied(); }
+    bool operator!=(const Publication& other) const { return !(*this == other); }
+};
+
 /// When weights versions may have been published at the earliest, as far as a process knows.
 /// Includes versions that later ones replaced in the store, since the bound of each counts, and
 /// those of earlier eras of the store. Pure.
 class VersionPublications {
 public:
-    /// Records the earliest publication of a version and returns the earliest that is known.
-    /// \param isMeasured  false if this process has no view from before the version; such a time
-    ///                    is replaced by any measured one and not passed on
-    TimePoint record(const WeightsVersion& version, TimePoint earliestPublication, bool isMeasured);
+    /// Records a publication of a version and returns what is known now. A time with a better basis replaces the
+    /// others; of measured ones, which are all right, the latest says most.
+    Publication record(const WeightsVersion& version, const Publication& publication);
 
-    bool contains(const WeightsVersion& version) const { return m_publications.count(version) > 0; }
+    /// Returns what is known of a version.
+    std::optional<Publication> find(const WeightsVersion& version) const;
 
-    /// Returns the ages of the latest versions, for other processes.
+    /// Returns the ages of the latest versions, for other processes; without those that were found at the start.
     VersionAges ages(TimePoint now) const;
 
 private:
-    struct Publication {
-        TimePoint earliest;
-        bool isMeasured;
-    };
-
     std::map<WeightsVersion, Publication> m_publications;
 };
 
--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
@@ -30,8 +30,8 @@
     // Time after which a process that fell back to another source tries its preferred one again.
     constexpr Milliseconds preferredRetryPeriod { 3000 };
     constexpr Milliseconds unknownAge { 3600000 };
-    // A process that follows the store waits 0.7 s for a change; an answer may take 0.6 s more.
-    constexpr Milliseconds maxNormalAge { 1600 };
+    // Cut watches or lost packets may fail two calls in a row for less than this.
+    constexpr Milliseconds minOutage { 2000 };
     // A suspension of this process fails the one call that is pending meanwhile.
     constexpr unsigned failuresCausedBySuspension = 1;
 }
@@ -266,10 +266,12 @@
     advance(now);
 }
 
-void ViewSourceDecision::recordFailure(const ViewSource& source, TimePoint now)
+void ViewSourceDecision::confirmCurrentAt(TimePoint time) { m_confirmedAsOf = std::max(m_confirmedAsOf.value_or(time), time); }
+
+void ViewSourceDecision::recordFailure(const ViewSource& source, TimePoint now, FailureCause cause)
 {
     ++m_failures;
-    m_storeFailures += std::holds_alternative<StoreSource>(source) ? 1 : 0;
+    m_storeFailures += cause == FailureCause::Source && std::holds_alternative<StoreSource>(source) ? 1 : 0;
     if (!(source == this->source()) || returnToWorkingSource(now))
         return;
     if (m_position == 0)
@@ -282,13 +284,19 @@
 
 bool ViewSourceDecision::isTooOld(Milliseconds age) { return age > maxSourceAge; }
 
-TimePoint ViewSourceDecision::earliestChangeTime(TimePoint now) const
+bool ViewSourceDecision::isAfterOutage(TimePoint now) const
+{
+    return m_confirmedAsOf && now > *m_confirmedAsOf + minOutage && m_storeFailures > failuresCausedBySuspension;
+}
+
+TimePoint ViewSourceDecision::earliestChangeTime(TimePoint sentAfter) const
+{
+    return isAfterOutage(sentAfter) ? sentAfter : std::min(sentAfter, m_confirmedAsOf.value_or(sentAfter - unknownAge));
+}
+
+Milliseconds ViewSourceDecision::confirmedAge(TimePoint now) const
 {
-    const auto dataAge = age(now);
-    const bool wasStoreUnreachable = m_hasAnswer && m_storeFailures > failuresCausedBySuspension;
-    // A source that failed may have known of the change for as long as it was waited for.
-    const bool isCurrent = dataAge <= maxNormalAge && m_failures == 0;
-    return isCurrent || wasStoreUnreachable ? now : now - dataAge;
+    return m_confirmedAsOf ? std::chrono::duration_cast<Milliseconds>(now - *m_confirmedAsOf) : unknownAge;
 }
 
 Milliseconds ViewSourceDecision::age(TimePoint now) const
--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.h
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.h
@@ -24,6 +24,12 @@
 
 using ViewSource = std::variant<StoreSource, PeerSource>;
 
+/// Why a source gave no answer, as far as the process can tell.
+enum class FailureCause {
+    Source, ///< or the network
+    Self, ///< the process was late, or it exceeded the source's limits
+};
+
 /// Selects the source from which a process replicates the store. A few entry VMs of each
 /// region follow the store, all others follow one of these, so that the calls to the
 /// store grow with the number of regions, not of processes. A source that fails or whose own
@@ -57,11 +63,14 @@
     /// Records an answer of \p source. \param age  of its view of the store
     void recordAnswer(const ViewSource& source, Milliseconds age, TimePoint now);
 
+    /// Records that the view holds all changes from before \p time, however late the answer that shows so was read.
+    void confirmCurrentAt(TimePoint time);
+
     /// Records that a source answered but that its own view is stale or still empty.
     void recordLag(const ViewSource& source, TimePoint now);
 
     /// Records that a source did not answer or gave an error.
-    void recordFailure(const ViewSource& source, TimePoint now);
+    void recordFailure(const ViewSource& source, TimePoint now, FailureCause cause = FailureCause::Source);
 
     /// Returns the least age that is too old for others to follow this process.
     static Milliseconds minStaleAge();
@@ -69,11 +78,13 @@
     /// Returns whether \p age is too old for others to follow this process.
     static bool isTooOld(Milliseconds age);
 
-    /// Returns the earliest time at which a change that arrives now may have been made: now
-    /// while answers come at their normal interval, and the time for which the view was last
-    /// current if this process was suspended since. The time limits for changes do not run in
-    /// an outage of the store: after one, the result is now. Call before recordAnswer().
-    TimePoint earliestChangeTime(TimePoint now) const;
+    /// Returns the earliest time at which a change may have been made that an answer tells of: the time for which
+    /// the view was last confirmed as current. The time limits for changes do not run in an outage of the store:
+    /// after one, the result is \p sentAfter, a time before the answer was sent. Call before confirmCurrentAt().
+    TimePoint earliestChangeTime(TimePoint sentAfter) const;
+
+    /// Returns whether the store was unreachable since the view was last confirmed as current, and not only this process late.
+    bool isAfterOutage(TimePoint now) const;
 
     /// Returns whether any source has answered.
     bool hasAnswer() const { return m_hasAnswer; }
@@ -81,6 +92,9 @@
     /// Returns the age of this process's view of the store; one hour while there is no answer yet.
     Milliseconds age(TimePoint now) const;
 
+    /// Returns the time since this process's view was certainly current; one hour while there is no answer yet.
+    Milliseconds confirmedAge(TimePoint now) const;
+
 private:
     // A position in the sources whose peer changes each time that it is entered.
     struct Roaming {
@@ -112,7 +126,8 @@
     std::optional<TimePoint> m_staleSince; // since when no source in the region is up to date
     bool m_isSourceNew = false; // it has not answered since it was selected
     bool m_hasAnswer = false;
-    TimePoint m_currentAsOf; // time at which the view matched the store
+    TimePoint m_currentAsOf; // time at which the view matched the store, if its answer was read at once
+    std::optional<TimePoint> m_confirmedAsOf; // time at which it certainly did
     TimePoint m_preferredRetryAt;
 };
 
--- a/modules/hyssopwick_gateway/view/ViewMessage.cpp
+++ b/modules/hyssopwick_gateway/view/ViewMessage.cpp
@@ -18,6 +18,8 @@
     constexpr std::string_view viewPath = "/view?after=";
     constexpr std::string_view eraParameter = "&era=";
     constexpr const char* ageField = "View-Age-Ms";
+    constexpr const char* confirmedAgeField = "View-Confirmed-Ms";
+    constexpr const char* heldField = "View-Held-Ms";
     constexpr const char* versionAgesField = "View-Versions"; // [[MODEL, VERSION, MILLISECONDS], ...]
     constexpr int noIndent = -1;
     // Only a sanity check: ten years, still far below the range of a time.
@@ -32,6 +34,18 @@
         return std::stoull(std::string(text));
     }
 
+    // A build that tells only the age takes its view for confirmed then.
+    Outcome<ViewTimes> decodeTimes(const HeaderFields& fields)
+    {
+        const auto age = headerValue(fields, ageField);
+        const auto confirmedAge = headerValue(fields, confirmedAgeField);
+        const auto held = headerValue(fields, heldField);
+        BOOST_OUTCOME_TRY(ageMilliseconds, decodeNumber(age));
+        BOOST_OUTCOME_TRY(confirmedMilliseconds, decodeNumber(confirmedAge.empty() ? age : confirmedAge));
+        BOOST_OUTCOME_TRY(heldMilliseconds, decodeNumber(held.empty() ? "0" : held));
+        return ViewTimes { Milliseconds(ageMilliseconds), Milliseconds(confirmedMilliseconds), Milliseconds(heldMilliseconds) };
+    }
+
     std::string encodeVersionAges(const VersionAges& ages)
     {
         auto json = nlohmann::json::array();
@@ -94,9 +108,9 @@
     return StorePosition { era.value(), revision.value() };
 }
 
-HeaderFields EncodedView::fields(Milliseconds age, const VersionAges& versionAges) const
+HeaderFields EncodedView::fields(const ViewTimes& times, const VersionAges& versionAges) const
 {
-    HeaderFields fields { { ageField, std::to_string(age.count()) } };
+    HeaderFields fields { { ageField, std::to_string(times.age.count()) }, { confirmedAgeField, std::to_string(times.confirmedAge.count()) }, { heldField, std::to_string(times.held.count()) } };
     if (isCompressed)
         fields.emplace_back(codingField, deflateCoding);
     if (!versionAges.empty())
@@ -125,19 +139,18 @@
 
 Outcome<ReceivedView> decodeView(const HeaderFields& fields, const std::string& body)
 {
-    BOOST_OUTCOME_TRY(ageMilliseconds, decodeNumber(headerValue(fields, ageField)));
-    const Milliseconds age(ageMilliseconds);
+    BOOST_OUTCOME_TRY(times, decodeTimes(fields));
     BOOST_OUTCOME_TRY(versionAges, decodeVersionAges(headerValue(fields, versionAgesField)));
     const auto coding = headerValue(fields, codingField);
     if (!coding.empty() && coding != deflateCoding)
         return failure(ErrorCode::InvalidInput, "malformed view: content coding \"" + std::string(coding) + "\"");
     if (coding.empty()) {
         BOOST_OUTCOME_TRY(update, decodeUpdate(body));
-        return ReceivedView { std::move(update), age, std::move(versionAges) };
+        return ReceivedView { std::move(update), times, std::move(versionAges) };
     }
     BOOST_OUTCOME_TRY(bytes, decompress(body, maxViewBytes));
     BOOST_OUTCOME_TRY(update, decodeUpdate(bytes));
-    return ReceivedView { std::move(update), age, std::move(versionAges) };
+    return ReceivedView { std::move(update), times, std::move(versionAges) };
 }
 
 std::shared_ptr<const EncodedView> EncodedViewCache::updateSince(const StoreView& view, const StorePosition& known)
--- a/modules/hyssopwick_gateway/view/ViewMessage.h
+++ b/modules/hyssopwick_gateway/view/ViewMessage.h
@@ -12,6 +12,17 @@
 /// Decodes the position in a view target, or returns nothing if it is malformed.
 std::optional<StorePosition> decodeViewTarget(std::string_view target);
 
+/// What an answer says of times. Durations are exchanged because the clocks of VMs differ.
+struct ViewTimes {
+    Milliseconds age { 0 }; ///< how long ago the sender's view was known to be current, if it reads answers at once
+    Milliseconds confirmedAge { 0 }; ///< how long ago it certainly was
+    Milliseconds held { 0 }; ///< from the arrival of the request to the answer
+
+    auto tied() const { return std::tie(age, confirmedAge, held); }
+    bool operator==(const ViewTimes& other) const { return tied() == other.tied(); }
+    bool operator!=(const ViewTimes& other) const { return !(*this == other); }
+};
+
 /// An encoded update of the view. It holds nothing that changes with time, so that it can be
 /// sent to all followers that know the same revision.
 struct EncodedView {
@@ -21,14 +32,13 @@
     bool isEmpty = false;
 
     /// Returns the header fields of an answer with this body.
-    /// \param age  how long ago the sender's view was known to be current
-    HeaderFields fields(Milliseconds age, const VersionAges& versionAges = {}) const;
+    HeaderFields fields(const ViewTimes& times, const VersionAges& versionAges = {}) const;
 };
 
-/// An update from a peer, and the age of the peer's view when it answered.
+/// An update from a peer.
 struct ReceivedView {
     ViewUpdate update;
-    Milliseconds age { 0 };
+    ViewTimes times;
     VersionAges versionAges;
 };
 
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -25,6 +25,8 @@
     constexpr Milliseconds slowAnswerTimeInTrouble { 200 };
     constexpr Milliseconds alternativeRetryDelay { 300 };
     constexpr Milliseconds connectTimeout { 400 };
+    // A failure that is noticed later than this after its time limit shows that this process was late.
+    constexpr Milliseconds maxFailureDelay { 200 };
     constexpr Milliseconds readTimeout { 1500 };
     constexpr Milliseconds firstRetryDelay { 50 };
     constexpr Milliseconds maxRetryDelay { 1000 };
@@ -132,7 +134,7 @@
             m_context.metrics.count("store_calls_total", "read");
             const auto transfer = recordTransfer(StoreSource {}, before, response);
             if (!response.isComplete() || response.status != statusOk)
-                return handleFailure(StoreSource {}, "read: " + std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status), transfer);
+                return handleIncomplete(StoreSource {}, "read: ", response, transfer);
             const auto era = currentEra(response);
             if (!era || (!after.empty() && *era != collected->era))
                 return handleFailure(StoreSource {}, "read: of another era", transfer);
@@ -151,6 +153,7 @@
             collected->isSnapshot = true;
             m_isFullReadNeeded = false;
             const bool isChanged = apply(*collected, "store", transfer);
+            m_decision.confirmCurrentAt(transfer.sentAfter);
             handleAnswer(StoreSource {}, Milliseconds(0), transfer.beganAt, isChanged);
         });
 }
@@ -168,7 +171,7 @@
                 return follow();
             }
             if (!response.isComplete() || response.status != statusOk)
-                return handleFailure(StoreSource {}, "watch: " + std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status), transfer);
+                return handleIncomplete(StoreSource {}, "watch: ", response, transfer);
             const auto era = currentEra(response);
             if (!era)
                 return handleFailure(StoreSource {}, "watch: of an earlier era", transfer);
@@ -182,6 +185,9 @@
                 return handleFailure(StoreSource {}, page.error().message, transfer);
             const bool hasChanges = !page.value().records.empty();
             const bool isChanged = apply({ page.value().revision, false, std::move(page.value().records), *era }, "store", transfer);
+            // An answer without changes was not sent before the wait had passed.
+            const bool isWaitOver = !hasChanges && transfer.beganAt >= now + storeWait;
+            m_decision.confirmCurrentAt(isWaitOver ? now + storeWait : transfer.sentAfter);
             // Each call loads the store and each update wakes all followers, so further changes are
             // collected for a while. A change that comes alone is not delayed.
             handleAnswer(StoreSource {}, Milliseconds(0), transfer.beganAt, isChanged, hasChanges ? m_context.description.changeBatchPeriod() : Milliseconds(0));
@@ -200,15 +206,15 @@
         if (response.isComplete() && response.status == statusUnavailable)
             return handleLag(peer);
         if (!response.isComplete() || response.status != statusOk)
-            return handleFailure(peer, std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status), transfer);
+            return handleIncomplete(peer, "", response, transfer);
         const auto answer = decodeView(response.fields, response.body);
         if (!answer)
             return handleFailure(peer, answer.error().message, transfer);
         if (answer.value().update.era < m_view.position().era)
             return handleLag(peer);
-        transfer.versionAges = answer.value().versionAges;
-        const bool isChanged = apply(answer.value().update, peer.id, transfer);
-        handleAnswer(peer, answer.value().age, transfer.beganAt, isChanged);
+        const auto& times = answer.value().times;
+        const bool isChanged = applyFromPeer(answer.value(), peer.id, transfer);
+        handleAnswer(peer, times.age, transfer.beganAt, isChanged);
     });
 }
 
@@ -249,13 +255,12 @@
 {
     transfer = recordTransfer(peer, transfer, response);
     const auto answer = response.isComplete() && response.status == statusOk ? decodeView(response.fields, response.body) : Outcome<ReceivedView>(failure(ErrorCode::Unavailable, exchangeEndName(response.end)));
-    const bool isUsable = answer && answer.value().update.era >= m_view.position().era && !ViewSourceDecision::isTooOld(answer.value().age);
+    const bool isUsable = answer && answer.value().update.era >= m_view.position().era && !ViewSourceDecision::isTooOld(answer.value().times.age);
     if (!isUsable)
         return scheduleAlternative(slow, alternativeRetryDelay);
     endPeerTransfer();
-    transfer.versionAges = answer.value().versionAges;
-    const bool isChanged = apply(answer.value().update, peer.id, transfer);
-    m_decision.recordAnswer(peer, answer.value().age, transfer.beganAt);
+    const bool isChanged = applyFromPeer(answer.value(), peer.id, transfer);
+    m_decision.recordAnswer(peer, answer.value().times.age, transfer.beganAt);
     if (isChanged)
         answerWaitingPeers();
     m_decision.recordLag(slow, monotonicNow());
@@ -268,6 +273,7 @@
     transfer.bytes += response.body.size();
     if (transfer.beganAt != TimePoint())
         return transfer;
+    transfer.sentAfter = transfer.requestedAt;
     transfer.beganAt = transfer.arrivedAt = response.beganAt;
     // So late, the answer may have waited for this process; all that is certain is that it was
     // current after the request.
@@ -308,10 +314,18 @@
     return era < known ? std::nullopt : std::optional<std::uint64_t>(era);
 }
 
-void ViewReplicator::handleFailure(const ViewSource& source, const std::string& problem, const Transfer& transfer)
+void ViewReplicator::handleIncomplete(const ViewSource& source, const char* call, const WholeResponse& response, const Transfer& transfer)
+{
+    const auto timeout = response.end == ExchangeEnd::NotSent ? connectTimeout : storeWait + storeRoundTripTime;
+    const bool isLate = !response.isComplete() && monotonicNow() > transfer.requestedAt + timeout + maxFailureDelay;
+    const bool isOverLimit = response.isComplete() && response.status == statusTooManyRequests;
+    handleFailure(source, call + std::string(exchangeEndName(response.end)) + " status " + std::to_string(response.status), transfer, isLate || isOverLimit ? FailureCause::Self : FailureCause::Source);
+}
+
+void ViewReplicator::handleFailure(const ViewSource& source, const std::string& problem, const Transfer& transfer, FailureCause cause)
 {
     const auto now = monotonicNow();
-    m_decision.recordFailure(source, now);
+    m_decision.recordFailure(source, now, cause);
     m_context.metrics.count("view_source_failures_total", std::holds_alternative<StoreSource>(source) ? "store" : "peer");
     if (!m_isSourceLost) {
         m_isSourceLost = true;
@@ -383,29 +397,47 @@
     return true;
 }
 
-// A peer reports the version's maximum age, which stays right however late its answer comes.
+bool ViewReplicator::applyFromPeer(const ReceivedView& view, const std::string& peer, Transfer transfer)
+{
+    // The request cannot have arrived before it was sent.
+    transfer.sentAfter = std::min(transfer.requestedAt + view.times.held, transfer.arrivedAt);
+    transfer.versionAges = view.versionAges;
+    const bool isChanged = apply(view.update, peer, transfer);
+    m_decision.confirmCurrentAt(transfer.sentAfter - view.times.confirmedAge);
+    return isChanged;
+}
+
+// A peer reports the version's maximum age, which stays right however late its answer is read.
 // Without that, the version is no older than the last time the view was known to be current.
-TimePoint ViewReplicator::recordPublication(const WeightsVersion& version, const Transfer& transfer)
+void ViewReplicator::recordPublication(const WeightsVersion& version, const Transfer& transfer)
 {
     const auto reported = transfer.versionAges.find(version);
-    if (reported != transfer.versionAges.end())
-        return m_publications.record(version, transfer.beganAt - reported->second, true);
-    const auto earliest = m_decision.earliestChangeTime(transfer.beganAt) - m_context.description.changeBatchPeriod();
-    return m_publications.record(version, earliest, m_decision.hasAnswer());
+    if (reported != transfer.versionAges.end()) {
+        addPublication(version, { transfer.sentAfter - reported->second, PublicationBasis::Measured });
+        return;
+    }
+    const auto basis = m_decision.isAfterOutage(transfer.sentAfter) ? PublicationBasis::AfterOutage : PublicationBasis::Measured;
+    addPublication(version, { m_decision.earliestChangeTime(transfer.sentAfter), m_decision.hasAnswer() ? basis : PublicationBasis::FoundAtStart });
+}
+
+bool ViewReplicator::addPublication(const WeightsVersion& version, const Publication& publication)
+{
+    const auto before = m_publications.find(version);
+    const auto known = m_publications.record(version, publication);
+    if (before && before->earliest <= known.earliest)
+        return false;
+    if (m_observer.onVersion)
+        m_observer.onVersion(version, known.earliest);
+    return true;
 }
 
 // Those that a later version replaced have no record, but a bound.
 bool ViewReplicator::recordReportedVersions(const Transfer& transfer)
 {
-    bool hasNewVersions = false;
-    for (const auto& [version, age] : transfer.versionAges) {
-        const bool isNew = !m_publications.contains(version);
-        const auto earliestPublication = m_publications.record(version, transfer.beganAt - age, true);
-        hasNewVersions = hasNewVersions || isNew;
-        if (isNew)
-            ViewObserver::notify(m_observer.onVersion, version, earliestPublication);
-    }
-    return hasNewVersions;
+    bool hasNews = false;
+    for (const auto& [version, age] : transfer.versionAges)
+        hasNews = addPublication(version, { transfer.sentAfter - age, PublicationBasis::Measured }) || hasNews;
+    return hasNews;
 }
 
 // Removes the records whose owners did not write them again after the store's return.
@@ -466,11 +498,7 @@
         }
         void operator()(const DeploymentConfiguration& configuration) const { ViewObserver::notify(observer.onConfiguration, configuration); }
         void operator()(const Upstream& upstream) const { ViewObserver::notify(observer.onUpstream, upstream, source); }
-        void operator()(const WeightsVersion& version) const
-        {
-            if (observer.onVersion)
-                observer.onVersion(version, replicator.recordPublication(version, transfer));
-        }
+        void operator()(const WeightsVersion& version) const { replicator.recordPublication(version, transfer); }
         void operator()(const PromptBlockRecord& block) const { ViewObserver::notify(observer.onPromptBlock, block); }
         void operator()(const Evacuation& evacuation) const { ViewObserver::notify(observer.onEvacuation, evacuation); }
         void operator()(const RegisteredNode& node) const { ViewObserver::notify(observer.onNode, node); }
@@ -496,7 +524,8 @@
         exchange->respond(statusUnavailable, {}, "this view is of an earlier era\n");
         return true;
     }
-    const WaitingPeer peer { exchange, *known, monotonicNow() + peerWait };
+    const auto now = monotonicNow();
+    const WaitingPeer peer { exchange, *known, now, now + peerWait };
     // If this process's own source lags, it answers at once, so that the peer can choose another.
     if (*known < m_view.position() || ViewSourceDecision::isTooOld(servedAge())) {
         answerPeer(peer);
@@ -514,7 +543,9 @@
     const auto encoded = m_encoded.updateSince(m_view, peer.known);
     m_context.metrics.count("view_answers_total", answerKind(*encoded));
     m_context.metrics.count("view_bytes_sent_total", "", encoded->body.size());
-    peer.exchange->respond(statusOk, encoded->fields(servedAge(), m_publications.ages(monotonicNow())), encoded->body);
+    const auto now = monotonicNow();
+    const ViewTimes times { servedAge(), m_decision.confirmedAge(now), Milliseconds(millisecondsBetween(peer.receivedAt, now)) };
+    peer.exchange->respond(statusOk, encoded->fields(times, m_publications.ages(now)), encoded->body);
 }
 
 void ViewReplicator::answerWaitingPeers()
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -37,12 +37,14 @@
     struct WaitingPeer {
         ServerExchangePointer exchange;
         StorePosition known;
+        TimePoint receivedAt;
         TimePoint deadline;
     };
 
     /// The progress of a request for the view.
     struct Transfer {
         TimePoint requestedAt;
+        TimePoint sentAfter {}; ///< a time before the source sent the first answer, however late that was read
         TimePoint arrivedAt {}; ///< of the first answer's head
         TimePoint beganAt {}; ///< when the contents of the first answer were current: arrival of its head, or earlier
         std::uint64_t bytes = 0; ///< of the answer's body
@@ -61,20 +63,25 @@
     void endPeerTransfer();
     /// Returns the era of an answer of the store, and nothing if it is of an earlier era than the view.
     std::optional<std::uint64_t> currentEra(const WholeResponse& response) const;
-    void handleFailure(const ViewSource& source, const std::string& problem, const Transfer& transfer);
+    void handleFailure(const ViewSource& source, const std::string& problem, const Transfer& transfer, FailureCause cause = FailureCause::Source);
+    void handleIncomplete(const ViewSource& source, const char* call, const WholeResponse& response, const Transfer& transfer);
     void handleLag(const ViewSource& source);
     Milliseconds nextRetryDelay();
     Milliseconds nextLagDelay();
     Milliseconds servedAge() const;
     void handleAnswer(const ViewSource& source, Milliseconds age, TimePoint at, bool isChanged, Milliseconds delay = Milliseconds(0));
     Transfer recordTransfer(const ViewSource& source, Transfer transfer, const WholeResponse& response);
+    bool applyFromPeer(const ReceivedView& view, const std::string& peer, Transfer transfer);
     /// Returns whether a record changed.
     bool apply(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
     void notifyObserver(const StoreRecord& record, const Transfer& transfer, RegistrationSource source = RegistrationSource::Owner);
     void notifyRemoval(const std::string& key, RegistrationEnd end);
     void expireRestoration();
-    TimePoint recordPublication(const WeightsVersion& version, const Transfer& transfer);
-    /// Returns whether one was not known.
+    void recordPublication(const WeightsVersion& version, const Transfer& transfer);
+    /// Records a publication and tells the observer of an unknown version, or one that was published earlier than
+    /// known. Returns whether it does.
+    bool addPublication(const WeightsVersion& version, const Publication& publication);
+    /// Returns whether the observer was told of one.
     bool recordReportedVersions(const Transfer& transfer);
     void answerPeer(const WaitingPeer& peer);
     void answerWaitingPeers();
--- a/tests/DeploymentTests.cpp
+++ b/tests/DeploymentTests.cpp
@@ -254,7 +254,8 @@
     ViewSourceDecision decision(entry("agent", "north"), false);
     decision.setEntries(fleet());
     decision.recordAnswer(decision.source(), Milliseconds(500), at(10000));
-    CHECK(decision.earliestChangeTime(at(10500)) == at(10500));
+    decision.confirmCurrentAt(at(9500));
+    CHECK(decision.earliestChangeTime(at(10500)) == at(9500));
     CHECK(decision.earliestChangeTime(at(17000)) == at(9500));
     decision.recordFailure(decision.source(), at(17000));
     CHECK(decision.earliestChangeTime(at(17100)) == at(9500));
@@ -273,6 +274,7 @@
     ViewSourceDecision decision(entry("agent", "north"), false);
     decision.setEntries(fleet());
     decision.recordAnswer(decision.source(), Milliseconds(0), at(10000));
+    decision.confirmCurrentAt(at(10000));
     decision.recordLag(decision.source(), at(11000));
     CHECK(decision.earliestChangeTime(at(11200)) == at(10000));
     decision.recordAnswer(decision.source(), Milliseconds(1200), at(11200));
@@ -284,6 +286,7 @@
 {
     ViewSourceDecision decision(entry("north0", "north"), true);
     decision.recordAnswer(StoreSource {}, Milliseconds(0), at(0));
+    decision.confirmCurrentAt(at(0));
     decision.recordFailure(StoreSource {}, at(1300));
     CHECK(decision.earliestChangeTime(at(1360)) == at(0));
 }
--- a/tests/ViewSourceTests.cpp
+++ b/tests/ViewSourceTests.cpp
@@ -83,3 +83,31 @@
     agent.setEntries({ entry("a", "north"), entry("b", "north"), entry("c", "south") });
     STRCMP_EQUAL("c", agent.alternative()->id.c_str());
 }
+
+// An answer that was read late, or a failure that this process caused, does not move that time.
+TEST(ViewSourceFailover, FailuresOfTheProcessItselfAreNoOutageOfTheStore)
+{
+    ViewSourceDecision decision(entry("north0", "north"), true);
+    decision.recordAnswer(StoreSource {}, Milliseconds(0), at(1200));
+    decision.confirmCurrentAt(at(700));
+    decision.confirmCurrentAt(at(500));
+    CHECK(decision.confirmedAge(at(2000)) == Milliseconds(1300));
+    for (const int now : { 3000, 5000, 7000 })
+        decision.recordFailure(StoreSource {}, at(now), FailureCause::Self);
+    CHECK_FALSE(decision.isAfterOutage(at(8000)));
+    CHECK(decision.earliestChangeTime(at(8000)) == at(700));
+    for (const int now : { 8100, 8200 })
+        decision.recordFailure(StoreSource {}, at(now));
+    CHECK(decision.isAfterOutage(at(9000)));
+    CHECK(decision.earliestChangeTime(at(9000)) == at(9000));
+}
+
+TEST(ViewSourceFailover, WatchesThatAreCutAreNoOutageOfTheStore)
+{
+    ViewSourceDecision decision(entry("north0", "north"), true);
+    decision.recordAnswer(StoreSource {}, Milliseconds(0), at(0));
+    decision.confirmCurrentAt(at(0));
+    for (const int now : { 700, 1450 })
+        decision.recordFailure(StoreSource {}, at(now));
+    CHECK(decision.earliestChangeTime(at(1550)) == at(0));
+}
--- a/tests/platform/EvacuationTests.cpp
+++ b/tests/platform/EvacuationTests.cpp
@@ -46,7 +46,7 @@
     ScriptedUpstream store { loop };
     const auto update = encodeView({ 7, true, { { "op/evacuate/north-a", "", 7, false } } });
     std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(update.body.size()) + "\r\n";
-    for (const auto& [name, value] : update.fields(Milliseconds(0), {}))
+    for (const auto& [name, value] : update.fields({}))
         head.append(name).append(": ").append(value).append("\r\n");
     peer.answer(head + "\r\n" + update.body);
     auto settings = ViewProcess::describe(store.address());
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -277,10 +277,10 @@
         const auto encoded = encodeView(update);
         CHECK_EQUAL(routes != 0, encoded.isCompressed);
         const VersionAges ages { { { "m", 2 }, Milliseconds(0) }, { { "model \"\u00fc\", 2:1", 3 }, Milliseconds(4100) } };
-        const auto decoded = decodeView(encoded.fields(Milliseconds(25), ages), encoded.body);
+        const auto decoded = decodeView(encoded.fields({ Milliseconds(25) }, ages), encoded.body);
         CHECK(decoded.has_value());
         CHECK(decoded.value().update == update);
-        LONGS_EQUAL(25, decoded.value().age.count());
+        LONGS_EQUAL(25, decoded.value().times.age.count());
         CHECK(decoded.value().versionAges == ages);
     }
 }
@@ -289,7 +289,7 @@
 TEST(View, AnswersInAnotherFormatAreMalformed)
 {
     const auto encoded = encodeView({ 9, true, { { "key", configurationText(1370), 8, false } } });
-    const auto fields = encoded.fields(Milliseconds(0));
+    const auto fields = encoded.fields({});
     std::string earlierFormat; // has the age in the body
     nlohmann::json::to_cbor(nlohmann::json::array({ 9, true, 25, nlohmann::json::array() }), earlierFormat);
     std::string withoutRecords;
@@ -334,7 +334,7 @@
     CHECK_FALSE(first == encoded.updateSince(view, {}));
     view.apply({ 12, false, { { "a", "3", 12, false } } });
     encoded.clear();
-    const auto decoded = decodeView(encoded.updateSince(view, { 0, 10 })->fields(Milliseconds(0)), encoded.updateSince(view, { 0, 10 })->body);
+    const auto decoded = decodeView(encoded.updateSince(view, { 0, 10 })->fields({}), encoded.updateSince(view, { 0, 10 })->body);
     CHECK(decoded.has_value());
     CHECK(decoded.value().update == view.updateSince({ 0, 10 }));
 }
@@ -395,7 +395,7 @@
             waiting = reader.requestView(7); // the wait timed out without a change
         loop.run_one();
     }
-    CHECK(decodeView(waiting->fields, waiting->body).value().age <= monotonicNow() - paced.firstPieceSentAt());
+    CHECK(decodeView(waiting->fields, waiting->body).value().times.age <= monotonicNow() - paced.firstPieceSentAt());
 }
 
 // Regression: the followers of a source that the store turned away learnt of it from its age only,
@@ -411,7 +411,7 @@
     while (!waiting->hasEnded)
         loop.run_one();
     CHECK(monotonicNow() - lostAt < Milliseconds(450)); // the wait of a follower is 500 ms
-    CHECK(ViewSourceDecision::isTooOld(decodeView(waiting->fields, waiting->body).value().age));
+    CHECK(ViewSourceDecision::isTooOld(decodeView(waiting->fields, waiting->body).value().times.age));
 }
 
 TEST(View, AStartingProcessAsksASeedBeforeTheStore)
