The limit of a call that waits on old weights follows what the entry learns later

Callers can get answers of old weights after the bound; that this was the reported case is not shown. Cause: the limit was armed once, by what the entry believed at the send. It was not armed again when an engine reported older weights than before or its report expired, a new engine at an address took over the last report of the one before it, and an earlier date of a known version was dropped. Change: limits are armed anew at other reported versions, at an earlier publication and at maintenance; a report of an engine's earlier start says nothing of its weights. Conclusion: class of fault: a decision that is made once from a belief and not again when the belief changes.

--- a/modules/hyssopwick_deployment/view/OldWeightsBounds.cpp
+++ b/modules/hyssopwick_deployment/view/OldWeightsBounds.cpp
@@ -6,7 +6,11 @@
 
 bool OldWeightsBounds::add(const WeightsVersion& version, TimePoint earliestPublication)
 {
-    return m_published[version.model].emplace(version.version, earliestPublication).second;
+    const auto [known, isNew] = m_published[version.model].emplace(version.version, earliestPublication);
+    if (isNew || earliestPublication >= known->second)
+        return isNew;
+    known->second = earliestPublication;
+    return true;
 }
 
 TimePoint OldWeightsBounds::boundOf(TimePoint earliestPublication, const OldWeightsGrace& grace) const
--- a/modules/hyssopwick_deployment/view/OldWeightsBounds.h
+++ b/modules/hyssopwick_deployment/view/OldWeightsBounds.h
@@ -28,7 +28,7 @@
     {
     }
 
-    /// Records a version; returns whether it is new.
+    /// Records a version; returns whether it is new or was published earlier than known.
     /// \param earliestPublication  the earliest time at which it may have been published
     bool add(const WeightsVersion& version, TimePoint earliestPublication);
 
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -65,7 +65,9 @@
     observer.onVersion = [this](const WeightsVersion& version, TimePoint earliestPublication) {
         if (!m_service || m_service->models.empty() || version.model != m_service->models.front())
             return;
-        if (m_versions.emplace(version.version, KnownVersion { earliestPublication, true }).second)
+        const auto [known, isNew] = m_versions.emplace(version.version, KnownVersion { earliestPublication, true });
+        known->second.earliestPublication = std::min(known->second.earliestPublication, earliestPublication);
+        if (isNew)
             m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) }, { "at_most_ms_ago", std::to_string(millisecondsBetween(earliestPublication, monotonicNow())) } });
     };
     observer.onEvacuation = [this](const Evacuation& evacuation) { m_peersRevision = recordEvacuation(m_context, m_eligibility, evacuation, true) ? 0 : m_peersRevision; };
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -150,6 +150,8 @@
         cancelAttempt("not-eligible");
         releaseUpstream();
         place();
+    } else {
+        armBeginTimer(); // an engine's last report may have expired
     }
 }
 
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -29,8 +29,7 @@
     /// is, and so does one of which the caller has received events, while more of them arrive.
     void handleUpstreamDown(const std::string& address);
 
-    /// Limits how long the call may wait at an engine with older weights. Call when a version
-    /// was published.
+    /// Limits how long the call may wait at an engine with older weights. Call when that time may have changed.
     void armBeginTimer();
 
     /// Applies changed regions or upstreams, or the end of a stop, to a call that no upstream has received: it
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -88,7 +88,7 @@
         for (const auto& [id, call] : calls)
             call->handleUpstreamDown(address);
     });
-    m_services.onVersion([this] {
+    m_services.onBeginLimits([this] {
         for (const auto& [id, call] : m_calls)
             call->armBeginTimer();
     });
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -35,6 +35,13 @@
 
     std::string servedText(const std::set<std::string>& regions) { return regions.empty() ? "none" : RegionSet::listed({ regions.begin(), regions.end() }).text(); }
 
+    // An engine that started again at its address holds nothing of before.
+    bool isSameStart(const Upstream& upstream, const EngineStatus& status)
+    {
+        const auto reported = status.update.report.startedAt;
+        return upstream.startedAt == 0 || reported == 0 || upstream.startedAt == reported;
+    }
+
     const char* availabilityName(EngineAvailability availability)
     {
         switch (availability) {
@@ -161,8 +168,8 @@
     if (!m_oldWeights.add(version, earliestPublication))
         return;
     m_context.log.write("weights.named", { { "model", version.model }, { "version", std::to_string(version.version) }, { "at_most_ms_ago", std::to_string(millisecondsBetween(earliestPublication, monotonicNow())) } });
-    if (m_onVersion)
-        m_onVersion();
+    if (m_onBeginLimits)
+        m_onBeginLimits();
 }
 
 const EngineStatus* EntryServices::engineAt(const std::string& address) const
@@ -182,8 +189,7 @@
     const auto loaded = loadedVersions(upstream);
     if (const auto* status = engineAt(upstream.address)) {
         const auto& update = status->update;
-        const bool isSameStart = upstream.startedAt == 0 || update.report.startedAt == 0 || upstream.startedAt == update.report.startedAt;
-        if (!update.isAnswering || update.availability != EngineAvailability::Serving || !isSameStart)
+        if (!update.isAnswering || update.availability != EngineAvailability::Serving || !isSameStart(upstream, *status))
             return false;
     }
     if (loaded.empty())
@@ -195,7 +201,7 @@
 std::map<std::string, std::uint64_t> EntryServices::loadedVersions(const Upstream& upstream) const
 {
     const auto* status = engineAt(upstream.address);
-    return status ? status->update.report.loadedVersions : upstream.loadedVersions;
+    return status && isSameStart(upstream, *status) ? status->update.report.loadedVersions : upstream.loadedVersions;
 }
 
 std::uint64_t EntryServices::loadedVersion(const Upstream& upstream) const
@@ -302,8 +308,9 @@
 {
     const auto known = m_engineStatus.find(update.engineAddress);
     const bool wasAnswering = known == m_engineStatus.end() || known->second.update.isAnswering;
-    const bool isStateChange = update.readyIn.has_value() || known == m_engineStatus.end() || wasAnswering != update.isAnswering || known->second.update.availability != update.availability
-        || known->second.update.report.loadedVersions != update.report.loadedVersions || known->second.update.report.startedAt != update.report.startedAt;
+    const bool hasOtherVersions = known == m_engineStatus.end() || known->second.update.report.loadedVersions != update.report.loadedVersions;
+    const bool isStateChange = update.readyIn.has_value() || hasOtherVersions || wasAnswering != update.isAnswering || known->second.update.availability != update.availability
+        || known->second.update.report.startedAt != update.report.startedAt;
     const bool isRestart = known != m_engineStatus.end() && known->second.update.report.startedAt != update.report.startedAt;
     m_engineStatus[update.engineAddress] = { update, monotonicNow() };
     bool isNewlyLeaving = false;
@@ -318,6 +325,8 @@
         if (!update.readyIn)
             m_context.log.write("engine.state", { { "engine", update.engineAddress }, { "answering", update.isAnswering ? "true" : "false" }, { "availability", availabilityName(update.availability) }, { "held", update.report.loadedVersions.empty() ? "none" : std::to_string(update.report.loadedVersions.begin()->second) } });
         refresh();
+        if (hasOtherVersions && m_onBeginLimits)
+            m_onBeginLimits();
         if ((wasAnswering && !update.isAnswering) || isRestart)
             m_crashes.recordUpstreamDown(update.engineAddress);
         if (wasAnswering && !update.isAnswering && m_onEngineDown)
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -120,8 +120,9 @@
     void onEngineDown(std::function<void(const std::string&)> handler) { m_onEngineDown = std::move(handler); }
     /// Called when an upstream said to this process that it leaves.
     void onLeaving(std::function<void(const LeavingObservation&)> handler) { m_onLeaving = std::move(handler); }
-    /// Called when a version was published.
-    void onVersion(std::function<void()> handler) { m_onVersion = std::move(handler); }
+    /// Called when the times until which calls may begin on old weights may have changed: a version was published, or
+    /// an engine reports other versions than before.
+    void onBeginLimits(std::function<void()> handler) { m_onBeginLimits = std::move(handler); }
     /// Called when a pool changed or an engine update arrived.
     void onCapacity(std::function<void()> handler) { m_onCapacity = std::move(handler); }
 
@@ -164,7 +165,7 @@
     UpstreamAllowances m_allowances;
     std::shared_ptr<AnswerMemory> m_answerMemory;
     std::function<void(const LeavingObservation&)> m_onLeaving;
-    std::function<void()> m_onVersion;
+    std::function<void()> m_onBeginLimits;
     std::function<void()> m_onCapacity;
 };
 
--- a/tests/OldWeightsTests.cpp
+++ b/tests/OldWeightsTests.cpp
@@ -20,3 +20,32 @@
     CHECK(bounds.usableUntil({ { "n", 1 } }, { Milliseconds(1000), Milliseconds(3500) }) == at(11001));
     CHECK_FALSE(bounds.usableUntil({ { "m", 3 } }, grace).has_value());
 }
+
+TEST(OldWeightsBounds, AnEarlierPublicationThatIsLearntLaterShortensTheBound)
+{
+    OldWeightsBounds bounds(at(0));
+    const OldWeightsGrace grace { Milliseconds(8000), Milliseconds(3500) };
+    CHECK(bounds.add({ "m", 2 }, at(9000)));
+    CHECK_FALSE(bounds.add({ "m", 2 }, at(9500)));
+    CHECK(bounds.add({ "m", 2 }, at(8000)));
+    CHECK(bounds.usableUntil({ { "m", 1 } }, grace) == at(16000));
+}
+
+TEST_GROUP(VersionPublications) {};
+
+TEST(VersionPublications, ATimeWithABetterBasisReplacesTheOthers)
+{
+    VersionPublications publications;
+    const WeightsVersion version { "m", 2 };
+    const auto record = [&](int earliest, PublicationBasis basis) { return publications.record(version, { at(earliest), basis }).earliest; };
+    CHECK(record(1000, PublicationBasis::FoundAtStart) == at(1000));
+    CHECK(publications.ages(at(9000)).empty());
+    CHECK(record(5000, PublicationBasis::AfterOutage) == at(5000));
+    CHECK(record(6000, PublicationBasis::AfterOutage) == at(5000));
+    CHECK(record(3000, PublicationBasis::Measured) == at(3000));
+    // Times before the publication: the latest is the closest, so that ages do not grow from process to process.
+    CHECK(record(2800, PublicationBasis::Measured) == at(3000));
+    CHECK(record(3100, PublicationBasis::Measured) == at(3100));
+    CHECK(record(4000, PublicationBasis::AfterOutage) == at(3100));
+    CHECK(publications.ages(at(9000)).at(version) == Milliseconds(5900));
+}
--- a/tests/platform/VersionBoundTests.cpp
+++ b/tests/platform/VersionBoundTests.cpp
@@ -67,7 +67,7 @@
 TEST(VersionBound, AWaitingCallIsMovedWhenAVersionIsLearntLate)
 {
     context.description.versionBound = Milliseconds(60000);
-    services.onVersion([this] { flow->armBeginTimer(); });
+    services.onBeginLimits([this] { flow->armBeginTimer(); });
     addEngine("i-1", older, 1);
     send();
     while (older.requests().empty() && !exchange->hasEnded)
@@ -85,7 +85,7 @@
 TEST(VersionBound, AWaitingCallIsMovedFromAnEngineThatLoadsWhenAVersionIsLearntLate)
 {
     context.description.versionBound = Milliseconds(60000);
-    services.onVersion([this] { flow->armBeginTimer(); });
+    services.onBeginLimits([this] { flow->armBeginTimer(); });
     addEngine("i-1", older, 1);
     send();
     while (older.requests().empty() && !exchange->hasEnded)
@@ -108,7 +108,7 @@
 {
     SlowEngine slow(loop);
     bool hasHead = false;
-    services.onVersion([this] { flow->armBeginTimer(); });
+    services.onBeginLimits([this] { flow->armBeginTimer(); });
     services.onLeaving([&hasHead](const LeavingObservation&) { hasHead = true; });
     addEngine("i-1", slow, 1);
     send();
@@ -327,7 +327,7 @@
 {
     const std::string body(128 * 1024, 'x');
     SlowEngine slow(loop);
-    services.onVersion([this] { flow->armBeginTimer(); });
+    services.onBeginLimits([this] { flow->armBeginTimer(); });
     addEngine("i-1", slow, 1);
     send(body);
     runUntil([&slow] { return slow.isReceiving(); });
@@ -345,7 +345,7 @@
 TEST(VersionBound, AMovedCallThatItsFirstEngineHasReceivedIsEndedByAClose)
 {
     SlowEngine slow(loop);
-    services.onVersion([this] { flow->armBeginTimer(); });
+    services.onBeginLimits([this] { flow->armBeginTimer(); });
     addEngine("i-1", slow, 1);
     send();
     runUntil([&slow] { return slow.isReceiving(); });
