A head, interim answers and trailers of over 64 KiB end their transfer

Callers saw a process run out of memory whose server sent trailers without end: libcurl limits a head to 300 KB, as the runs show for fields and interim answers, but no trailers, and receiveHeader() counted nothing. Change: all header bytes of an answer count towards maxHeadBytes; the error names the limit, answers_cut_total and the line answer.cut show it. Conclusion: no part of a head is kept without bound.

--- a/modules/hyssopwick_node/runtime/NodeContext.cpp
+++ b/modules/hyssopwick_node/runtime/NodeContext.cpp
@@ -38,6 +38,10 @@
     , pool(threads, poolQueueLimit)
     , m_incarnation(static_cast<std::uint64_t>(unixNow()))
 {
+    client.setLimitHandler([this](const char* limit, const std::string& url) {
+        metrics.count("answers_cut_total", limit);
+        log.write("answer.cut", { { "limit", limit }, { "url", url } });
+    });
 }
 
 NodeContext::~NodeContext() { stop(); }
--- a/modules/hyssopwick_transport/http/HttpClient.cpp
+++ b/modules/hyssopwick_transport/http/HttpClient.cpp
@@ -17,9 +17,17 @@
     constexpr long maxIdleSeconds = 30;
     // Probes reach every node in turn; idle connections must not grow with the fleet.
     constexpr long defaultMaxIdleConnections = 32;
+    // Fields of a whole answer: interim answers and trailers count as well.
+    constexpr std::size_t maxHeadBytes = std::size_t(64) << 10;
     constexpr int statusOk = 200;
     constexpr std::string_view statusLinePrefix = "HTTP/";
 
+    enum class ExceededLimit {
+        None,
+        Head,
+        Body
+    };
+
     struct Transfer {
         HttpClientRequest request;
         HttpClient::DoneHandler onDone;
@@ -29,7 +37,8 @@
         CURL* easy = nullptr;
         HttpClient::TransferId id = 0;
         std::size_t sent = 0;
-        bool isTooLarge = false;
+        std::size_t headBytes = 0;
+        ExceededLimit exceededLimit = ExceededLimit::None;
         bool isHeadComplete = false; // of the latest answer, which follows any interim ones
 
         ~Transfer()
@@ -53,7 +62,7 @@
         if (transfer.onData && transfer.response.status == statusOk)
             return transfer.onData(transfer.response, { data, bytes }) ? bytes : 0;
         if (transfer.response.body.size() + bytes > transfer.request.maxResponseBytes) {
-            transfer.isTooLarge = true;
+            transfer.exceededLimit = ExceededLimit::Body;
             return 0;
         }
         transfer.response.body.append(data, bytes);
@@ -64,6 +73,11 @@
     {
         auto& transfer = *static_cast<Transfer*>(context);
         const std::string_view line(data, size * count);
+        transfer.headBytes += line.size();
+        if (transfer.headBytes > maxHeadBytes) {
+            transfer.exceededLimit = ExceededLimit::Head;
+            return 0;
+        }
         const bool isStatusLine = line.substr(0, statusLinePrefix.size()) == statusLinePrefix;
         const bool isHeadEnd = line.find_first_not_of("\r\n") == std::string_view::npos;
         transfer.isHeadComplete = !isStatusLine && (isHeadEnd || transfer.isHeadComplete);
@@ -91,11 +105,18 @@
         return bytes;
     }
 
+    std::string limitText(const Transfer& transfer)
+    {
+        if (transfer.exceededLimit == ExceededLimit::Head)
+            return " (answer's head over " + std::to_string(maxHeadBytes) + " bytes)";
+        return " (answer's body over " + std::to_string(transfer.request.maxResponseBytes) + " bytes)";
+    }
+
     Error transferError(const Transfer& transfer, CURLcode code)
     {
         const std::string what = transfer.request.method + " " + transfer.request.url + ": " + curl_easy_strerror(code);
-        if (transfer.isTooLarge)
-            return { ErrorCode::UnknownResult, what + " (answer over " + std::to_string(transfer.request.maxResponseBytes) + " bytes)" };
+        if (transfer.exceededLimit != ExceededLimit::None)
+            return { ErrorCode::UnknownResult, what + limitText(transfer) };
         if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
             return { ErrorCode::Unavailable, what };
         double connectSeconds = 0;
@@ -158,6 +179,7 @@
     CURLM* multi = nullptr;
     std::thread thread;
     std::function<std::string(const std::string&)> redirect;
+    LimitHandler onLimit;
     std::mutex mutex; // guards the four members below
     std::vector<std::unique_ptr<Transfer>> queued;
     std::vector<TransferId> cancelled;
@@ -213,6 +235,8 @@
     const auto transfer = std::move(found->second);
     active.erase(found);
     curl_multi_remove_handle(multi, easy);
+    if (onLimit && transfer->exceededLimit != ExceededLimit::None)
+        onLimit(transfer->exceededLimit == ExceededLimit::Head ? "head" : "body", transfer->request.url);
     if (code != CURLE_OK) {
         transfer->onDone(boost::outcome_v2::failure(transferError(*transfer, code)));
         return;
@@ -281,6 +305,8 @@
 
 void HttpClient::setUrlRedirect(std::function<std::string(const std::string& url)> redirect) { m_state->redirect = std::move(redirect); }
 
+void HttpClient::setLimitHandler(LimitHandler handler) { m_state->onLimit = std::move(handler); }
+
 HttpClient::TransferId HttpClient::start(HttpClientRequest request, DoneHandler onDone, DataHandler onData)
 {
     if (m_state->redirect)
--- a/modules/hyssopwick_transport/http/HttpClient.h
+++ b/modules/hyssopwick_transport/http/HttpClient.h
@@ -40,6 +40,9 @@
     using DataHandler = std::function<bool(const HttpClientResponse& head, std::string_view data)>;
     using DoneHandler = std::function<void(Outcome<HttpClientResponse>)>;
 
+    /// Receives the limit that an answer exceeded ("head" or "body") and the URL of its request.
+    using LimitHandler = std::function<void(const char* limit, const std::string& url)>;
+
     HttpClient();
 
     ~HttpClient();
@@ -55,6 +58,10 @@
     /// simulate broken links. Call it before the first transfer.
     void setUrlRedirect(std::function<std::string(const std::string& url)> redirect);
 
+    /// Sets a function that is called, on the client's thread, for each transfer that is ended
+    /// because its answer exceeded a limit. Call it before the first transfer.
+    void setLimitHandler(LimitHandler handler);
+
     /// Starts a transfer. Handlers run on the client's thread and must not block.
     /// \param onData  receives the body of a response with status 200; the body is not stored then
     TransferId start(HttpClientRequest request, DoneHandler onDone, DataHandler onData = nullptr);
