Each answer's body has the limit that its caller needs, not 64 MiB

A faulty worker could make each call hold 64 MiB, with the growth of the string 101 MB, and several calls run at once. Change: 4 MiB by default, the longest message between processes (maxRpcBytes), also for answers that an agent relays, of which an entry VM accepts no more; 8 MiB for the store (values of 1,000,000 bytes, six bytes each in JSON); 16 MiB for cache events; 1 MiB for an engine's models and status; 64 KiB for answers to orders and sent chunks; 32 MiB for the status that the operator's program reads. Manifests (16 MiB) and chunks (their size in the manifest) had theirs. Conclusion: bounded for each call; there is no bound yet on all calls together.

--- a/fakes/hyssopwick_fakes/FakeEngine.cpp
+++ b/fakes/hyssopwick_fakes/FakeEngine.cpp
@@ -7,6 +7,7 @@
 namespace hyssopwick {
 
 namespace {
+    constexpr std::size_t maxChunkBytes = std::size_t(64) << 20;
     constexpr int statusOk = 200;
     constexpr int statusConflict = 409;
     constexpr int statusUnprocessable = 422;
@@ -227,6 +228,7 @@
         request.method = "GET";
         request.url = url;
         request.deadline = monotonicNow() + fetchTimeout;
+        request.maxResponseBytes = maxChunkBytes;
         return m_client.send(std::move(request));
     };
     const auto url = loadRequest.value("weights", "");
--- a/modules/hyssopwick_node/agent/AgentWeights.cpp
+++ b/modules/hyssopwick_node/agent/AgentWeights.cpp
@@ -12,6 +12,8 @@
     constexpr Milliseconds budgetRetryDelay { 3000 };
     constexpr std::uint64_t messageOverheadBytes = 300; // estimated bytes of HTTP and JSON-RPC around the content
     constexpr unsigned peerManifestAttempts = 60;
+    // The answer to a chunk that is sent has at most an error's text.
+    constexpr std::size_t maxReceiptBytes = std::size_t(64) << 10;
     constexpr int statusOk = 200;
     constexpr int statusTooManyRequests = 429;
     constexpr int statusConflict = 409;
@@ -364,6 +366,7 @@
     request.url = "http://" + address + path;
     request.body = m_store.find(digest);
     request.deadline = action.deadline;
+    request.maxResponseBytes = maxReceiptBytes;
     request.headers.emplace_back("X-From", m_context.settings.vm.id);
     request.headers.emplace_back(PeerAuthenticator::headerName, m_context.authenticator.sign(path, digest, unixNow()));
     if (!request.body) {
--- a/modules/hyssopwick_node/agent/UpstreamClient.cpp
+++ b/modules/hyssopwick_node/agent/UpstreamClient.cpp
@@ -4,6 +4,11 @@
 
 namespace {
     constexpr Milliseconds queryTimeout { 1000 };
+    constexpr std::size_t maxReportBytes = std::size_t(1) << 20;
+    // An agent that has started reads all events that its engine has kept.
+    constexpr std::size_t maxCacheEventBytes = std::size_t(16) << 20;
+    // The answer to an order has at most an error's text.
+    constexpr std::size_t maxOrderAnswerBytes = std::size_t(64) << 10;
     constexpr int statusOk = 200;
     constexpr int statusConflict = 409;
 }
@@ -13,12 +18,13 @@
 {
 }
 
-Outcome<std::string> UpstreamClient::get(const std::string& path)
+Outcome<std::string> UpstreamClient::get(const std::string& path, std::size_t maxBytes)
 {
     HttpClientRequest request;
     request.method = "GET";
     request.url = "http://" + m_context.settings.upstreamAddress + path;
     request.deadline = monotonicNow() + queryTimeout;
+    request.maxResponseBytes = maxBytes;
     auto answer = m_context.client.send(std::move(request));
     if (!answer)
         return boost::outcome_v2::failure(answer.error());
@@ -35,6 +41,7 @@
     request.headers.emplace_back("Content-Type", "application/json");
     request.body = std::make_shared<const std::string>(body);
     request.deadline = deadline;
+    request.maxResponseBytes = maxOrderAnswerBytes;
     request.freshConnection = true;
     const auto answer = m_context.client.send(std::move(request));
     if (!answer)
@@ -60,7 +67,7 @@
 
 Outcome<std::vector<LoadedModel>> UpstreamClient::loadedModels()
 {
-    const auto body = get("/v1/models");
+    const auto body = get("/v1/models", maxReportBytes);
     if (!body)
         return boost::outcome_v2::failure(body.error());
     const auto json = nlohmann::json::parse(body.value(), nullptr, false);
@@ -74,7 +81,7 @@
 
 Outcome<UpstreamLoad> UpstreamClient::load()
 {
-    const auto body = get("/v1/status");
+    const auto body = get("/v1/status", maxReportBytes);
     if (!body)
         return boost::outcome_v2::failure(body.error());
     const auto json = nlohmann::json::parse(body.value(), nullptr, false);
@@ -85,7 +92,7 @@
 
 Outcome<std::vector<CacheEvent>> UpstreamClient::cacheEvents(std::uint64_t after)
 {
-    const auto body = get("/v1/cache-events?after=" + std::to_string(after));
+    const auto body = get("/v1/cache-events?after=" + std::to_string(after), maxCacheEventBytes);
     if (!body)
         return boost::outcome_v2::failure(body.error());
     const auto json = nlohmann::json::parse(body.value(), nullptr, false);
--- a/modules/hyssopwick_node/agent/UpstreamClient.h
+++ b/modules/hyssopwick_node/agent/UpstreamClient.h
@@ -50,7 +50,7 @@
     Outcome<std::vector<CacheEvent>> cacheEvents(std::uint64_t after);
 
 private:
-    Outcome<std::string> get(const std::string& path);
+    Outcome<std::string> get(const std::string& path, std::size_t maxBytes);
     Outcome<void> postOrder(const std::string& path, const std::string& body, TimePoint deadline);
 
     NodeContext& m_context;
--- a/modules/hyssopwick_node/agent/UpstreamProxy.cpp
+++ b/modules/hyssopwick_node/agent/UpstreamProxy.cpp
@@ -80,6 +80,7 @@
     request.url = "http://" + m_context.settings.upstreamAddress + call->request.path.substr(std::string(proxyPathPrefix).size());
     request.body = std::make_shared<const std::string>(std::move(call->request.body));
     request.deadline = call->description.deadline;
+    request.maxResponseBytes = maxRpcBytes; // what an entry VM accepts
     request.headers.emplace_back("Content-Type", "application/json");
     request.headers.emplace_back("X-Request-Id", call->description.attempt);
     request.headers.emplace_back("X-Request", call->request.header(proxyHeader::request));
--- a/modules/hyssopwick_operator/commands/CommandLine.cpp
+++ b/modules/hyssopwick_operator/commands/CommandLine.cpp
@@ -238,12 +238,16 @@
         return exitCodeOf(result.verdict);
     }
 
+    // An entry VM's status names all upstreams of the fleet.
+    constexpr std::size_t maxStatusBytes = std::size_t(32) << 20;
+
     Outcome<nlohmann::json> readStatus(HttpClient& client, const std::string& address)
     {
         HttpClientRequest request;
         request.method = "GET";
         request.url = "http://" + address + "/v1/status";
         request.deadline = monotonicNow() + Milliseconds(1500);
+        request.maxResponseBytes = maxStatusBytes;
         const auto answer = client.send(std::move(request));
         if (!answer)
             return boost::outcome_v2::failure(answer.error());
--- a/modules/hyssopwick_transport/http/HttpClient.h
+++ b/modules/hyssopwick_transport/http/HttpClient.h
@@ -15,7 +15,9 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::shared_ptr<const std::string> body; ///< shared, so that a chunk is not copied
     TimePoint deadline; ///< the transfer fails with ErrorCode::Timeout after it
-    std::size_t maxResponseBytes = std::size_t(64) << 20;
+    /// Largest body, in bytes, that is stored; set it for answers that may be longer. A body that
+    /// goes to a DataHandler is not stored.
+    std::size_t maxResponseBytes = std::size_t(4) << 20;
 
     /// Opens a new connection. When a reused connection turns out to be closed, libcurl
     /// sends the request again, which a non-idempotent call must not risk.
--- a/modules/hyssopwick_transport/keyvalue/KeyValueClient.cpp
+++ b/modules/hyssopwick_transport/keyvalue/KeyValueClient.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr Milliseconds callTimeout { 1500 };
+    // A value of 1,000,000 bytes, of which JSON may write each as six.
+    constexpr std::size_t maxAnswerBytes = std::size_t(8) << 20;
     constexpr int statusOk = 200;
 
     Outcome<nlohmann::json> parse(const Outcome<std::string>& body)
@@ -54,6 +56,7 @@
     request.body = std::make_shared<const std::string>(std::move(body));
     request.deadline = deadline;
     request.freshConnection = isWrite;
+    request.maxResponseBytes = maxAnswerBytes;
     auto answer = m_client.send(std::move(request));
     if (!answer) {
         const auto code = isWrite && answer.error().code != ErrorCode::Unavailable ? ErrorCode::UnknownResult : ErrorCode::Unavailable;
