A stream of which its caller leaves over 2 MiB unread is ended

An agent whose entry VM did not read kept all that the upstream sent in Pistache's queue; an entry VM did so for its callers. Change: HttpResponder::write() counts the bytes not yet written, and closes the connection above the limit, so that the stream does not seem complete; stream_cuts_total{reason="unread"}. Whole answers have no such limit: they are bounded already.

--- a/modules/hyssopwick_node/agent/UpstreamProxy.cpp
+++ b/modules/hyssopwick_node/agent/UpstreamProxy.cpp
@@ -95,7 +95,10 @@
             call->isStreaming = true;
             call->responder->startStream(statusOk, { { proxyHeader::attempt, call->description.attempt }, { "Content-Type", "text/event-stream" }, { proxyHeader::inFlight, std::to_string(inFlight()) } });
         }
-        return call->responder->write(data);
+        const bool isWritten = call->responder->write(data);
+        if (call->responder->isUnread())
+            m_context.metrics.count("stream_cuts_total", "unread");
+        return isWritten;
     };
     call->transfer = m_context.client.start(
         std::move(request), [this, call](Outcome<HttpClientResponse> answer) { finish(call, std::move(answer)); },
--- a/modules/hyssopwick_node/entry/EntryRequests.cpp
+++ b/modules/hyssopwick_node/entry/EntryRequests.cpp
@@ -337,12 +337,15 @@
         request.headers.emplace_back(proxyHeader::holder, flow->holder);
         request.freshConnection = true;
     }
-    const auto onData = [flow](const HttpClientResponse& head, std::string_view data) {
+    const auto onData = [this, flow](const HttpClientResponse& head, std::string_view data) {
         if (headerOf(head, proxyHeader::attempt) != flow->attemptId) {
             flow->isStreamBroken = true;
             return false;
         }
-        return TokenStream::receive(*flow, data);
+        const bool isAccepted = TokenStream::receive(*flow, data);
+        if (flow->responder->isUnread())
+            m_context.metrics.count("stream_cuts_total", "unread");
+        return isAccepted;
     };
     flow->transfer = m_context.client.start(
         std::move(request), [this, flow](Outcome<HttpClientResponse> answer) { receive(flow, std::move(answer)); },
--- a/modules/hyssopwick_transport/http/HttpMessages.h
+++ b/modules/hyssopwick_transport/http/HttpMessages.h
@@ -48,7 +48,8 @@
     /// Starts a streamed response (chunked transfer encoding).
     virtual void startStream(int status, const HttpHeaders& headers) = 0;
 
-    /// Sends a part of a streamed response; returns false once the caller has disconnected.
+    /// Sends a part of a streamed response; returns false once the caller has disconnected or
+    /// isUnread().
     virtual bool write(std::string_view data) = 0;
 
     /// Ends a streamed response.
@@ -56,6 +57,10 @@
 
     /// Returns false once the caller has closed the connection.
     virtual bool isConnected() const = 0;
+
+    /// Returns whether the connection was closed because the caller left too much of a streamed
+    /// response unread.
+    virtual bool isUnread() const { return false; }
 };
 
 using HttpResponderPointer = std::shared_ptr<HttpResponder>;
--- a/modules/hyssopwick_transport/http/HttpServer.cpp
+++ b/modules/hyssopwick_transport/http/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include <pistache/endpoint.h>
 #include <pistache/http.h>
 #include <pistache/peer.h>
+#include <sys/socket.h>
 #include <unordered_map>
 
 namespace hyssopwick {
@@ -14,6 +15,10 @@
     namespace Http = Pistache::Http;
 
     constexpr std::size_t maxResponseBytes = std::size_t(1) << 31;
+    // Minutes of a token stream; a caller that reads, however slowly, stays far below it.
+    constexpr std::size_t maxUnreadStreamBytes = std::size_t(2) << 20;
+    // Estimate of what Pistache allocates for each write beside its bytes.
+    constexpr std::size_t writeOverheadBytes = 512;
     constexpr int listenBacklog = 1024;
     // Also limits the duration of a streamed response.
     constexpr Milliseconds keepaliveTimeout { 3'600'000 };
@@ -30,22 +35,31 @@
 
     using WriteCounter = std::shared_ptr<std::atomic<std::size_t>>;
 
-    // Counts a write until Pistache has ended it or has dropped it with its connection.
+    // Counts a write and its bytes until Pistache has ended it or has dropped it with its connection.
     class PendingWrite {
     public:
-        explicit PendingWrite(WriteCounter counter)
+        PendingWrite(WriteCounter counter, WriteCounter unreadBytes, std::size_t bytes)
             : m_counter(std::move(counter))
+            , m_unreadBytes(std::move(unreadBytes))
+            , m_bytes(bytes + writeOverheadBytes)
         {
             ++*m_counter;
+            *m_unreadBytes += m_bytes;
         }
 
-        ~PendingWrite() { --*m_counter; }
+        ~PendingWrite()
+        {
+            --*m_counter;
+            *m_unreadBytes -= m_bytes;
+        }
 
         PendingWrite(const PendingWrite&) = delete;
         PendingWrite& operator=(const PendingWrite&) = delete;
 
     private:
         WriteCounter m_counter;
+        WriteCounter m_unreadBytes;
+        std::size_t m_bytes;
     };
 
     // Pistache's ResponseStream flushes the transport's queue on the calling thread,
@@ -81,13 +95,15 @@
             std::string message(size, static_cast<std::size_t>(sizeLength));
             message += data;
             message += "\r\n";
-            return enqueue(std::move(message));
+            return !closeUnread() && enqueue(std::move(message));
         }
 
         void finish() override { enqueue("0\r\n\r\n"); }
 
         bool isConnected() const override { return !m_isClosed; }
 
+        bool isUnread() const override { return m_isUnread; }
+
         void close()
         {
             std::lock_guard<std::mutex> lock(m_mutex);
@@ -95,24 +111,40 @@
         }
 
     private:
+        // Closes the connection if its caller reads too slowly, so that the stream does not seem
+        // complete. Pistache notices that and discards what is not written.
+        bool closeUnread()
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            if (m_isUnread || m_isClosed || *m_unreadBytes <= maxUnreadStreamBytes)
+                return m_isUnread;
+            m_isUnread = true;
+            // Pistache closes the descriptor only after close().
+            if (const auto peer = m_peer.lock())
+                ::shutdown(peer->fd(), SHUT_RDWR);
+            return true;
+        }
+
         bool enqueue(std::string message)
         {
             std::lock_guard<std::mutex> lock(m_mutex);
-            if (m_isClosed)
+            if (m_isClosed || m_isUnread)
                 return false;
             const auto peer = m_peer.lock();
             if (!peer)
                 return false;
             const auto size = message.size();
-            const auto write = std::make_shared<PendingWrite>(m_pendingWrites);
+            const auto write = std::make_shared<PendingWrite>(m_pendingWrites, m_unreadBytes, size);
             peer->send(Pistache::RawBuffer(std::move(message), size)).then([write](ssize_t) {}, [write](const std::exception_ptr&) {});
             return true;
         }
 
         std::weak_ptr<Pistache::Tcp::Peer> m_peer;
         WriteCounter m_pendingWrites;
+        WriteCounter m_unreadBytes = std::make_shared<std::atomic<std::size_t>>(0);
         std::mutex m_mutex;
         std::atomic<bool> m_isClosed { false };
+        std::atomic<bool> m_isUnread { false };
     };
 
     std::string lowerCase(std::string text)
