An entry VM ends streams whose text, comments or repeated tokens do not end

An upstream could send tokens without end to an answer that is collected, which was kept whole, and comments or old tokens until the deadline of the call. Conclusion: valid tokens that the caller reads are still relayed until the call's deadline; none of them are kept.

--- a/modules/hyssopwick_node/entry/EntryRequests.cpp
+++ b/modules/hyssopwick_node/entry/EntryRequests.cpp
@@ -321,6 +321,9 @@
     flow->partialEvent.clear();
     flow->isStreamDone = false;
     flow->isStreamBroken = false;
+    flow->unusedBytes = 0;
+    flow->repeatedTokens = 0;
+    flow->exceededLimit = nullptr;
     if (flow->acceptedTokens > 0)
         flow->body["resume_from"] = flow->acceptedTokens;
     m_context.log.write("request.attempt", { { "request", flow->requestId }, { "attempt", flow->attemptId }, { "vm", route.vm }, { "version", route.version }, { "resume_from", std::to_string(flow->acceptedTokens) } });
@@ -343,6 +346,8 @@
             return false;
         }
         const bool isAccepted = TokenStream::receive(*flow, data);
+        if (!isAccepted && flow->exceededLimit)
+            m_context.metrics.count("stream_cuts_total", flow->exceededLimit);
         if (flow->responder->isUnread())
             m_context.metrics.count("stream_cuts_total", "unread");
         return isAccepted;
--- a/modules/hyssopwick_node/entry/RequestFlow.h
+++ b/modules/hyssopwick_node/entry/RequestFlow.h
@@ -37,6 +37,9 @@
     std::atomic<HttpClient::TransferId> transfer { 0 };
 
     std::string partialEvent; ///< bytes after the last complete event of the stream
+    std::size_t unusedBytes = 0; ///< of the stream's events since its latest token
+    std::uint64_t repeatedTokens = 0; ///< tokens of the current attempt that an earlier one had delivered
+    const char* exceededLimit = nullptr; ///< why the stream was cut, if it was too long
     std::uint64_t acceptedTokens = 0; ///< tokens forwarded to the caller or collected for it
     std::string collectedText; ///< of an answer that is not streamed
     bool isStreamStarted = false;
