--- a/modules/hyssopwick_node/entry/EntryRequests.cpp
+++ b/modules/hyssopwick_node/entry/EntryRequests.cpp
@@ -321,6 +321,9 @@
     flow->partialEvent.clear();
     flow->isStreamDone = false;
     flow->isStreamBroken = false;
+    flow->unusedBytes = 0;
+    flow->repeatedTokens = 0;
+    flow->exceededLimit = nullptr;
     if (flow->acceptedTokens > 0)
         flow->body["resume_from"] = flow->acceptedTokens;
     m_context.log.write("request.attempt", { { "request", flow->requestId }, { "attempt", flow->attemptId }, { "vm", route.vm }, { "version", route.version }, { "resume_from", std::to_string(flow->acceptedTokens) } });
@@ -337,12 +340,17 @@
         request.headers.emplace_back(proxyHeader::holder, flow->holder);
         request.freshConnection = true;
     }
-    const auto onData = [flow](const HttpClientResponse& head, std::string_view data) {
+    const auto onData = [this, flow](const HttpClientResponse& head, std::string_view data) {
         if (headerOf(head, proxyHeader::attempt) != flow->attemptId) {
             flow->isStreamBroken = true;
             return false;
         }
-        return TokenStream::receive(*flow, data);
+        const bool isAccepted = TokenStream::receive(*flow, data);
+        if (!isAccepted && flow->exceededLimit)
+            m_context.metrics.count("stream_cuts_total", flow->exceededLimit);
+        if (flow->responder->isUnread())
+            m_context.metrics.count("stream_cuts_total", "unread");
+        return isAccepted;
     };
     flow->transfer = m_context.client.start(
         std::move(request), [this, flow](Outcome<HttpClientResponse> answer) { receive(flow, std::move(answer)); },
--- a/modules/hyssopwick_transport/http/HttpClient.h
+++ b/modules/hyssopwick_transport/http/HttpClient.h
@@ -15,7 +15,9 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::shared_ptr<const std::string> body; ///< shared, so that a chunk is not copied
     TimePoint deadline; ///< the transfer fails with ErrorCode::Timeout after it
-    std::size_t maxResponseBytes = std::size_t(64) << 20;
+    /// Largest body, in bytes, that is stored; set it for answers that may be longer. A body that
+    /// goes to a DataHandler is not stored.
+    std::size_t maxResponseBytes = std::size_t(4) << 20;
 
     /// Opens a new connection. When a reused connection turns out to be closed, libcurl
     /// sends the request again, which a non-idempotent call must not risk.
@@ -40,6 +42,9 @@
     using DataHandler = std::function<bool(const HttpClientResponse& head, std::string_view data)>;
     using DoneHandler = std::function<void(Outcome<HttpClientResponse>)>;
 
+    /// Receives the limit that an answer exceeded ("head" or "body") and the URL of its request.
+    using LimitHandler = std::function<void(const char* limit, const std::string& url)>;
+
     HttpClient();
 
     ~HttpClient();
@@ -55,6 +60,10 @@
     /// simulate broken links. Call it before the first transfer.
     void setUrlRedirect(std::function<std::string(const std::string& url)> redirect);
 
+    /// Sets a function that is called, on the client's thread, for each transfer that is ended
+    /// because its answer exceeded a limit. Call it before the first transfer.
+    void setLimitHandler(LimitHandler handler);
+
     /// Starts a transfer. Handlers run on the client's thread and must not block.
     /// \param onData  receives the body of a response with status 200; the body is not stored then
     TransferId start(HttpClientRequest request, DoneHandler onDone, DataHandler onData = nullptr);
