--- a/modules/hyssopwick_gateway/entry/BeginLimit.cpp
+++ b/modules/hyssopwick_gateway/entry/BeginLimit.cpp
@@ -19,7 +19,7 @@
 void BeginLimit::recordAnswerBegin(const std::string& requestId) const
 {
     const auto limit = until();
-    if (!limit || lateness(*limit).count() <= 0)
+    if (!limit || monotonicNow() <= *limit)
         return;
     m_services.context().metrics.count("calls_begun_late_total");
     log("call.begun-late", requestId, lateness(*limit));
