--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -234,6 +234,8 @@
     const auto timeLeft = upstreamTime(m_deadline, m_sentAt, monotonicNow());
     const CallForwarding forwarding { timeLeft, m_upstream, m_account, m_stream->lastEventId(), std::nullopt, isEngineCall() ? std::optional<unsigned>(m_priority) : std::nullopt };
     call.fields = m_services.context().ports.calls->encodeForwarding(m_exchange->request().fields, forwarding);
+    if (isEngineCall())
+        m_beginLimit.recordWrite(m_call.requestId, m_sentAt);
     return m_phase != Phase::Ended;
 }
 
@@ -309,7 +311,7 @@
     const auto connectedAt = m_attempt->connectedAt();
     const auto transmission = m_attempt->transmission().value_or(TransmissionState());
     if (!m_upstream.empty()) // otherwise the attempt has already ended
-        m_services.context().log.write("call.cancelled", { { "request", m_call.requestId }, { "upstream", m_upstream }, { "reason", reason }, { "after_ms", millisecondsText(elapsed()) }, { "connect_ms", connectedAt ? std::to_string(millisecondsBetween(m_sentAt, *connectedAt)) : "none" }, { "unacknowledged", std::to_string(transmission.unacknowledgedBytes) }, { "retransmissions", std::to_string(transmission.retransmissions) }, { "round_trip_ms", millisecondsText(transmission.roundTrip) } });
+        m_services.context().log.write("call.cancelled", { { "request", m_call.requestId }, { "upstream", m_upstream }, { "reason", reason }, { "after_ms", millisecondsText(elapsed()) }, { "connect_ms", connectedAt ? std::to_string(millisecondsBetween(m_sentAt, *connectedAt)) : "none" }, { "unacknowledged", std::to_string(transmission.unacknowledgedBytes) }, { "retransmissions", std::to_string(transmission.retransmissions) }, { "round_trip_ms", millisecondsText(transmission.roundTrip) }, { "acknowledged_ms_ago", millisecondsText(transmission.sinceAcknowledgement) } });
     m_attempt->cancel();
 }
 
--- a/modules/hyssopwick_gateway/http/TransmissionState.cpp
+++ b/modules/hyssopwick_gateway/http/TransmissionState.cpp
@@ -30,6 +30,7 @@
     const auto statistics = statisticsOf(socket);
     state.retransmissions = statistics.tcpi_total_retrans;
     state.roundTrip = std::chrono::duration_cast<Milliseconds>(std::chrono::microseconds(statistics.tcpi_rtt));
+    state.sinceAcknowledgement = Milliseconds(statistics.tcpi_last_ack_recv);
     return state;
 }
 
--- a/modules/hyssopwick_gateway/http/TransmissionState.h
+++ b/modules/hyssopwick_gateway/http/TransmissionState.h
@@ -12,6 +12,7 @@
     std::size_t unsentBytes = 0; ///< of these, those that wait for the other host's window or for this host's turn
     unsigned retransmissions = 0; ///< of packets, since the connection was opened
     Milliseconds roundTrip { 0 }; ///< smoothed
+    Milliseconds sinceAcknowledgement { 0 }; ///< since the other host last acknowledged anything
 
     /// Returns whether bytes have been sent that the other host has not acknowledged.
     bool isInFlight() const { return unacknowledgedBytes > unsentBytes; }
@@ -19,7 +20,7 @@
     /// Returns the state of an open connection, or nothing if the system does not tell it.
     static std::optional<TransmissionState> of(TcpSocket& socket);
 
-    auto tied() const { return std::tie(unacknowledgedBytes, unsentBytes, retransmissions, roundTrip); }
+    auto tied() const { return std::tie(unacknowledgedBytes, unsentBytes, retransmissions, roundTrip, sinceAcknowledgement); }
     bool operator==(const TransmissionState& other) const { return tied() == other.tied(); }
     bool operator!=(const TransmissionState& other) const { return !(*this == other); }
 };
