--- a/tests/platform/StopSupport.h
+++ b/tests/platform/StopSupport.h
@@ -38,6 +38,9 @@
     return description;
 }
 
+/// Returns whether an order lets an engine give up its weights, and does not load any.
+inline bool isRetirement(const std::string& order) { return nlohmann::json::parse(order).value("target", -1) == 0; }
+
 inline asio::ip::address_v4 ipAddress(const char* ip) { return asio::ip::make_address_v4(ip); }
 
 /// Child process for code that may be ended by a signal.
--- a/tests/platform/VersionBoundSupport.h
+++ b/tests/platform/VersionBoundSupport.h
@@ -60,6 +60,7 @@
     ScriptedUpstream newer { loop };
     std::shared_ptr<RecordedExchange> exchange;
     std::shared_ptr<CallFlow> flow;
+    std::string callerTimeout = "8000"; // in milliseconds
 
     void setup() override
     {
@@ -104,7 +105,7 @@
         request.method = "POST";
         request.target = "/x/";
         request.host = "a.example";
-        request.fields = { { "Request-Id", "r1" }, { "Deadline-Ms", "8000" } };
+        request.fields = { { "Request-Id", "r1" }, { "Deadline-Ms", callerTimeout } };
         request.body = body;
         request.receivedAt = monotonicNow();
         exchange = std::make_shared<RecordedExchange>(std::move(request));
