A call is not written when what it was sent for has changed while it connected

Cause: the decision to send is made before the connection stands, up to 1 s later for a call that found none twice, and completeFields() looked at nothing but the end of the call. A late process handles a connection that is ready before a timer that has expired, so that the request leaves first and its close follows. Change: deadline, limit of old weights, leaving, rest and regions are checked when the connection stands. Such a call is withheld (ExchangeEnd::Withheld), which is no failure of its upstream, and placed again. Conclusion: class: a decision carried out after a wait without looking at its grounds again.

--- a/modules/hyssopwick_deployment/routes/UpstreamRegistry.cpp
+++ b/modules/hyssopwick_deployment/routes/UpstreamRegistry.cpp
@@ -158,6 +158,12 @@
     return upstreams;
 }
 
+bool UpstreamRegistry::isUsable(const std::string& id) const
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && found->second.isUsable();
+}
+
 const Upstream* UpstreamRegistry::find(const std::string& id) const
 {
     const auto found = m_entries.find(id);
--- a/modules/hyssopwick_deployment/routes/UpstreamRegistry.h
+++ b/modules/hyssopwick_deployment/routes/UpstreamRegistry.h
@@ -64,6 +64,9 @@
     /// Returns the upstreams at an address that may be sent calls.
     std::vector<const Upstream*> usableAt(const std::string& address) const;
 
+    /// Returns whether an upstream may be sent calls.
+    bool isUsable(const std::string& id) const;
+
     /// Returns a number that increases with every change.
     std::uint64_t revision() const { return m_revision; }
 
--- a/modules/hyssopwick_gateway/agent/EngineClient.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineClient.cpp
@@ -89,7 +89,7 @@
     const auto maySend = [sendBy](HttpCall&) { return monotonicNow() < sendBy; };
     fetchWhole(
         m_context.loop, m_context.description.engineAddress, m_context.ports.engines->encodeOrder(order), limits, [this, handler = std::move(handler)](const WholeResponse& response) {
-            if (response.end == ExchangeEnd::NotSent)
+            if (response.end == ExchangeEnd::NotSent || response.end == ExchangeEnd::Withheld)
                 return handler(OrderResult::NotSent);
             handler(response.isComplete() ? m_context.ports.engines->decodeOrderAnswer(response.status) : OrderResult::Unknown);
         },
--- a/modules/hyssopwick_gateway/entry/BeginLimit.cpp
+++ b/modules/hyssopwick_gateway/entry/BeginLimit.cpp
@@ -16,16 +16,6 @@
 
 std::optional<TimePoint> BeginLimit::until() const { return m_services.usableUntil(m_upstream, m_loadedVersions); }
 
-void BeginLimit::recordWrite(const std::string& requestId, TimePoint sentAt) const
-{
-    const auto limit = until();
-    const auto now = monotonicNow();
-    if (!limit || now < *limit)
-        return;
-    m_services.context().metrics.count("calls_written_late_total");
-    m_services.context().log.write("call.written-late", { { "request", requestId }, { "upstream", m_upstream }, { "late_ms", std::to_string(lateness(*limit).count()) }, { "connect_ms", std::to_string(millisecondsBetween(sentAt, now)) } });
-}
-
 void BeginLimit::recordAnswerBegin(const std::string& requestId) const
 {
     const auto limit = until();
--- a/modules/hyssopwick_gateway/entry/BeginLimit.h
+++ b/modules/hyssopwick_gateway/entry/BeginLimit.h
@@ -15,10 +15,6 @@
     /// Returns when the call has to have begun, or nothing if it may begin at any time.
     std::optional<TimePoint> until() const;
 
-    /// Records that the call \p requestId, which was decided to be sent at \p sentAt, is written now, which shows in
-    /// logs and metrics if the limit has passed.
-    void recordWrite(const std::string& requestId, TimePoint sentAt) const;
-
     /// Records that the answer of the call \p requestId has begun, which shows in logs and metrics if the limit had passed.
     void recordAnswerBegin(const std::string& requestId) const;
 
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -229,13 +229,27 @@
     armBeginTimer();
 }
 
+// Returns why the call may not be written to the upstream that was chosen for it, or nullptr. Connecting may have taken
+// long, and a late process handles a new connection before a timer that has expired.
+const char* CallFlow::obstacleToWrite() const
+{
+    const auto now = monotonicNow();
+    if (now >= m_deadline)
+        return "deadline";
+    const auto beginBy = isEngineCall() ? m_beginLimit.until() : std::nullopt;
+    if (beginBy && now >= *beginBy)
+        return "old-weights";
+    return m_services.mayReceiveCalls(m_service->name, m_upstream, m_regions.allowed()) ? nullptr : "upstream-unavailable";
+}
+
 bool CallFlow::completeFields(HttpCall& call)
 {
+    m_obstacle = obstacleToWrite();
+    if (m_obstacle)
+        return false;
     const auto timeLeft = upstreamTime(m_deadline, m_sentAt, monotonicNow());
     const CallForwarding forwarding { timeLeft, m_upstream, m_account, m_stream->lastEventId(), std::nullopt, isEngineCall() ? std::optional<unsigned>(m_priority) : std::nullopt };
     call.fields = m_services.context().ports.calls->encodeForwarding(m_exchange->request().fields, forwarding);
-    if (isEngineCall())
-        m_beginLimit.recordWrite(m_call.requestId, m_sentAt);
     return m_phase != Phase::Ended;
 }
 
@@ -366,6 +380,8 @@
 {
     if (m_phase == Phase::Ended)
         return;
+    if (end == ExchangeEnd::Withheld)
+        return handleWithheld();
     const auto address = m_upstreamAddress;
     const bool isHealthy = end == ExchangeEnd::Complete && m_head.status < statusServerError;
     if (!isEngineCall() && m_service)
@@ -398,6 +414,20 @@
     forwardWholeAnswer();
 }
 
+// The upstream has not failed.
+void CallFlow::handleWithheld()
+{
+    auto& context = m_services.context();
+    context.metrics.count("calls_withheld_total", m_obstacle);
+    context.log.write("call.withheld", { { "request", m_call.requestId }, { "upstream", m_upstream }, { "obstacle", m_obstacle }, { "connect_ms", std::to_string(millisecondsBetween(m_sentAt, monotonicNow())) }, { "after_ms", millisecondsText(elapsed()) } });
+    m_services.crashes().recordWithheld(m_crashTraits);
+    releaseUpstream();
+    if (monotonicNow() >= m_deadline)
+        return handleDeadline();
+    m_phase = m_eventsForwarded > 0 ? Phase::Answering : Phase::Waiting;
+    place();
+}
+
 void CallFlow::handleAttemptFailure(AttemptFailure failure, const char* reason)
 {
     auto& context = m_services.context();
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -65,6 +65,8 @@
     void handleHead(const ResponseHead& head);
     void handleBody(std::string_view bytes);
     void handleEnd(ExchangeEnd end);
+    const char* obstacleToWrite() const;
+    void handleWithheld();
     void forwardEvents(std::string_view bytes);
     void handleAttemptFailure(AttemptFailure failure, const char* reason);
     void cutAnswer(const char* reason);
@@ -135,6 +137,7 @@
     unsigned m_eventsForwarded = 0;
     bool m_isQueued = false;
     double m_predictedFirstEventDelay = 0; // milliseconds after m_sentAt
+    const char* m_obstacle = nullptr; // to writing the attempt, found when its connection stood
     TimePoint m_sentAt;
     TimePoint m_lastBytesAt; // of an answer's body
     std::int64_t m_firstEventDelay = -1; // milliseconds after m_sentAt; -1 before the first event
--- a/modules/hyssopwick_gateway/entry/CrashContainment.cpp
+++ b/modules/hyssopwick_gateway/entry/CrashContainment.cpp
@@ -60,6 +60,11 @@
 void CrashContainment::recordNotSent(const std::string& address, const CrashTraits& call)
 {
     recordUpstreamDown(address);
+    recordWithheld(call);
+}
+
+void CrashContainment::recordWithheld(const CrashTraits& call)
+{
     for (const auto& part : call.parts()) {
         if (m_ownRechecks.erase(part) > 0)
             m_quarantine.withdrawRecheck(part, monotonicNow());
--- a/modules/hyssopwick_gateway/entry/CrashContainment.h
+++ b/modules/hyssopwick_gateway/entry/CrashContainment.h
@@ -53,6 +53,9 @@
     /// Records that a call is sent to an upstream.
     void recordSend(const CrashTraits& call, const std::string& requestId);
 
+    /// Records that a call was not sent after all, for a reason that says nothing of its upstream.
+    void recordWithheld(const CrashTraits& call);
+
     /// Records that a call could not be sent after all, since its upstream is down.
     void recordNotSent(const std::string& address, const CrashTraits& call);
 
--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -28,6 +28,8 @@
         return "complete";
     case ExchangeEnd::NotSent:
         return "not-sent";
+    case ExchangeEnd::Withheld:
+        return "withheld";
     case ExchangeEnd::Lost:
         return "lost";
     case ExchangeEnd::Malformed:
@@ -254,7 +256,7 @@
     state.connectedAt = monotonicNow();
     prepareSocket(state.socket);
     if (const auto onConnected = std::move(state.handlers.onConnected); onConnected && !onConnected(state.call))
-        return end(ExchangeEnd::NotSent);
+        return end(ExchangeEnd::Withheld);
     state.request.method_string(state.call.method);
     state.request.target(state.call.target);
     state.request.version(httpVersion);
--- a/modules/hyssopwick_gateway/http/HttpExchange.h
+++ b/modules/hyssopwick_gateway/http/HttpExchange.h
@@ -12,6 +12,7 @@
 enum class ExchangeEnd {
     Complete, ///< the whole answer arrived
     NotSent, ///< no connection; no byte of the request left this VM
+    Withheld, ///< ExchangeHandlers::onConnected returned false; no byte of the request left this VM
     Lost, ///< the request may have arrived, but no whole answer was received
     Malformed, ///< the answer violates the protocol
     Timeout, ///< the deadline passed after the request was sent
