An agent lets its engine give up weights that are past their bound

Entries stop sending and take back what waits, but that holds at the engine only when it arrives there: a call that a path, a queue or a late process holds up begins all the same, whatever the entry did. Cause: the bound rested on messages alone whose time on the way nothing limits. Running calls end as usual; the engine refuses others as not run until it has loaded newer weights. Weights past their bound are not loaded again, and no load is ordered while an order runs. The stand-in of SuspendedAgent took each order for a load of version 2; it tells the two apart now, and the check of corrupt loads is the same. Conclusion: class: a bound that only the distant party's messages enforce. It is kept where calls begin now.

--- a/modules/hyssopwick_deployment/ports/EngineCodec.h
+++ b/modules/hyssopwick_deployment/ports/EngineCodec.h
@@ -18,7 +18,10 @@
     Unknown, ///< no answer, or an inconclusive one
 };
 
-/// Orders an engine to load the weights that are staged on its VM.
+/// Returns the name of a result in the log, for example "not-sent".
+const char* orderResultName(OrderResult result);
+
+/// Orders an engine to load the weights that are staged on its VM, or to give up those that it has loaded.
 struct LoadOrder {
     WeightsVersion weights;
     std::uint64_t expectedSequence = 0; ///< number of orders that the engine has begun before this one
@@ -43,6 +46,8 @@
     virtual std::optional<Milliseconds> decodeColdLeft(const HeaderFields& fields) const = 0;
 
     virtual HttpCall encodeOrder(const LoadOrder& order) const = 0;
+    /// Encodes the order to give up the weights that the engine has loaded.
+    virtual HttpCall encodeRetireOrder(const LoadOrder& loaded) const = 0;
     virtual OrderResult decodeOrderAnswer(unsigned status) const = 0;
 
     /// Encodes the write of one chunk into an engine's staging area.
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -34,6 +34,7 @@
     , m_peerSocket(context)
     , m_view(context, identityOf(context), false)
     , m_engine(context)
+    , m_retirement(context, m_engine)
     , m_internal(
           context.loop, [this](const ServerExchangePointer& exchange) { serveInternal(exchange); }, [] { return CallerLimits(); })
     , m_metrics(
@@ -65,6 +66,7 @@
     observer.onVersion = [this](const WeightsVersion& version, TimePoint earliestPublication) {
         if (!m_service || m_service->models.empty() || version.model != m_service->models.front())
             return;
+        m_retirement.addVersion(version, earliestPublication);
         const auto [known, isNew] = m_versions.emplace(version.version, KnownVersion { earliestPublication, true });
         known->second.earliestPublication = std::min(known->second.earliestPublication, earliestPublication);
         if (isNew)
@@ -154,7 +156,7 @@
     update.engineAddress = m_context.description.engineAddress;
     update.report = m_report;
     update.isAnswering = m_isAnswering;
-    if (m_activation && m_activation->isLoading())
+    if (m_retirement.isClosing() || (m_activation && m_activation->isLoading()))
         update.availability = EngineAvailability::Draining;
     update.readyIn = readyIn();
     const bool isEvacuated = m_eligibility.isEvacuated(m_context.description.failureDomain);
@@ -191,9 +193,23 @@
     planSwarms();
     updatePeers();
     planActivation();
+    planRetirement();
     announceActivation();
 }
 
+void AgentGateway::planRetirement()
+{
+    const bool wasClosing = m_retirement.isClosing();
+    m_retirement.proceed({ m_service->models.front(), loadedVersion() }, m_report, m_activation && m_activation->isLoading());
+    if (m_retirement.isClosing() != wasClosing)
+        sendUpdate(true);
+}
+
+bool AgentGateway::isWorthLoading(std::uint64_t version) const
+{
+    return m_retirement.isUsableAt({ m_service->models.front(), version }, monotonicNow() + EngineActivation::typicalTime(*m_service->engine));
+}
+
 SwarmMember AgentGateway::memberFor(const std::string& ip, const std::string& failureDomain, UnixMilliseconds startedAt) const
 {
     return { ip, m_eligibility.regionOf(failureDomain), failureDomain, static_cast<std::uint64_t>(startedAt) };
@@ -210,7 +226,7 @@
     const bool isNewestComplete = swarmOfNewest != m_swarms.end() && swarmOfNewest->second->isComplete();
     const bool isNewestStalled = swarmOfNewest != m_swarms.end() && swarmOfNewest->second->isStalled();
     const auto previous = m_versions.size() > 1 ? std::next(m_versions.rbegin())->first : newest;
-    if (previous != newest && previous > loaded && !isNewestComplete && (m_swarms.count(previous) != 0 || isNewestStalled))
+    if (previous != newest && previous > loaded && !isNewestComplete && isWorthLoading(previous) && (m_swarms.count(previous) != 0 || isNewestStalled))
         wanted.insert(previous);
     for (auto swarm = m_swarms.begin(); swarm != m_swarms.end();) {
         if (wanted.count(swarm->first) != 0) {
@@ -295,7 +311,7 @@
         const auto version = swarm->first;
         if (version <= loaded)
             return;
-        if (!swarm->second->isComplete())
+        if (!swarm->second->isComplete() || !isWorthLoading(version))
             continue;
         const auto bound = activationBound(loaded, version);
         const bool isNewest = version == m_versions.rbegin()->first;
@@ -338,7 +354,7 @@
     return bound == TimePoint::max() ? monotonicNow() + unpublishedBound : bound;
 }
 
-bool AgentGateway::mayLoad() const { return m_schedule && m_schedule->mayLoad(isServing(), monotonicNow()); }
+bool AgentGateway::mayLoad() const { return !m_report.isOrderRunning && m_schedule && m_schedule->mayLoad(isServing(), monotonicNow()); }
 
 void AgentGateway::announceActivation()
 {
--- a/modules/hyssopwick_gateway/agent/AgentGateway.h
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.h
@@ -6,6 +6,7 @@
 #include "../view/EvacuationRecord.h"
 #include "../view/ViewReplicator.h"
 #include "EngineActivation.h"
+#include "EngineRetirement.h"
 #include "EngineUpdates.h"
 #include "WeightsTarget.h"
 
@@ -48,6 +49,9 @@
     void plan();
     void planSwarms();
     void planActivation();
+    void planRetirement();
+    /// Returns whether a version that is loaded now could serve calls.
+    bool isWorthLoading(std::uint64_t version) const;
     void updatePeers();
     void updateActivationGroup();
     void announceActivation();
@@ -64,6 +68,7 @@
     PeerSocket m_peerSocket;
     ViewReplicator m_view;
     EngineClient m_engine;
+    EngineRetirement m_retirement;
     HttpListener m_internal;
     HttpListener m_metrics;
     EngineUpdates m_updates;
--- a/modules/hyssopwick_gateway/agent/EngineActivation.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineActivation.cpp
@@ -13,25 +13,6 @@
     // corrupt less than 3 s before it was loaded; the rest is for the order's way to the engine.
     constexpr Milliseconds verificationValidity { 2500 };
 
-    const char* resultName(OrderResult result)
-    {
-        switch (result) {
-        case OrderResult::Begun:
-            return "begun";
-        case OrderResult::AlreadyInEffect:
-            return "in-effect";
-        case OrderResult::Conflict:
-            return "conflict";
-        case OrderResult::Refused:
-            return "refused";
-        case OrderResult::NotSent:
-            return "not-sent";
-        case OrderResult::Unknown:
-            return "unknown";
-        }
-        return "unknown";
-    }
-
     const char* phaseName(EngineActivation::Phase phase)
     {
         switch (phase) {
@@ -145,6 +126,8 @@
     m_orderedAt = monotonicNow();
     if (m_orderedAt >= m_verificationValidUntil)
         return returnToWaiting("verification-expired");
+    if (m_report.isOrderRunning)
+        return returnToWaiting("order-running");
     m_sequenceBeforeOrder = m_report.orderSequence;
     enter(Phase::Ordered);
     m_engine.order({ weights(), m_sequenceBeforeOrder }, m_verificationValidUntil, [self = shared_from_this()](OrderResult result) {
@@ -157,7 +140,7 @@
 {
     if (result == OrderResult::Begun || result == OrderResult::AlreadyInEffect)
         return;
-    m_context.log.write("order.failed", { { "version", std::to_string(weights().version) }, { "result", resultName(result) }, { "sequence", std::to_string(m_sequenceBeforeOrder) } });
+    m_context.log.write("order.failed", { { "version", std::to_string(weights().version) }, { "result", orderResultName(result) }, { "sequence", std::to_string(m_sequenceBeforeOrder) } });
     if (result == OrderResult::NotSent)
         return returnToWaiting("order-not-sent");
     // Without an answer the load may have begun; the next reports show whether it has.
--- a/modules/hyssopwick_gateway/agent/EngineClient.cpp
+++ b/modules/hyssopwick_gateway/agent/EngineClient.cpp
@@ -86,14 +86,25 @@
     const auto now = monotonicNow();
     const TransferLimits limits { std::min(now + connectTimeout, sendBy), now + answerTimeout, Milliseconds(0), now + answerTimeout, maxAnswerBytes };
     // The process may have been suspended while it connected.
-    const auto maySend = [sendBy](HttpCall&) { return monotonicNow() < sendBy; };
+    sendOrder(m_context.ports.engines->encodeOrder(order), limits, std::move(handler), [sendBy](HttpCall&) { return monotonicNow() < sendBy; });
+}
+
+void EngineClient::retire(const LoadOrder& loaded, std::function<void(OrderResult)> handler)
+{
+    const auto now = monotonicNow();
+    const TransferLimits limits { now + connectTimeout, now + answerTimeout, Milliseconds(0), now + answerTimeout, maxAnswerBytes };
+    sendOrder(m_context.ports.engines->encodeRetireOrder(loaded), limits, std::move(handler), nullptr);
+}
+
+void EngineClient::sendOrder(HttpCall order, const TransferLimits& limits, std::function<void(OrderResult)> handler, std::function<bool(HttpCall&)> maySend)
+{
     fetchWhole(
-        m_context.loop, m_context.description.engineAddress, m_context.ports.engines->encodeOrder(order), limits, [this, handler = std::move(handler)](const WholeResponse& response) {
+        m_context.loop, m_context.description.engineAddress, std::move(order), limits, [this, handler = std::move(handler)](const WholeResponse& response) {
             if (response.end == ExchangeEnd::NotSent || response.end == ExchangeEnd::Withheld)
                 return handler(OrderResult::NotSent);
             handler(response.isComplete() ? m_context.ports.engines->decodeOrderAnswer(response.status) : OrderResult::Unknown);
         },
-        nullptr, maySend);
+        nullptr, std::move(maySend));
 }
 
 }
--- a/modules/hyssopwick_gateway/agent/EngineClient.h
+++ b/modules/hyssopwick_gateway/agent/EngineClient.h
@@ -23,7 +23,12 @@
     /// Sends an order. \param sendBy  the order is not sent after this time, however late this process is
     void order(const LoadOrder& order, TimePoint sendBy, std::function<void(OrderResult)> handler);
 
+    /// Orders the engine to give up the weights that it has loaded, when the calls that it runs have ended. It begins no
+    /// further call until it has loaded others.
+    void retire(const LoadOrder& loaded, std::function<void(OrderResult)> handler);
+
 private:
+    void sendOrder(HttpCall order, const TransferLimits& limits, std::function<void(OrderResult)> handler, std::function<bool(HttpCall&)> maySend);
     void checkHealth(const std::string& path);
     void fetch(HttpCall call, std::function<void(WholeResponse)> handler, std::shared_ptr<KeptConnections> kept = nullptr);
 
--- /dev/null
+++ b/modules/hyssopwick_gateway/agent/EngineRetirement.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "EngineClient.h"
+
+namespace hyssopwick {
+
+/// Takes the engine of this VM out of service when no call may begin on its weights any more.
+///
+/// Entry VMs stop sending to such an engine and take back the calls that wait there, but a call, or the end of its
+/// connection, that a network or a late process holds up reaches the engine after that. Without whole weights the engine begins
+/// none, whatever arrives.
+class EngineRetirement {
+public:
+    EngineRetirement(GatewayContext& context, EngineClient& engine);
+
+    /// Records a version of the engine's weights.
+    /// \param earliestPublication  the earliest time at which it may have been published
+    void addVersion(const WeightsVersion& version, TimePoint earliestPublication);
+
+    /// Returns whether calls may begin on \p weights at \p time, as far as is known.
+    bool isUsableAt(const WeightsVersion& weights, TimePoint time) const;
+
+    /// Orders the engine to give up \p loaded, if their time has come. Call with each report.
+    /// \param isLoading  whether the engine is about to load a newer version
+    void proceed(const WeightsVersion& loaded, const EngineReport& report, bool isLoading);
+
+    /// Returns whether the engine is to get no further calls until its next load.
+    bool isClosing() const { return m_isClosing; }
+
+private:
+    std::optional<TimePoint> usableUntil(const WeightsVersion& weights) const;
+    void sendOrder(const WeightsVersion& loaded, const EngineReport& report, TimePoint limit);
+
+    GatewayContext& m_context;
+    EngineClient& m_engine;
+    OldWeightsBounds m_bounds { monotonicNow() };
+    bool m_isClosing = false;
+    bool m_isOrdering = false;
+    bool m_isSupported = true; // by the engine
+};
+
+}
--- a/tests/platform/SuspendedAgentTests.cpp
+++ b/tests/platform/SuspendedAgentTests.cpp
@@ -19,6 +19,7 @@
     std::map<unsigned, std::string> staged;
     unsigned loadedVersion = 1;
     unsigned orders = 0;
+    unsigned loads = 0;
     unsigned corruptLoads = 0;
     TimePoint corruptedAt;
     std::function<void(unsigned)> onVerified; // called once, for each chunk that is read after all were staged
@@ -37,6 +38,11 @@
     void accept(const ServerExchangePointer& exchange)
     {
         ++orders;
+        if (isRetirement(exchange->request().body)) {
+            loadedVersion = 0;
+            return exchange->respond(202, {}, "");
+        }
+        ++loads;
         const bool isCorrupt = std::any_of(staged.begin(), staged.end(), [this](const auto& chunk) { return chunk.second != chunks[chunk.first]; });
         if (isCorrupt && monotonicNow() >= corruptedAt + corruptionTolerance)
             ++corruptLoads;
@@ -93,9 +99,9 @@
         AgentGateway agent(context);
         CHECK(agent.start().has_value());
         // The upper bound only ends a failing test.
-        for (const auto deadline = monotonicNow() + Milliseconds(40000); orders == 0 && monotonicNow() < deadline;)
+        for (const auto deadline = monotonicNow() + Milliseconds(40000); loads == 0 && monotonicNow() < deadline;)
             loop.run_one_for(Milliseconds(5));
-        CHECK(orders > 0);
+        CHECK(loads > 0);
     }
 };
 
