A call that was withheld from an upstream may go to it later, and engines that close get none

Cause: the upstream stayed among those tried, so that a call whose only engine then loaded the new weights was refused with 503 although nothing had been sent; an engine that closes was not looked at when the connection stood. The test of the deadline passed without the check of the deadline, since the limit of the weights came first. Change: an upstream stays eligible after up to four withheld attempts; the check covers what makes an engine usable; the test's limit is after its deadline, and it names the obstacle.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -239,7 +239,7 @@
     const auto beginBy = isEngineCall() ? m_beginLimit.until() : std::nullopt;
     if (beginBy && now >= *beginBy)
         return "old-weights";
-    return m_services.mayReceiveCalls(m_service->name, m_upstream, m_regions.allowed()) ? nullptr : "upstream-unavailable";
+    return m_services.mayReceiveCalls(*m_service, m_upstream, m_regions.allowed()) ? nullptr : "upstream-unavailable";
 }
 
 bool CallFlow::completeFields(HttpCall& call)
@@ -421,6 +421,8 @@
     context.metrics.count("calls_withheld_total", m_obstacle);
     context.log.write("call.withheld", { { "request", m_call.requestId }, { "upstream", m_upstream }, { "obstacle", m_obstacle }, { "connect_ms", std::to_string(millisecondsBetween(m_sentAt, monotonicNow())) }, { "after_ms", millisecondsText(elapsed()) } });
     m_services.crashes().recordWithheld(m_crashTraits);
+    if (++m_withheldAttempts <= maxWithheldAttempts)
+        m_triedUpstreams.erase(m_upstream);
     releaseUpstream();
     if (monotonicNow() >= m_deadline)
         return handleDeadline();
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -137,6 +137,7 @@
     unsigned m_eventsForwarded = 0;
     bool m_isQueued = false;
     double m_predictedFirstEventDelay = 0; // milliseconds after m_sentAt
+    unsigned m_withheldAttempts = 0;
     const char* m_obstacle = nullptr; // to writing the attempt, found when its connection stood
     TimePoint m_sentAt;
     TimePoint m_lastBytesAt; // of an answer's body
--- a/modules/hyssopwick_gateway/entry/CallLimits.h
+++ b/modules/hyssopwick_gateway/entry/CallLimits.h
@@ -11,6 +11,8 @@
 inline constexpr unsigned lastConnectRound = 2;
 // Engines that may be unreachable before a call is refused.
 inline constexpr unsigned maxEngineConnects = 4;
+// After more attempts than this that were withheld, an upstream is not chosen again for the call.
+inline constexpr unsigned maxWithheldAttempts = 4;
 inline constexpr Milliseconds connectRoundDelay { 30 };
 inline constexpr Milliseconds notReadyRetryAfter { 500 };
 inline constexpr Milliseconds overloadRetryAfter { 500 };
--- a/modules/hyssopwick_gateway/entry/EntryServices.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryServices.cpp
@@ -172,9 +172,11 @@
         m_onBeginLimits();
 }
 
-bool EntryServices::mayReceiveCalls(const std::string& service, const std::string& id, const RegionSet& allowed) const
+bool EntryServices::mayReceiveCalls(const ServiceDescription& service, const std::string& id, const RegionSet& allowed) const
 {
-    return m_registry.isUsable(id) && !m_allowances.isResting(id, monotonicNow()) && m_eligibility.isEligible(service, id, allowed);
+    if (!m_registry.isUsable(id) || m_allowances.isResting(id, monotonicNow()) || !m_eligibility.isEligible(service.name, id, allowed))
+        return false;
+    return !service.engine || isUsableEngine(*upstream(id));
 }
 
 const EngineStatus* EntryServices::engineAt(const std::string& address) const
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -79,8 +79,8 @@
     const Upstream* upstream(const std::string& id) const { return m_registry.find(id); }
 
     /// Returns whether an upstream may be sent a call now: it does not leave, wants calls, and serves in the allowed
-    /// regions. Its weights and its load are not considered.
-    bool mayReceiveCalls(const std::string& service, const std::string& id, const RegionSet& allowed) const;
+    /// regions; an engine serves and holds weights that may be used. Its load is not considered.
+    bool mayReceiveCalls(const ServiceDescription& service, const std::string& id, const RegionSet& allowed) const;
 
     /// Returns the status of the engine at an address, or nullptr.
     const EngineStatus* engineAt(const std::string& address) const;
--- a/tests/platform/LateConnectionTests.cpp
+++ b/tests/platform/LateConnectionTests.cpp
@@ -6,7 +6,7 @@
 TEST_GROUP_BASE(LateConnection, VersionBoundGroup)
 {
     // Sends a call to the engine i-1, whose weights may be used for a while, until it is connecting.
-    void connectToOldWeights()
+    void connectToOldWeights(Milliseconds timeToLimit = defaultTimeToLimit)
     {
         addEngine("i-1", older, 1);
         services.addVersion({ "m", 2 }, monotonicNow() - services.oldWeightsGracePeriod() + timeToLimit);
@@ -32,14 +32,14 @@
         LONGS_EQUAL(0, older.requests().size());
     }
 
-    static constexpr Milliseconds timeToLimit { 300 };
+    static constexpr Milliseconds defaultTimeToLimit { 300 };
 };
 
 // Guards against a late process that handles the connection before the expired timer of the limit.
 TEST(LateConnection, ACallIsNotWrittenToOldWeightsAfterTheirLimit)
 {
     connectToOldWeights();
-    suspend(timeToLimit * 2);
+    suspend(defaultTimeToLimit * 2);
     checkSentOnlyElsewhere();
 }
 
@@ -64,10 +64,11 @@
 TEST(LateConnection, ACallIsNotWrittenAfterItsDeadline)
 {
     callerTimeout = "400";
-    connectToOldWeights();
+    connectToOldWeights(Milliseconds(5000));
     suspend(Milliseconds(500));
     runUntil([this] { return exchange->hasEnded; });
     LONGS_EQUAL(503, exchange->status);
+    LONGS_EQUAL(1, metrics.counter("calls_withheld_total", "deadline"));
     checkNothingReceived();
 }
 
@@ -75,8 +76,30 @@
 TEST(LateConnection, AWithheldCallIsNoFailureOfItsUpstream)
 {
     connectToOldWeights();
-    suspend(timeToLimit * 2);
+    suspend(defaultTimeToLimit * 2);
     checkSentOnlyElsewhere();
     LONGS_EQUAL(1, metrics.counter("calls_withheld_total", "old-weights"));
     LONGS_EQUAL(0, metrics.counter("attempts_failed_total", "not-sent"));
 }
+
+TEST(LateConnection, ACallIsNotWrittenToAnEngineThatCloses)
+{
+    connectToOldWeights();
+    EngineUpdate update;
+    update.engineAddress = older.address();
+    update.report.loadedVersions["m"] = 1;
+    update.availability = EngineAvailability::Draining;
+    services.recordEngineUpdate(update);
+    checkSentOnlyElsewhere();
+}
+
+TEST(LateConnection, AnUpstreamThatACallWasWithheldFromMayServeItLater)
+{
+    connectToOldWeights();
+    suspend(defaultTimeToLimit * 2);
+    runUntil([this] { return metrics.counter("calls_withheld_total", "old-weights") > 0; });
+    older.answer(streamWithOneEvent);
+    addEngine("i-1", older, 2);
+    runUntil([this] { return exchange->hasEnded; });
+    LONGS_EQUAL(200, exchange->status);
+}
