An engine that is late to report gives up its old weights in time, too

Cause: the order was sent after a report only. A report that takes over 0.35 s, as of a full engine, delayed it past the bound: the class of the fault again. Change: a timer for the order; a failed report counts as an occasion; after the bound an order is repeated once a second. The test of weights that are not loaded again lets the origin have them, and the engine refuses orders of another sequence. Conclusion: the bound depends on no report any more.

--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -41,6 +41,7 @@
           context.loop, [this](const ServerExchangePointer& exchange) { serveMetrics(exchange); }, [] { return CallerLimits(); })
     , m_updates(context, m_peerSocket)
     , m_pollTimer(context.loop)
+    , m_retirementTimer(context.loop)
     , m_registry(context.description.drainBound)
     , m_eligibility(context.description)
 {
@@ -124,6 +125,7 @@
             m_context.log.write("engine.lost", { { "engine", m_context.description.engineAddress }, { "problem", report.error().message } });
             sendUpdate(true);
         }
+        planRetirement();
         return schedulePoll(m_isAnswering ? failedReportDelay : reportPeriod);
     }
     m_failedPolls = 0;
@@ -199,10 +201,20 @@
 
 void AgentGateway::planRetirement()
 {
+    if (!m_hasReport || !m_service || m_service->models.empty())
+        return;
     const bool wasClosing = m_retirement.isClosing();
-    m_retirement.proceed({ m_service->models.front(), loadedVersion() }, m_report, m_activation && m_activation->isLoading());
+    const auto next = m_retirement.proceed({ m_service->models.front(), loadedVersion() }, m_report, m_activation && m_activation->isLoading());
     if (m_retirement.isClosing() != wasClosing)
         sendUpdate(true);
+    m_retirementTimer.cancel();
+    if (!next)
+        return;
+    m_retirementTimer.expires_at(*next);
+    m_retirementTimer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            planRetirement();
+    });
 }
 
 bool AgentGateway::isWorthLoading(std::uint64_t version) const
--- a/modules/hyssopwick_gateway/agent/AgentGateway.h
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.h
@@ -73,6 +73,7 @@
     HttpListener m_metrics;
     EngineUpdates m_updates;
     LoopTimer m_pollTimer;
+    LoopTimer m_retirementTimer;
     UpstreamRegistry m_registry;
     UpstreamEligibility m_eligibility;
     std::map<std::string, VmIdentity> m_entries; // registered in the store
--- a/modules/hyssopwick_gateway/agent/EngineRetirement.h
+++ b/modules/hyssopwick_gateway/agent/EngineRetirement.h
@@ -20,9 +20,11 @@
     /// Returns whether calls may begin on \p weights at \p time, as far as is known.
     bool isUsableAt(const WeightsVersion& weights, TimePoint time) const;
 
-    /// Orders the engine to give up \p loaded, if their time has come. Call with each report.
+    /// Orders the engine to give up \p loaded, if their time has come. Call with each report, and at the time returned,
+    /// also without a report: an engine that is late to report may still begin calls.
     /// \param isLoading  whether the engine is about to load a newer version
-    void proceed(const WeightsVersion& loaded, const EngineReport& report, bool isLoading);
+    /// \return when to call this next, or nothing while no newer version is known
+    std::optional<TimePoint> proceed(const WeightsVersion& loaded, const EngineReport& report, bool isLoading);
 
     /// Returns whether the engine is to get no further calls until its next load.
     bool isClosing() const { return m_isClosing; }
@@ -30,13 +32,14 @@
 private:
     std::optional<TimePoint> usableUntil(const WeightsVersion& weights) const;
     void sendOrder(const WeightsVersion& loaded, const EngineReport& report, TimePoint limit);
+    void recordResult(const WeightsVersion& loaded, OrderResult result, TimePoint limit);
 
     GatewayContext& m_context;
     EngineClient& m_engine;
     OldWeightsBounds m_bounds { monotonicNow() };
     bool m_isClosing = false;
     bool m_isOrdering = false;
-    bool m_isSupported = true; // by the engine
+    TimePoint m_orderFrom; // not before, after an order that had no effect
 };
 
 }
--- a/tests/platform/EngineRetirementTests.cpp
+++ b/tests/platform/EngineRetirementTests.cpp
@@ -22,6 +22,9 @@
     int loadedLayers = layerCount;
     bool hasOrigin = false;
     unsigned refusal = 0; // status of the answers to orders, or 0 to accept them
+    std::optional<Milliseconds> silentAfter; // after the publication, the engine answers no report
+    std::vector<ServerExchangePointer> unanswered;
+    std::uint64_t sequence = 0;
     TimePoint publishedAt;
 
     bool mayBeginCalls() const { return loadedLayers == layerCount; }
@@ -33,6 +36,9 @@
         orders.push_back(order);
         if (refusal != 0)
             return exchange->respond(refusal, {}, "");
+        if (order.at("expected") != sequence)
+            return exchange->respond(409, {}, "");
+        ++sequence;
         loadedVersion = order.at("version");
         loadedLayers = isRetirement(exchange->request().body) ? 0 : layerCount;
         exchange->respond(202, {}, "");
@@ -46,8 +52,10 @@
             return watches.push_back(exchange);
         if (startsWith("/-/kv-range"))
             return exchange->respond(200, {}, storePage("items", 5, { { "op/config", R"({"version":1,"routes":[],"services":[{"name":"s","engine":{"slots":4,"chunks":1,"chunkBytes":64,"models":[{"name":"m","warmS":0.01}]}},{"name":"o","origin":")" + ip + R"(:21733","zone":"north-a","linkMbps":1000}]})" } }));
+        if (startsWith("/-/report") && silentAfter && publishedAt != TimePoint() && monotonicNow() >= publishedAt + *silentAfter)
+            return unanswered.push_back(exchange);
         if (startsWith("/-/report")) {
-            auto report = nlohmann::json { { "sequence", refusal == 0 ? orders.size() : 0 }, { "queued", 0 }, { "running", 0 }, { "born", 1000 }, { "layers", { { "from", 0 }, { "target", loadedLayers }, { "version", loadedVersion } } } };
+            auto report = nlohmann::json { { "sequence", sequence }, { "queued", 0 }, { "running", 0 }, { "born", 1000 }, { "layers", { { "from", 0 }, { "target", loadedLayers }, { "version", loadedVersion } } } };
             report["models"] = nlohmann::json::array({ { { "name", "m" }, { "version", loadedVersion } } });
             return exchange->respond(200, {}, report.dump());
         }
@@ -59,9 +67,10 @@
             return exchange->respond(200, {}, staged);
         if (startsWith("/-/order"))
             return accept(exchange);
-        if (hasOrigin && startsWith("/-/manifest"))
-            return exchange->respond(200, {}, platform::platformPorts().engines->encodeManifest({ { "m", 2 }, chunk.size(), { Digest::of(chunk) } }));
-        if (hasOrigin && startsWith("/-/piece"))
+        const bool isFirst = target.find("version=1") != std::string::npos;
+        if ((hasOrigin || isFirst) && startsWith("/-/manifest"))
+            return exchange->respond(200, {}, platform::platformPorts().engines->encodeManifest({ { "m", isFirst ? 1u : 2u }, chunk.size(), { Digest::of(chunk) } }));
+        if ((hasOrigin || isFirst) && startsWith("/-/piece"))
             return exchange->respond(200, {}, chunk);
         exchange->respond(404, {}, "");
     }
@@ -100,7 +109,7 @@
     runAgent([this] { return isBoundOver(); });
     CHECK_FALSE(mayBeginCalls());
     LONGS_EQUAL(1, orders.size());
-    CHECK(orderedAt.front() > publishedAt + Milliseconds(1000)); // entry VMs use the weights until then
+    CHECK(orderedAt.front() > publishedAt + versionBound - Milliseconds(500)); // entry VMs use the weights until then
 }
 
 TEST(EngineRetirement, WeightsThatWereGivenUpAreNotLoadedAgain)
@@ -138,3 +147,28 @@
     CHECK_FALSE(mayBeginCalls());
     CHECK(orders.size() > 1);
 }
+
+// Guards against an order that waits for a report of an engine that is late to report.
+TEST(EngineRetirement, AReportThatIsLateDoesNotDelayTheOrder)
+{
+    silentAfter = versionBound - Milliseconds(350);
+    runAgent([this] { return isBoundOver(); });
+    CHECK_FALSE(mayBeginCalls());
+}
+
+TEST(EngineRetirement, AnOrderThatWasRefusedOnceIsRepeated)
+{
+    refusal = 400;
+    runAgent([this] {
+        refusal = orders.empty() ? 400 : 0;
+        return isBoundOver(Milliseconds(1500));
+    });
+    CHECK_FALSE(mayBeginCalls());
+}
+
+TEST(EngineRetirement, OrdersWithoutEffectAreNotRepeatedWithEachReport)
+{
+    refusal = 200;
+    runAgent([this] { return isBoundOver(Milliseconds(2000)); });
+    CHECK_COMPARE(orders.size(), <=, 8u);
+}
