Log lines and gauges for the age of the view by which calls are refused

Cause: a refusal with 401 or 404 shows the configuration's version, not how long ago the view was known to be current, so that a late view cannot be told from a call that no configuration allows. Change: call.not-allowed with both ages of the view, view_age_at_rejection, view_confirmed_age_milliseconds; entry.ready has the ages too. No logic is changed.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -52,6 +52,7 @@
     const auto admission = admitCall(request, m_call, *m_routes, m_services.random().unit());
     if (const auto* rejected = std::get_if<RejectedCall>(&admission)) {
         m_route = rejected->route;
+        recordRejection(*rejected);
         refuse(rejected->reason, rejected->status, Milliseconds(0));
         return false;
     }
@@ -67,6 +68,14 @@
     return !refuseIfOutlastsStop(admitted) && !refuseIfCrashSuspected();
 }
 
+void CallFlow::recordRejection(const RejectedCall& rejected)
+{
+    const auto age = m_services.viewAge();
+    auto& context = m_services.context();
+    context.metrics.observe("view_age_at_rejection", double(age.likely.count()));
+    context.log.write("call.not-allowed", { { "request", m_call.requestId }, { "reason", refusalReasonName(rejected.reason) }, { "configuration", std::to_string(m_routes->configuration().version) }, { "view_age_ms", millisecondsText(age.likely) }, { "view_confirmed_ms", millisecondsText(age.confirmed) } });
+}
+
 bool CallFlow::refuseIfOutlastsStop(const AdmittedCall& admitted)
 {
     const auto stopBy = m_services.stopBy();
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -70,6 +70,7 @@
     m_services.answerMemory()->setBufferedBytes([this] { return m_callers.bufferedBytes(); });
     m_gossip.setStatusSource([this] { return std::make_pair(static_cast<unsigned>(m_calls.size()), m_addresses.queriesPerSecond(monotonicNow())); });
     m_gossip.onChange([this] { membersChanged(); });
+    m_services.setViewAge([this] { return ViewAge { m_view.age(), m_view.confirmedAge() }; });
     m_services.onCapacity([this] {
         if (!m_services.routes())
             return;
@@ -220,6 +221,7 @@
     m_context.metrics.gauge("answer_bytes_held", double(m_services.answerMemory()->heldBytes()));
     m_context.metrics.gauge("answers_unread", double(m_callers.unreadAnswers()));
     m_context.metrics.gauge("view_age_milliseconds", double(m_view.age().count()));
+    m_context.metrics.gauge("view_confirmed_age_milliseconds", double(m_view.confirmedAge().count()));
     exchange->respond(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.metrics.prometheusText());
 }
 
@@ -307,7 +309,7 @@
         return;
     m_isReady = isReady;
     m_gossip.setServing(isReady);
-    m_context.log.write("entry.ready", { { "revision", std::to_string(m_view.revision()) } });
+    m_context.log.write("entry.ready", { { "revision", std::to_string(m_view.revision()) }, { "age_ms", std::to_string(m_view.age().count()) }, { "confirmed_ms", std::to_string(m_view.confirmedAge().count()) } });
 }
 
 void EntryGateway::recordLoopDelay(TimePoint expectedAt)
--- a/modules/hyssopwick_gateway/entry/EntryServices.h
+++ b/modules/hyssopwick_gateway/entry/EntryServices.h
@@ -18,6 +18,12 @@
     TimePoint receivedAt;
 };
 
+/// How old the view of the store is.
+struct ViewAge {
+    Milliseconds likely { 0 }; ///< since it was known to be current, if this process reads answers at once
+    Milliseconds confirmed { 0 }; ///< since it certainly was
+};
+
 /// What the calls of one entry VM share: the active configuration, the upstreams and the
 /// decisions about them. Used by one event loop.
 class EntryServices {
@@ -69,6 +75,11 @@
     /// Returns the active configuration, or nullptr before the first.
     const RouteTablePointer& routes() const { return m_routes; }
 
+    /// Sets the source of viewAge(). Without one, the view is taken for current.
+    void setViewAge(std::function<ViewAge()> source) { m_viewAge = std::move(source); }
+    /// Returns how old the view is from which the active configuration was read.
+    ViewAge viewAge() const { return m_viewAge ? m_viewAge() : ViewAge(); }
+
     /// Returns the pool of a service with engines, or nullptr.
     EnginePool* enginePool(const std::string& service);
     /// Returns the queue of a service that has engines.
@@ -148,6 +159,7 @@
 
     GatewayContext& m_context;
     RouteTablePointer m_routes;
+    std::function<ViewAge()> m_viewAge;
     UpstreamRegistry m_registry;
     UpstreamEligibility m_eligibility;
     std::map<std::string, EngineStatus> m_engineStatus; // by engine address
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -29,6 +29,9 @@
     /// Returns how long ago the view was known to be current.
     Milliseconds age() const { return m_decision.age(monotonicNow()); }
 
+    /// Returns how long ago it certainly was, even if answers were read late.
+    Milliseconds confirmedAge() const { return m_decision.confirmedAge(monotonicNow()); }
+
     std::uint64_t revision() const { return m_view.revision(); }
 
     const StorePosition& position() const { return m_view.position(); }
