--- a/tests/ViewSourceTests.cpp
+++ b/tests/ViewSourceTests.cpp
@@ -84,6 +84,20 @@
     STRCMP_EQUAL("c", agent.alternative()->id.c_str());
 }
 
+// Guards against agents that replace a source which works: it follows another entry VM, and its view is older for that.
+TEST(ViewSourceFailover, AnAgentKeepsASourceThatFollowsAnotherEntry)
+{
+    ViewSourceDecision agent({ "agent", "agent:1", "north", "north-a", "agent" }, false);
+    agent.setEntries({ entry("a", "north"), entry("b", "north") });
+    const auto followed = agent.source();
+    for (const int now : { 2000, 2500, 3000 }) {
+        agent.recordAnswer(followed, Milliseconds(1250), at(now));
+        CHECK(agent.source() == followed);
+    }
+    agent.recordAnswer(followed, Milliseconds(1500), at(3500));
+    CHECK_FALSE(agent.source() == followed);
+}
+
 // An answer that was read late, or a failure that this process caused, does not move that time.
 TEST(ViewSourceFailover, FailuresOfTheProcessItselfAreNoOutageOfTheStore)
 {
--- a/tests/platform/FleetSupport.h
+++ b/tests/platform/FleetSupport.h
@@ -16,8 +16,9 @@
     using Json = nlohmann::json;
 
     explicit FleetStore(EventLoop& loop)
-        : m_listener(
-            loop, [this](const ServerExchangePointer& exchange) { serve(exchange); }, [] { return CallerLimits(); })
+        : m_loop(loop)
+        , m_listener(
+              loop, [this](const ServerExchangePointer& exchange) { serve(exchange); }, [] { return CallerLimits(); })
     {
         CHECK(m_listener.listen("127.0.0.1:0").has_value());
     }
@@ -31,6 +32,9 @@
         answerWatches();
     }
 
+    /// Stops answering calls, or answers again. Calls that arrive while it is silent stay unanswered.
+    void setSilent(bool isSilent) { m_isSilent = isSilent; }
+
     std::size_t countUnder(const std::string& prefix) const
     {
         return static_cast<std::size_t>(std::count_if(m_records.begin(), m_records.end(), [&prefix](const auto& record) { return record.first.rfind(prefix, 0) == 0; }));
@@ -45,6 +49,7 @@
     struct Watch {
         ServerExchangePointer exchange;
         std::uint64_t after = 0;
+        std::shared_ptr<LoopTimer> timer; // answers it when its wait is over
     };
 
     static std::uint64_t parameter(const std::string& target, const std::string& name)
@@ -74,12 +79,19 @@
 
     void serve(const ServerExchangePointer& exchange)
     {
+        if (m_isSilent)
+            return m_unanswered.push_back(exchange);
         const auto& target = exchange->request().target;
         const auto startsWith = [&target](const char* prefix) { return target.rfind(prefix, 0) == 0; };
         if (startsWith("/-/kv-range"))
             return respond(exchange, 200, { { "items", recordsAfter(0) }, { "hasMore", false }, { "at", m_revision } });
         if (startsWith("/-/kv-watch")) {
-            m_watches.push_back({ exchange, parameter(target, "after") });
+            const auto timer = std::make_shared<LoopTimer>(m_loop, Milliseconds(parameter(target, "waitMs")));
+            timer->async_wait([this, raw = exchange.get()](boost::system::error_code error) {
+                if (!error)
+                    endWatch(raw);
+            });
+            m_watches.push_back({ exchange, parameter(target, "after"), timer });
             return answerWatches();
         }
         if (startsWith("/-/kv-txn"))
@@ -104,8 +116,20 @@
         answerWatches();
     }
 
+    void endWatch(const ServerExchange* exchange)
+    {
+        const auto watch = std::find_if(m_watches.begin(), m_watches.end(), [exchange](const Watch& candidate) { return candidate.exchange.get() == exchange; });
+        if (m_isSilent || watch == m_watches.end())
+            return;
+        const auto ended = *watch;
+        m_watches.erase(watch);
+        respond(ended.exchange, 200, { { "events", Json::array() }, { "at", m_revision } });
+    }
+
     void answerWatches()
     {
+        if (m_isSilent)
+            return;
         const auto watches = std::move(m_watches);
         m_watches.clear();
         for (const auto& watch : watches) {
@@ -116,10 +140,13 @@
         }
     }
 
+    EventLoop& m_loop;
     HttpListener m_listener;
     std::map<std::string, Record> m_records;
     std::vector<Watch> m_watches;
+    std::vector<ServerExchangePointer> m_unanswered;
     std::uint64_t m_revision = 0;
+    bool m_isSilent = false;
 };
 
 /// Engine on a loopback port that crashes when it begins the answer to a prompt with one block.
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -1,4 +1,5 @@
 #include "../TestSupport.h"
+#include "FleetSupport.h"
 #include "ViewSupport.h"
 
 #include <http/Compression.h>
@@ -414,6 +415,27 @@
     CHECK(ViewSourceDecision::isTooOld(decodeView(waiting->fields, waiting->body).value().times.age));
 }
 
+// Guards against followers that replace a source which works, while it collects changes.
+TEST(View, AProcessThatCollectsChangesIsNeverTooOldForItsFollowers)
+{
+    FleetStore changingStore(loop);
+    changingStore.set("a", base64("0"));
+    ViewProcess reader(loop, "reader", changingStore.address(), true);
+    auto& description = reader.context.description;
+    description.configurationBound = description.drainBound = description.evacuationBound = Milliseconds(3000);
+    reader.replicator.start({});
+    while (reader.replicator.revision() == 0)
+        loop.run_one();
+    const ViewSourceDecision follower({ "follower", "127.0.0.1:2", "north", "north-a", "entry" }, true);
+    for (const auto* value : { "1", "2", "3" }) {
+        changingStore.set("a", base64(value));
+        for (const auto until = monotonicNow() + Milliseconds(1300); monotonicNow() < until;) {
+            loop.run_one_for(Milliseconds(5));
+            CHECK_FALSE(follower.isTooOld(reader.replicator.age()));
+        }
+    }
+}
+
 TEST(View, AStartingProcessAsksASeedBeforeTheStore)
 {
     ScriptedUpstream seed(loop);
