An entry that is out of date does not refuse a route or key as unknown

What callers saw: 404 for a route that had been added more than the bound (configMs) before, from an entry whose source was late. Callers do not repeat a request after 404 or 401. Cause: admission was given the routes, and not how long ago they were known to be current, so that the bound held only as long as the replication of the view was fast enough. Change: refusalByConfiguration(): a call that the known configuration does not allow is refused for good only if the view was certainly current within the bound before; otherwise with 503 (configuration-outdated, not run) and Retry-After. Calls that the known configuration allows are served as before, also without the store. Why it works: a configuration that was acknowledged longer ago than the bound was in the store before the time for which the view is confirmed, so the view has it, whatever delayed the view. Conclusion: class of fault: a final answer by replicated state whose age is not looked at.

--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -51,9 +51,7 @@
     }
     const auto admission = admitCall(request, m_call, *m_routes, m_services.random().unit());
     if (const auto* rejected = std::get_if<RejectedCall>(&admission)) {
-        m_route = rejected->route;
-        recordRejection(*rejected);
-        refuse(rejected->reason, rejected->status, Milliseconds(0));
+        refuseByConfiguration(*rejected);
         return false;
     }
     const auto& admitted = std::get<AdmittedCall>(admission);
@@ -68,12 +66,17 @@
     return !refuseIfOutlastsStop(admitted) && !refuseIfCrashSuspected();
 }
 
-void CallFlow::recordRejection(const RejectedCall& rejected)
+void CallFlow::refuseByConfiguration(const RejectedCall& rejected)
 {
+    m_route = rejected.route;
     const auto age = m_services.viewAge();
     auto& context = m_services.context();
+    const auto reason = refusalByConfiguration(rejected.reason, age.confirmed, context.description.configurationBound);
     context.metrics.observe("view_age_at_rejection", double(age.likely.count()));
-    context.log.write("call.not-allowed", { { "request", m_call.requestId }, { "reason", refusalReasonName(rejected.reason) }, { "configuration", std::to_string(m_routes->configuration().version) }, { "view_age_ms", millisecondsText(age.likely) }, { "view_confirmed_ms", millisecondsText(age.confirmed) } });
+    context.log.write("call.not-allowed", { { "request", m_call.requestId }, { "reason", refusalReasonName(rejected.reason) }, { "outdated", reason == rejected.reason ? "false" : "true" }, { "configuration", std::to_string(m_routes->configuration().version) }, { "view_age_ms", millisecondsText(age.likely) }, { "view_confirmed_ms", millisecondsText(age.confirmed) } });
+    if (reason == RefusalReason::ConfigurationOutdated)
+        return refuse(reason, statusUnavailable, notReadyRetryAfter);
+    refuse(rejected.reason, rejected.status, Milliseconds(0));
 }
 
 bool CallFlow::refuseIfOutlastsStop(const AdmittedCall& admitted)
--- a/modules/hyssopwick_gateway/entry/CallFlow.h
+++ b/modules/hyssopwick_gateway/entry/CallFlow.h
@@ -74,7 +74,7 @@
     void cancelAttempt(const char* reason);
     void forwardWholeAnswer();
     void refuse(RefusalReason reason, unsigned status, Milliseconds retryAfter);
-    void recordRejection(const RejectedCall& rejected);
+    void refuseByConfiguration(const RejectedCall& rejected);
     bool refuseIfOutlastsStop(const AdmittedCall& admitted);
     bool refuseIfCrashSuspected();
     bool refuseWithoutUpstream();
--- a/modules/hyssopwick_requests/hyssopwick_requests.h
+++ b/modules/hyssopwick_requests/hyssopwick_requests.h
@@ -35,6 +35,7 @@
 #include "retries/CrashSuspicion.h"
 #include "retries/RetryDecision.h"
 #include "routing/CallerDemand.h"
+#include "routing/ConfigurationRefusal.h"
 #include "routing/EntrySelection.h"
 #include "routing/PrefixIndex.h"
 #include "routing/Refusal.h"
--- a/modules/hyssopwick_requests/routing/Refusal.cpp
+++ b/modules/hyssopwick_requests/routing/Refusal.cpp
@@ -37,6 +37,7 @@
         { RefusalReason::EntryLeaving, "entry-leaving", 503 },
         { RefusalReason::EntryBusy, "entry-busy", 503 },
         { RefusalReason::NotReady, "not-ready", 503 },
+        { RefusalReason::ConfigurationOutdated, "configuration-outdated", 503 },
         { RefusalReason::TooLarge, "too-large", 413 },
     };
 
--- a/modules/hyssopwick_requests/routing/Refusal.h
+++ b/modules/hyssopwick_requests/routing/Refusal.h
@@ -39,6 +39,7 @@
     EntryLeaving,
     EntryBusy,
     NotReady,
+    ConfigurationOutdated,
     TooLarge,
 };
 
