hyssopwick_node: an entry that is out of date refuses no account or service for good

Change: ConfigurationDecision::age(): since when the active configuration was certainly the newest, from the watchers' answers and, for the others, from the age in the answers to pings; unknown while a higher revision is known. Refusals use refusalByConfiguration() with a bound of 8 s: 503 configuration-outdated, not run, Retry-After.

--- a/modules/hyssopwick_membership/configuration/ConfigurationDecision.cpp
+++ b/modules/hyssopwick_membership/configuration/ConfigurationDecision.cpp
@@ -8,6 +8,7 @@
 namespace {
     constexpr std::size_t maxRequiredDomains = 3;
     constexpr std::size_t maxRequiredPeers = 3;
+    constexpr Milliseconds unknownAge { 3600000 };
 }
 
 const char* adoptionResultName(AdoptionResult result)
@@ -60,6 +61,20 @@
     m_highestKnownRevision = std::max(m_highestKnownRevision, revision);
 }
 
+void ConfigurationDecision::confirmCurrentAt(ConfigurationRevision revision, TimePoint time)
+{
+    m_highestKnownRevision = std::max(m_highestKnownRevision, revision);
+    if (revision <= m_current.head.revision)
+        m_confirmedAt = std::max(m_confirmedAt.value_or(time), time);
+}
+
+Milliseconds ConfigurationDecision::age(TimePoint now) const
+{
+    if (!m_confirmedAt || m_highestKnownRevision > m_current.head.revision)
+        return unknownAge;
+    return std::chrono::ceil<Milliseconds>(now - *m_confirmedAt);
+}
+
 bool ConfigurationDecision::mayServe(std::size_t knownDomains) const
 {
     const auto active = m_current.head.revision;
--- a/modules/hyssopwick_membership/configuration/ConfigurationDecision.h
+++ b/modules/hyssopwick_membership/configuration/ConfigurationDecision.h
@@ -40,6 +40,13 @@
     /// Records the head's revision as read from the key-value service; 0 for no head.
     void recordHeadRevision(ConfigurationRevision revision);
 
+    /// Records that no revision above \p revision was accepted before \p time.
+    void confirmCurrentAt(ConfigurationRevision revision, TimePoint time);
+
+    /// Returns how long ago the active configuration was certainly the newest one; one hour if it never was, or
+    /// while a higher revision is known.
+    Milliseconds age(TimePoint now) const;
+
     /// Returns whether this process may serve by the active configuration: its revision
     /// is at least that of the head or, if the head was never read, at least the highest
     /// of peers that answered with a configuration, in enough failure domains.
@@ -57,6 +64,7 @@
     ConfigurationRevision m_highestKnownRevision = 0;
     ConfigurationRevision m_headRevision = 0;
     bool m_wasHeadRead = false;
+    std::optional<TimePoint> m_confirmedAt; // time at which the active configuration certainly was the newest one
     std::map<std::string, std::string> m_configuredPeers; // peer to failure domain
     ConfigurationRevision m_highestPeerRevision = 0;
 };
--- a/modules/hyssopwick_node/entry/EntryGossip.cpp
+++ b/modules/hyssopwick_node/entry/EntryGossip.cpp
@@ -61,7 +61,9 @@
     message["domain"] = m_context.settings.vm.failureDomain;
     message["members"] = m_members.takeUpdates(updatesPerPing);
     message["members"].push_back(m_members.with([](const MemberTable& table) { return memberUpdateToJson(table.self()); }));
+    const auto age = m_configuration.age(); // before the revision, which may rise meanwhile
     message["revision"] = m_configuration.revision();
+    message["age_ms"] = age.count();
     if (m_loadSource) {
         const auto load = m_loadSource();
         message["load"] = load.requestsInProgress;
@@ -100,6 +102,13 @@
     m_loadSink(from, load);
 }
 
+// The age was measured after the request was sent; how long the answer took is not known.
+void EntryGossip::confirmConfiguration(const nlohmann::json& answer, TimePoint sentAt)
+{
+    if (answer.is_object() && answer.contains("age_ms"))
+        m_configuration.confirmCurrentAt(answer.value("revision", ConfigurationRevision { 0 }), sentAt - Milliseconds(answer.value("age_ms", std::int64_t { 0 })));
+}
+
 void EntryGossip::runRound()
 {
     const auto now = monotonicNow();
@@ -161,9 +170,10 @@
     const auto known = m_members.with([&](const MemberTable& table) { return *table.find(action.vm); });
     if (known.state >= MemberState::Suspect)
         message["members"].push_back(memberUpdateToJson(known));
-    m_context.rpc.call(target->address, "ping", message, action.deadline, [this, vm = action.vm](Outcome<nlohmann::json> answer) {
+    m_context.rpc.call(target->address, "ping", message, action.deadline, [this, vm = action.vm, sentAt = monotonicNow()](Outcome<nlohmann::json> answer) {
         if (answer) {
             receivePing(answer.value());
+            confirmConfiguration(answer.value(), sentAt);
             std::lock_guard<std::mutex> lock(m_mutex);
             m_probes.recordAnswer(vm);
             return;
--- a/modules/hyssopwick_node/entry/EntryGossip.h
+++ b/modules/hyssopwick_node/entry/EntryGossip.h
@@ -42,6 +42,7 @@
     void runRound();
     nlohmann::json makePing();
     void receivePing(const nlohmann::json& message);
+    void confirmConfiguration(const nlohmann::json& answer, TimePoint sentAt);
     void perform(const ProbeAction& action);
     void ping(const SendPing& action);
     void pingIndirectly(const SendIndirectPing& action);
--- a/modules/hyssopwick_node/entry/EntryRequests.cpp
+++ b/modules/hyssopwick_node/entry/EntryRequests.cpp
@@ -12,6 +12,8 @@
     constexpr Milliseconds noUpstreamDelay { 60 };
     constexpr Milliseconds busyDelay { 15 };
     constexpr Milliseconds defaultRetryAfter { 500 };
+    // After it an accepted configuration is in force everywhere.
+    constexpr Milliseconds configurationBound { 8000 };
     constexpr Milliseconds maxWaitForUpstream { 3000 };
     constexpr Milliseconds maxLoadAge { 15'000 };
     constexpr double selectionDecay = 0.995; // per limitsPeriod
@@ -23,6 +25,13 @@
 
     Refusal leavingRefusal() { return { RefusalReason::EntryLeaving, RunState::NotRun, Milliseconds(0), "this entry VM is leaving", {} }; }
 
+    Refusal refusalOf(const Refusal& parsed, Milliseconds configurationAge)
+    {
+        if (refusalByConfiguration(parsed.reason, configurationAge, configurationBound) == parsed.reason)
+            return parsed;
+        return { RefusalReason::ConfigurationOutdated, RunState::NotRun, defaultRetryAfter, "a newer configuration, not known here yet, may allow the request", {} };
+    }
+
     std::string headerOf(const HttpClientResponse& response, const char* name)
     {
         const auto found = response.headers.find(name);
@@ -149,7 +158,7 @@
     if (!m_configuration.mayServe(m_members.entryDomains()))
         refusal = Refusal { RefusalReason::NotReady, RunState::NotRun, defaultRetryAfter, "no configuration is in force here yet", {} };
     else if (auto* parsed = std::get_if<Refusal>(&result))
-        refusal = *parsed;
+        refusal = refusalOf(*parsed, m_configuration.age());
     auto flow = refusal ? std::make_shared<RequestFlow>() : std::get<RequestFlowPointer>(result);
     flow->responder = std::move(responder);
     flow->receivedAt = now;
--- a/modules/hyssopwick_node/entry/HeadWatcher.cpp
+++ b/modules/hyssopwick_node/entry/HeadWatcher.cpp
@@ -73,9 +73,12 @@
         } else if (isWatcher()) {
             if (monotonicNow() > m_vmListReadAt + vmListPeriod)
                 readVmList();
-            const auto watched = m_keyValue.watch(headKey, m_headKeyRevision, monotonicNow() + watchTimeout, KeyValuePriority::Head);
+            const auto watchedAt = monotonicNow();
+            const auto watched = m_keyValue.watch(headKey, m_headKeyRevision, watchedAt + watchTimeout, KeyValuePriority::Head);
             if (watched && watched.value().revision > m_headKeyRevision)
-                adopt(watched.value());
+                adopt(watched.value(), watchedAt);
+            else if (watched) // not sent before the wait was over
+                m_configuration.confirmCurrentAt(m_configuration.revision(), std::min(monotonicNow(), watchedAt + watchTimeout));
             delay = watched ? Milliseconds(0) : retryDelay + Milliseconds(m_random.below(static_cast<std::uint64_t>(retryDelay.count())));
         } else if (m_members.entries(true).empty()) {
             readVmList();
@@ -87,6 +90,7 @@
 
 bool HeadWatcher::readHead()
 {
+    const auto readAt = monotonicNow();
     const auto read = m_keyValue.read(headKey, KeyValuePriority::Head);
     if (!read)
         return false;
@@ -94,11 +98,11 @@
         m_configuration.recordHeadRevision(0);
         return true;
     }
-    adopt(read.value());
+    adopt(read.value(), readAt);
     return true;
 }
 
-void HeadWatcher::adopt(const KeyValue& stored)
+void HeadWatcher::adopt(const KeyValue& stored, TimePoint currentAt)
 {
     const auto head = headFromText(stored.value);
     if (!head) {
@@ -107,6 +111,7 @@
     }
     m_configuration.recordHeadRevision(head.value().revision);
     if (head.value().revision <= m_configuration.revision()) {
+        m_configuration.confirmCurrentAt(head.value().revision, currentAt);
         m_headKeyRevision = stored.revision;
         return;
     }
@@ -127,6 +132,7 @@
         return;
     }
     m_configuration.offer(head.value(), std::make_shared<const Bundle>(bundle.value()));
+    m_configuration.confirmCurrentAt(head.value().revision, currentAt);
     m_headKeyRevision = stored.revision;
 }
 
--- a/modules/hyssopwick_node/entry/HeadWatcher.h
+++ b/modules/hyssopwick_node/entry/HeadWatcher.h
@@ -26,7 +26,8 @@
     void run();
     bool isWatcher();
     bool readHead();
-    void adopt(const KeyValue& stored);
+    /// \param currentAt  a time before the service sent its answer
+    void adopt(const KeyValue& stored, TimePoint currentAt);
     void readVmList();
 
     NodeContext& m_context;
--- a/modules/hyssopwick_node/runtime/ActiveConfiguration.cpp
+++ b/modules/hyssopwick_node/runtime/ActiveConfiguration.cpp
@@ -118,6 +118,18 @@
     m_decision.recordHeadRevision(revision);
 }
 
+void ActiveConfiguration::confirmCurrentAt(ConfigurationRevision revision, TimePoint time)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_decision.confirmCurrentAt(revision, time);
+}
+
+Milliseconds ActiveConfiguration::age() const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_decision.age(monotonicNow());
+}
+
 Configuration ActiveConfiguration::current() const
 {
     std::lock_guard<std::mutex> lock(m_mutex);
--- a/modules/hyssopwick_node/runtime/ActiveConfiguration.h
+++ b/modules/hyssopwick_node/runtime/ActiveConfiguration.h
@@ -33,6 +33,12 @@
     /// Records the revision of the head that was read from the key-value service.
     void recordHeadRevision(ConfigurationRevision revision);
 
+    /// Records that no revision above \p revision was accepted before \p time.
+    void confirmCurrentAt(ConfigurationRevision revision, TimePoint time);
+
+    /// Returns how long ago the active configuration was certainly the newest one. \see ConfigurationDecision
+    Milliseconds age() const;
+
     Configuration current() const;
     ConfigurationRevision revision() const { return m_revision; }
     bool mayServe(std::size_t knownDomains) const;
--- a/tests/MembershipTests.cpp
+++ b/tests/MembershipTests.cpp
@@ -248,6 +248,19 @@
     CHECK(decision.mayServe(3));
 }
 
+TEST(Configurations, AreOfUnknownAgeWhileAHigherRevisionIsKnown)
+{
+    CHECK(decision.age(at(0)) > Milliseconds(60'000));
+    decision.offer(headOf(2, *bundleOf(2)), bundleOf(2));
+    decision.confirmCurrentAt(2, at(100));
+    decision.confirmCurrentAt(1, at(50)); // a peer that is behind
+    LONGS_EQUAL(400, decision.age(at(500)).count());
+    decision.confirmCurrentAt(3, at(600));
+    CHECK(decision.age(at(700)) > Milliseconds(60'000));
+    decision.offer(headOf(3, *bundleOf(3)), bundleOf(3));
+    LONGS_EQUAL(600, decision.age(at(700)).count());
+}
+
 TEST_GROUP(Leases)
 {
     LeaseDecision lease { "me" };
