Sources that work are not replaced as lagging

Cause: a source was replaced when its view was over 0.9 s old. While it works, the view of a process that follows the store gets as old as one wait (0.7 s) and the time for which changes are collected (0.3 s where changes have 3 s), and that of an entry that follows it 0.5 s older, which agents follow. Change: the time for which changes are collected is a part of the next wait; agents replace a source at 1.4 s, and tell so in their requests, so that one which is younger still holds them. An answer of another peer beside a slow one is used up to that age.

--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
@@ -26,7 +26,9 @@
         return slot;
     }
     // A process that follows the store waits up to 0.7 s for a change before it asks again.
-    constexpr Milliseconds maxSourceAge { 900 };
+    constexpr Milliseconds maxStoreFollowerAge { 900 };
+    // One that follows another entry VM waits up to 0.5 s for a change, in addition.
+    constexpr Milliseconds maxEntryFollowerAge = maxStoreFollowerAge + Milliseconds(500);
     // Time after which a process that fell back to another source tries its preferred one again.
     constexpr Milliseconds preferredRetryPeriod { 3000 };
     constexpr Milliseconds unknownAge { 3600000 };
@@ -227,7 +229,7 @@
     // One that knows no more than this process may have it from here.
     const bool isUseless = m_isSourceNew && !isNews;
     m_isSourceNew = false;
-    if (age > maxSourceAge || isUseless)
+    if (isTooOld(age) || isUseless)
         return recordLag(source, now);
     m_retriedFrom.reset();
     m_staleSince.reset();
@@ -280,9 +282,10 @@
     advance(now);
 }
 
-Milliseconds ViewSourceDecision::minStaleAge() { return maxSourceAge + Milliseconds(1); }
+Milliseconds ViewSourceDecision::minStaleAge() { return maxEntryFollowerAge + Milliseconds(1); }
 
-bool ViewSourceDecision::isTooOld(Milliseconds age) { return age > maxSourceAge; }
+// Entry VMs prefer a source that follows the store, agents have entry VMs of any rank.
+Milliseconds ViewSourceDecision::maxSourceAge() const { return m_isEntry ? maxStoreFollowerAge : maxEntryFollowerAge; }
 
 bool ViewSourceDecision::isAfterOutage(TimePoint now) const
 {
--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.h
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.h
@@ -72,11 +72,14 @@
     /// Records that a source did not answer or gave an error.
     void recordFailure(const ViewSource& source, TimePoint now, FailureCause cause = FailureCause::Source);
 
-    /// Returns the least age that is too old for others to follow this process.
+    /// Returns the least age that is too old for any other process to follow this one.
     static Milliseconds minStaleAge();
 
-    /// Returns whether \p age is too old for others to follow this process.
-    static bool isTooOld(Milliseconds age);
+    /// Returns the greatest age that the view of a source of this process has while it works.
+    Milliseconds maxSourceAge() const;
+
+    /// Returns whether a source whose view has this age lags.
+    bool isTooOld(Milliseconds age) const { return age > maxSourceAge(); }
 
     /// Returns the earliest time at which a change may have been made that an answer tells of: the time for which
     /// the view was last confirmed as current. The time limits for changes do not run in an outage of the store:
--- a/modules/hyssopwick_gateway/view/ViewMessage.cpp
+++ b/modules/hyssopwick_gateway/view/ViewMessage.cpp
@@ -20,6 +20,7 @@
     constexpr const char* ageField = "View-Age-Ms";
     constexpr const char* confirmedAgeField = "View-Confirmed-Ms";
     constexpr const char* heldField = "View-Held-Ms";
+    constexpr const char* maxAgeField = "View-Max-Age-Ms";
     constexpr const char* versionAgesField = "View-Versions"; // [[MODEL, VERSION, MILLISECONDS], ...]
     constexpr const char* estimatedAgesField = "View-Estimated-Versions";
     constexpr int noIndent = -1;
@@ -94,6 +95,17 @@
     return std::string(viewPath) + std::to_string(known.revision) + std::string(eraParameter) + std::to_string(known.era);
 }
 
+HttpCall encodeViewCall(const StorePosition& known, Milliseconds maxAge)
+{
+    return { "GET", encodeViewTarget(known), { { maxAgeField, std::to_string(maxAge.count()) } }, "" };
+}
+
+std::optional<Milliseconds> decodeMaxAge(const HeaderFields& fields)
+{
+    const auto milliseconds = decodeNumber(headerValue(fields, maxAgeField));
+    return milliseconds ? std::optional<Milliseconds>(milliseconds.value()) : std::nullopt;
+}
+
 bool isViewTarget(std::string_view target) { return target.substr(0, viewPath.size()) == viewPath; }
 
 std::optional<StorePosition> decodeViewTarget(std::string_view target)
--- a/modules/hyssopwick_gateway/view/ViewMessage.h
+++ b/modules/hyssopwick_gateway/view/ViewMessage.h
@@ -7,6 +7,12 @@
 /// Returns the target of a request for the updates after a position.
 std::string encodeViewTarget(const StorePosition& known);
 
+/// Returns a request for the updates after a position, to a source that lags when its view is older than \p maxAge.
+HttpCall encodeViewCall(const StorePosition& known, Milliseconds maxAge);
+
+/// Decodes the age at which the sender of a request replaces its source; nothing if it is not told.
+std::optional<Milliseconds> decodeMaxAge(const HeaderFields& fields);
+
 bool isViewTarget(std::string_view target);
 
 /// Decodes the position in a view target, or returns nothing if it is malformed.
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -6,6 +6,7 @@
     // A waiting call is answered after this time at the latest, so that a source that does not
     // answer is noticed well within the time in which a change has to take effect (2 s).
     constexpr Milliseconds storeWait { 700 };
+    constexpr Milliseconds minStoreWait { 100 };
     constexpr Milliseconds peerWait { 500 };
     // In addition to the wait: the longest typical round trip.
     constexpr Milliseconds storeRoundTripTime { 600 };
@@ -25,6 +26,8 @@
     constexpr Milliseconds slowAnswerTimeInTrouble { 200 };
     constexpr Milliseconds alternativeRetryDelay { 300 };
     constexpr Milliseconds connectTimeout { 400 };
+    // Age at which processes of a build that does not tell it replace their source.
+    constexpr Milliseconds defaultMaxAge { 900 };
     // A failure that is noticed later than this after its time limit shows that this process was late.
     constexpr Milliseconds maxFailureDelay { 50 };
     constexpr Milliseconds readTimeout { 1500 };
@@ -73,6 +76,7 @@
     , m_peerTimer(context.loop)
     , m_alternativeTimer(context.loop)
     , m_restorationTimer(context.loop)
+    , m_nextStoreWait(storeWait)
 {
 }
 
@@ -163,10 +167,11 @@
 void ViewReplicator::watchStore()
 {
     const auto now = monotonicNow();
-    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeWatch(m_view.revision(), storeWait), TransferLimits { now + connectTimeout, now + storeWait + storeRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes },
-        [this, now](WholeResponse response) {
+    const auto wait = std::exchange(m_nextStoreWait, storeWait);
+    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeWatch(m_view.revision(), wait), TransferLimits { now + connectTimeout, now + wait + storeRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes },
+        [this, now, wait](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "watch");
-            const auto transfer = recordTransfer(StoreSource {}, { now, now + connectTimeout, now + storeWait + storeRoundTripTime }, response);
+            const auto transfer = recordTransfer(StoreSource {}, { now, now + connectTimeout, now + wait + storeRoundTripTime }, response);
             if (response.isComplete() && m_context.ports.store->isHistoryGone(response.status)) {
                 m_isFullReadNeeded = true;
                 m_context.log.write("view.history-gone", { { "revision", std::to_string(m_view.revision()) } });
@@ -188,19 +193,21 @@
             const bool hasChanges = !page.value().records.empty();
             const bool isChanged = apply({ page.value().revision, false, std::move(page.value().records), *era }, "store", transfer);
             // An answer without changes was not sent before the wait had passed.
-            const bool isWaitOver = !hasChanges && transfer.beganAt >= now + storeWait;
-            m_decision.confirmCurrentAt(isWaitOver ? now + storeWait : transfer.sentAfter);
+            const bool isWaitOver = !hasChanges && transfer.beganAt >= now + wait;
+            m_decision.confirmCurrentAt(isWaitOver ? now + wait : transfer.sentAfter);
             // Each call loads the store and each update wakes all followers, so further changes are
-            // collected for a while. A change that comes alone is not delayed.
-            handleAnswer(StoreSource {}, Milliseconds(0), transfer.beganAt, isChanged, hasChanges ? m_context.description.changeBatchPeriod() : Milliseconds(0));
+            // collected for a while, of which the next wait is a part: followers replace a source whose view
+            // is older than one wait. A change that comes alone is not delayed.
+            const auto delay = hasChanges ? m_context.description.changeBatchPeriod() : Milliseconds(0);
+            m_nextStoreWait = std::max(minStoreWait, storeWait - delay);
+            handleAnswer(StoreSource {}, Milliseconds(0), transfer.beganAt, isChanged, delay);
         });
 }
 
 void ViewReplicator::followPeer(const PeerSource& peer)
 {
     const auto now = monotonicNow();
-    HttpCall call;
-    call.target = encodeViewTarget(m_view.position());
+    auto call = encodeViewCall(m_view.position(), m_decision.maxSourceAge());
     scheduleAlternative(peer, m_consecutiveFailures > 0 ? slowAnswerTimeInTrouble : slowAnswerTime);
     m_peerExchange = fetchWhole(m_context.loop, peer.address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, peer, now](WholeResponse response) {
         endPeerTransfer();
@@ -248,8 +255,7 @@
     const auto now = monotonicNow();
     m_context.metrics.count("view_slow_answers_total");
     m_context.log.write("view.source-slow", { { "source", slow.id }, { "asked", peer->id }, { "age_ms", std::to_string(m_decision.age(now).count()) } });
-    HttpCall call;
-    call.target = encodeViewTarget(m_view.position());
+    auto call = encodeViewCall(m_view.position(), ViewSourceDecision::minStaleAge());
     m_alternativeExchange = fetchWhole(m_context.loop, peer->address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, slow, peer = *peer, now](const WholeResponse& response) { handleAlternativeAnswer(slow, peer, { now, now + connectTimeout, now + peerWait + peerRoundTripTime }, response); });
 }
 
@@ -257,7 +263,7 @@
 {
     transfer = recordTransfer(peer, transfer, response);
     const auto answer = response.isComplete() && response.status == statusOk ? decodeView(response.fields, response.body) : Outcome<ReceivedView>(failure(ErrorCode::Unavailable, exchangeEndName(response.end)));
-    const bool isUsable = answer && answer.value().update.era >= m_view.position().era && !ViewSourceDecision::isTooOld(answer.value().times.age);
+    const bool isUsable = answer && answer.value().update.era >= m_view.position().era && answer.value().times.age < ViewSourceDecision::minStaleAge();
     if (!isUsable)
         return scheduleAlternative(slow, alternativeRetryDelay);
     endPeerTransfer();
@@ -288,7 +294,7 @@
 
 void ViewReplicator::handleAnswer(const ViewSource& source, Milliseconds age, TimePoint at, bool isChanged, Milliseconds delay)
 {
-    const bool isTooOld = ViewSourceDecision::isTooOld(age);
+    const bool isTooOld = m_decision.isTooOld(age);
     if (!isTooOld)
         m_consecutiveFailures = 0;
     if (m_isSourceLost && !isTooOld) {
@@ -529,7 +535,8 @@
     const auto now = monotonicNow();
     const WaitingPeer peer { exchange, *known, now, now + peerWait };
     // If this process's own source lags, it answers at once, so that the peer can choose another.
-    if (*known < m_view.position() || ViewSourceDecision::isTooOld(servedAge())) {
+    const auto maxAge = decodeMaxAge(exchange->request().fields).value_or(defaultMaxAge);
+    if (*known < m_view.position() || servedAge() > maxAge) {
         answerPeer(peer);
         return true;
     }
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -112,6 +112,7 @@
     ViewSource m_loggedSource; // as in the last log line
     TimePoint m_sourceLoggedAt;
     unsigned m_sourceChanges = 0; // that are not logged yet
+    Milliseconds m_nextStoreWait; // of the next watch
     unsigned m_consecutiveFailures = 0;
     bool m_isFullReadNeeded = true;
     bool m_isSourceLost = false;
