A source that fails does not end the answer that arrives beside it

Change: an answer that has begun goes on in place of the failed source; one that has not begun ends as before. After an answer that is usable the process counts as one failure away from having lost its source, not as lost.

--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -111,6 +111,8 @@
 
 bool HttpExchange::isSent() const { return m_state->isSent; }
 
+bool HttpExchange::hasAnswerBegun() const { return m_state->hasAnswerByte; }
+
 std::optional<TimePoint> HttpExchange::connectedAt() const { return m_state->connectedAt; }
 
 std::optional<TransmissionState> HttpExchange::transmission() const { return TransmissionState::of(m_state->socket); }
--- a/modules/hyssopwick_gateway/http/HttpExchange.h
+++ b/modules/hyssopwick_gateway/http/HttpExchange.h
@@ -91,6 +91,9 @@
     /// Returns whether a byte of the request may have left this VM.
     bool isSent() const;
 
+    /// Returns whether a byte of the answer has arrived.
+    bool hasAnswerBegun() const;
+
     /// Returns when the connection was established, or nothing before that.
     std::optional<TimePoint> connectedAt() const;
 
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -130,6 +130,13 @@
     });
 }
 
+// An answer that has begun beside the source that has failed goes on in its place.
+void ViewReplicator::followNext(Milliseconds delay)
+{
+    if (!m_alternativeExchange)
+        scheduleFollow(delay);
+}
+
 void ViewReplicator::readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before)
 {
     const auto now = monotonicNow();
@@ -210,7 +217,10 @@
     auto call = encodeViewCall(m_view.position(), m_decision.maxSourceAge());
     scheduleAlternative(peer, m_consecutiveFailures > 0 ? slowAnswerTimeInTrouble : slowAnswerTime);
     m_peerExchange = fetchWhole(m_context.loop, peer.address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, peer, now](WholeResponse response) {
-        endPeerTransfer();
+        m_peerExchange.reset();
+        m_alternativeTimer.cancel();
+        if (m_alternativeExchange && !m_alternativeExchange->hasAnswerBegun())
+            endPeerTransfer();
         auto transfer = recordTransfer(peer, { now, now + connectTimeout, now + peerWait + peerRoundTripTime }, response);
         if (response.isComplete() && response.status == statusUnavailable)
             return handleLag(peer);
@@ -221,6 +231,7 @@
             return handleFailure(peer, answer.error().message, transfer);
         if (answer.value().update.era < m_view.position().era)
             return handleLag(peer);
+        endPeerTransfer();
         const auto& times = answer.value().times;
         const bool isChanged = applyFromPeer(answer.value(), peer.id, transfer);
         handleAnswer(peer, times.age, transfer.beganAt, isChanged);
@@ -261,17 +272,22 @@
 
 void ViewReplicator::handleAlternativeAnswer(const PeerSource& slow, const PeerSource& peer, Transfer transfer, const WholeResponse& response)
 {
+    m_alternativeExchange.reset();
+    const bool isSourceSlow = m_peerExchange != nullptr; // otherwise it has failed meanwhile
     transfer = recordTransfer(peer, transfer, response);
     const auto answer = response.isComplete() && response.status == statusOk ? decodeView(response.fields, response.body) : Outcome<ReceivedView>(failure(ErrorCode::Unavailable, exchangeEndName(response.end)));
     const bool isUsable = answer && answer.value().update.era >= m_view.position().era && answer.value().times.age < ViewSourceDecision::minStaleAge();
     if (!isUsable)
-        return scheduleAlternative(slow, alternativeRetryDelay);
+        return isSourceSlow ? scheduleAlternative(slow, alternativeRetryDelay) : scheduleFollow(nextRetryDelay());
     endPeerTransfer();
+    // The view is current, though not by this process's own source.
+    m_consecutiveFailures = std::min(m_consecutiveFailures, failuresToLoseSource - 1);
     const bool isChanged = applyFromPeer(answer.value(), peer.id, transfer);
     m_decision.recordAnswer(peer, answer.value().times.age, transfer.beganAt);
     if (isChanged)
         answerWaitingPeers();
-    m_decision.recordLag(slow, monotonicNow());
+    if (isSourceSlow)
+        m_decision.recordLag(slow, monotonicNow());
     follow();
 }
 
@@ -339,7 +355,7 @@
         m_isSourceLost = true;
         m_context.log.write("view.source-lost", { { "source", describe(source) }, { "problem", problem }, { "next", describe(m_decision.source()) }, { "age_ms", std::to_string(m_decision.age(now).count()) }, { "bytes", std::to_string(transfer.bytes) }, { "after_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - transfer.requestedAt).count()) } });
     }
-    scheduleFollow(nextRetryDelay());
+    followNext(nextRetryDelay());
     if (m_consecutiveFailures == failuresToLoseSource)
         answerAllWaitingPeers();
 }
@@ -348,7 +364,7 @@
 void ViewReplicator::handleLag(const ViewSource& source)
 {
     m_decision.recordLag(source, monotonicNow());
-    scheduleFollow(nextLagDelay());
+    followNext(nextLagDelay());
     if (m_consecutiveFailures == failuresToLoseSource)
         answerAllWaitingPeers();
 }
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -60,6 +60,7 @@
     void follow();
     void logSource();
     void scheduleFollow(Milliseconds delay);
+    void followNext(Milliseconds delay);
     void readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before);
     void watchStore();
     void followPeer(const PeerSource& peer);
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -249,6 +249,45 @@
     LONGS_EQUAL(0, unusedStore.requests().size());
 }
 
+// Guards against a second answer that is dropped, and begun anew, because the first one ends early.
+TEST(View, ASourceThatFailsDoesNotEndTheRequestBesideIt)
+{
+    readStore("op/config", configurationText(1370));
+    const auto answer = snapshotAnswer();
+    PacedSource failing(loop, { { answer.substr(0, answer.size() / 2), 15 } }, Milliseconds(100)); // ends after 1.5 s
+    PacedSource other(loop, { { answer, 15 } }, Milliseconds(100)); // asked after 1 s
+    ViewProcess follower(loop, "follower", unusedStore.address(), false);
+    follower.replicator.setEntries({ { "source", failing.address(), "north", "north-a", "entry" }, { "other", other.address(), "south", "south-a", "entry" } });
+    follower.replicator.start({});
+    while (follower.replicator.revision() == 0)
+        loop.run_one();
+    LONGS_EQUAL(1, other.requests());
+    LONGS_EQUAL(1, failing.requests());
+}
+
+// Guards against followers that leave a process which has lost its source and is current by another peer.
+TEST(View, AProcessThatIsCurrentByAnotherPeerIsNotOutOfDateForItsFollowers)
+{
+    readStore("op/config", configurationText(10));
+    ScriptedUpstream silent(loop);
+    ScriptedUpstream other(loop);
+    for (int answer = 0; answer < 4; ++answer)
+        other.answer(snapshotAnswer());
+    const std::vector<std::string> south { "s1", "s2", "s3" };
+    const auto first = rendezvousFirst("store-followers/south", south);
+    const std::string refusing = "127.0.0.1:1";
+    std::vector<VmIdentity> entries { { "n1", refusing, "north", "north-a", "entry" }, { "n2", refusing, "north", "north-a", "entry" } };
+    for (const auto& id : south)
+        entries.push_back({ id, id == first ? silent.address() : other.address(), "south", "south-a", "entry" });
+    ViewProcess follower(loop, "follower", unusedStore.address(), false);
+    follower.replicator.setEntries(entries);
+    follower.replicator.start({});
+    while (follower.replicator.revision() == 0)
+        loop.run_one();
+    const auto exchange = follower.requestView(0);
+    CHECK(decodeView(exchange->fields, exchange->body).value().times.age < Milliseconds(900));
+}
+
 // Regression: one large configuration saturated the links of a region's entry VMs.
 TEST(View, ALargeConfigurationIsSentInAFifthOfItsSize)
 {
