--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -205,8 +205,8 @@
             // Each call loads the store and each update wakes all followers, so further changes are
             // collected for a while, of which the next wait is a part: followers replace a source whose view
             // is older than one wait. A change that comes alone is not delayed.
-            const auto delay = hasChanges ? m_context.description.changeBatchPeriod() : Milliseconds(0);
-            m_nextStoreWait = std::max(minStoreWait, storeWait - delay);
+            const auto delay = hasChanges ? std::min(m_context.description.changeBatchPeriod(), storeWait - minStoreWait) : Milliseconds(0);
+            m_nextStoreWait = storeWait - delay;
             handleAnswer(StoreSource {}, Milliseconds(0), transfer.beganAt, isChanged, delay);
         });
 }
