A source that lost its own answers requests beside another source at once; a time is stored, no duration

The length of the next wait was stored. Change: ViewSourceDecision::maxUsableAge(); the time since which changes are collected is stored, so that a late process waits shorter too.

--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.cpp
@@ -282,7 +282,9 @@
     advance(now);
 }
 
-Milliseconds ViewSourceDecision::minStaleAge() { return maxEntryFollowerAge + Milliseconds(1); }
+Milliseconds ViewSourceDecision::maxUsableAge() { return maxEntryFollowerAge; }
+
+Milliseconds ViewSourceDecision::minStaleAge() { return maxUsableAge() + Milliseconds(1); }
 
 // Entry VMs prefer a source that follows the store, agents have entry VMs of any rank.
 Milliseconds ViewSourceDecision::maxSourceAge() const { return m_isEntry ? maxStoreFollowerAge : maxEntryFollowerAge; }
--- a/modules/hyssopwick_deployment/view/ViewSourceDecision.h
+++ b/modules/hyssopwick_deployment/view/ViewSourceDecision.h
@@ -72,6 +72,9 @@
     /// Records that a source did not answer or gave an error.
     void recordFailure(const ViewSource& source, TimePoint now, FailureCause cause = FailureCause::Source);
 
+    /// Returns the greatest age that the view of any process has while all sources work.
+    static Milliseconds maxUsableAge();
+
     /// Returns the least age that is too old for any other process to follow this one.
     static Milliseconds minStaleAge();
 
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -76,7 +76,6 @@
     , m_peerTimer(context.loop)
     , m_alternativeTimer(context.loop)
     , m_restorationTimer(context.loop)
-    , m_nextStoreWait(storeWait)
 {
 }
 
@@ -174,7 +173,9 @@
 void ViewReplicator::watchStore()
 {
     const auto now = monotonicNow();
-    const auto wait = std::exchange(m_nextStoreWait, storeWait);
+    // Collecting changes is a part of the wait: followers replace a source whose view is older than one wait.
+    const auto collectingSince = std::exchange(m_collectingSince, std::nullopt).value_or(now);
+    const auto wait = std::max(minStoreWait, storeWait - Milliseconds(millisecondsBetween(collectingSince, now)));
     fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeWatch(m_view.revision(), wait), TransferLimits { now + connectTimeout, now + wait + storeRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes },
         [this, now, wait](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "watch");
@@ -203,10 +204,10 @@
             const bool isWaitOver = !hasChanges && transfer.beganAt >= now + wait;
             m_decision.confirmCurrentAt(isWaitOver ? now + wait : transfer.sentAfter);
             // Each call loads the store and each update wakes all followers, so further changes are
-            // collected for a while, of which the next wait is a part: followers replace a source whose view
-            // is older than one wait. A change that comes alone is not delayed.
+            // collected for a while. A change that comes alone is not delayed.
             const auto delay = hasChanges ? std::min(m_context.description.changeBatchPeriod(), storeWait - minStoreWait) : Milliseconds(0);
-            m_nextStoreWait = storeWait - delay;
+            if (hasChanges)
+                m_collectingSince = transfer.arrivedAt;
             handleAnswer(StoreSource {}, Milliseconds(0), transfer.beganAt, isChanged, delay);
         });
 }
@@ -266,7 +267,7 @@
     const auto now = monotonicNow();
     m_context.metrics.count("view_slow_answers_total");
     m_context.log.write("view.source-slow", { { "source", slow.id }, { "asked", peer->id }, { "age_ms", std::to_string(m_decision.age(now).count()) } });
-    auto call = encodeViewCall(m_view.position(), ViewSourceDecision::minStaleAge());
+    auto call = encodeViewCall(m_view.position(), ViewSourceDecision::maxUsableAge());
     m_alternativeExchange = fetchWhole(m_context.loop, peer->address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, slow, peer = *peer, now](const WholeResponse& response) { handleAlternativeAnswer(slow, peer, { now, now + connectTimeout, now + peerWait + peerRoundTripTime }, response); });
 }
 
@@ -276,7 +277,7 @@
     const bool isSourceSlow = m_peerExchange != nullptr; // otherwise it has failed meanwhile
     transfer = recordTransfer(peer, transfer, response);
     const auto answer = response.isComplete() && response.status == statusOk ? decodeView(response.fields, response.body) : Outcome<ReceivedView>(failure(ErrorCode::Unavailable, exchangeEndName(response.end)));
-    const bool isUsable = answer && answer.value().update.era >= m_view.position().era && answer.value().times.age < ViewSourceDecision::minStaleAge();
+    const bool isUsable = answer && answer.value().update.era >= m_view.position().era && answer.value().times.age <= ViewSourceDecision::maxUsableAge();
     if (!isUsable)
         return isSourceSlow ? scheduleAlternative(slow, alternativeRetryDelay) : scheduleFollow(nextRetryDelay());
     endPeerTransfer();
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -113,7 +113,7 @@
     ViewSource m_loggedSource; // as in the last log line
     TimePoint m_sourceLoggedAt;
     unsigned m_sourceChanges = 0; // that are not logged yet
-    Milliseconds m_nextStoreWait; // of the next watch
+    std::optional<TimePoint> m_collectingSince; // arrival of the changes after which further ones are collected
     unsigned m_consecutiveFailures = 0;
     bool m_isFullReadNeeded = true;
     bool m_isSourceLost = false;
--- a/tests/ViewSourceTests.cpp
+++ b/tests/ViewSourceTests.cpp
@@ -98,6 +98,13 @@
     CHECK_FALSE(agent.source() == followed);
 }
 
+TEST(ViewSourceFailover, AProcessThatLostItsSourceIsTooOldForEveryOther)
+{
+    for (const bool isEntry : { true, false })
+        CHECK(ViewSourceDecision({ "a", "a:1", "north", "north-a", "entry" }, isEntry).isTooOld(ViewSourceDecision::minStaleAge()));
+    CHECK(ViewSourceDecision::minStaleAge() > ViewSourceDecision::maxUsableAge());
+}
+
 // An answer that was read late, or a failure that this process caused, does not move that time.
 TEST(ViewSourceFailover, FailuresOfTheProcessItselfAreNoOutageOfTheStore)
 {
