--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -25,6 +25,8 @@
     // After a failure, or while sources lag, one that has news should answer at once.
     constexpr Milliseconds slowAnswerTimeInTrouble { 200 };
     constexpr Milliseconds alternativeRetryDelay { 300 };
+    // An answer that goes on in place of a failed source is given up after this time.
+    constexpr Milliseconds replacementTime = slowAnswerTime + alternativeRetryDelay;
     constexpr Milliseconds connectTimeout { 400 };
     // Age at which processes of a build that does not tell it replace their source.
     constexpr Milliseconds defaultMaxAge { 900 };
@@ -129,11 +131,18 @@
     });
 }
 
-// An answer that has begun beside the source that has failed goes on in its place.
+// An answer that has begun beside the source that has failed goes on in its place, unless it is slow, too.
 void ViewReplicator::followNext(Milliseconds delay)
 {
     if (!m_alternativeExchange)
-        scheduleFollow(delay);
+        return scheduleFollow(delay);
+    m_alternativeTimer.expires_after(replacementTime);
+    m_alternativeTimer.async_wait([this](boost::system::error_code error) {
+        if (error || !m_alternativeExchange || m_peerExchange)
+            return;
+        endPeerTransfer();
+        follow();
+    });
 }
 
 void ViewReplicator::readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before)
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -265,6 +265,22 @@
     LONGS_EQUAL(1, failing.requests());
 }
 
+// Guards against a slow second answer that is waited for to its end, with no other request beside it.
+TEST(View, ASlowAnswerInPlaceOfAFailedSourceIsNotWaitedForToItsEnd)
+{
+    readStore("op/config", configurationText(1370));
+    const auto answer = snapshotAnswer();
+    PacedSource failing(loop, { { answer.substr(0, answer.size() / 2), 15 } }, Milliseconds(100)); // ends after 1.5 s
+    PacedSource slow(loop, { { answer, 60 }, { answer, 1 } }, Milliseconds(100)); // 6 s, asked after 1 s
+    ViewProcess follower(loop, "follower", unusedStore.address(), false);
+    follower.replicator.setEntries({ { "source", failing.address(), "north", "north-a", "entry" }, { "other", slow.address(), "south", "south-a", "entry" } });
+    const auto begin = monotonicNow();
+    follower.replicator.start({});
+    while (follower.replicator.revision() == 0)
+        loop.run_one();
+    CHECK(monotonicNow() < begin + Milliseconds(4000));
+}
+
 // Guards against followers that leave a process which has lost its source and is current by another peer.
 TEST(View, AProcessThatIsCurrentByAnotherPeerIsNotOutOfDateForItsFollowers)
 {
