--- a/review/common-2/Lab.cc
+++ b/review/common-2/Lab.cc
@@ -70,10 +70,13 @@
 {
 }
 
-LoopThread::~LoopThread()
+LoopThread::~LoopThread() { stop(); }
+
+void LoopThread::stop()
 {
     m_loop.stop();
-    m_thread.join();
+    if (m_thread.joinable())
+        m_thread.join();
 }
 
 void LoopThread::run(std::function<void()> task)
--- a/review/common-2/Lab.hpp
+++ b/review/common-2/Lab.hpp
@@ -55,12 +55,21 @@
     /// Runs \p task on the loop's thread and waits for it.
     void run(std::function<void()> task);
 
+    /// Ends the thread. Call before the stand-ins that it runs are destroyed.
+    void stop();
+
 private:
     soak::EventLoop m_loop { 1 };
     soak::asio::executor_work_guard<soak::EventLoop::executor_type> m_guard { m_loop.get_executor() };
     std::thread m_thread;
 };
 
+/// Ends a loop's thread at the end of a scope, however it is left.
+struct StopAtEnd {
+    LoopThread& thread;
+    ~StopAtEnd() { thread.stop(); }
+};
+
 /// The platform's store. All members are for the loop's thread.
 class Store {
 public:
--- a/review/common-2/PagedRead.cc
+++ b/review/common-2/PagedRead.cc
@@ -18,7 +18,9 @@
 constexpr Milliseconds usualDelay { 4 }; // of the store's answers
 constexpr Milliseconds slowDelay { 300 }; // 75 times as long
 constexpr Milliseconds pauseAfterKill { 2000 };
-constexpr Milliseconds lateStart { 200 }; // of the entry that follows the store; all start within 0.3 s
+// All start within 0.3 s of each other.
+constexpr Milliseconds followerStart { 150 };
+constexpr Milliseconds lateStart { 230 };
 constexpr Milliseconds slowTime { 4500 };
 constexpr Milliseconds settleTime { 14000 }; // configMs + stretchMaxMs + contactMs are 10 s
 constexpr unsigned rounds = 2;
@@ -56,6 +58,7 @@
     std::unique_ptr<Store> store;
     std::vector<std::unique_ptr<PlainWorker>> workers;
     std::vector<Run> runs;
+    const StopAtEnd stopAtEnd { thread };
     const auto storeAddress = network.at(soak::LoopbackNetwork::storeHost, Port::Store);
     thread.run([&] {
         store = std::make_unique<Store>(thread.loop(), storeAddress, pageItems);
@@ -102,12 +105,14 @@
         record.line("the operator writes configuration 20 in place of 10");
     };
     if (hasTrouble()) {
+        std::atomic<unsigned> firstPages { 0 };
         std::atomic<unsigned> readsWithConfiguration { 0 };
         thread.run([&] {
             record.line("all entries are killed; the store's answers take " + std::to_string(slowDelay.count()) + " ms");
             store->setDelay(slowDelay);
             store->onPage([&](const std::string& after, const std::string& first, const std::string& last) {
                 record.line("a page is read: after \"" + after + "\", " + first + " to " + last);
+                firstPages += after.empty();
                 if (first <= "op/config" && last >= "op/config")
                     ++readsWithConfiguration;
             });
@@ -118,15 +123,22 @@
         const auto startedAt = soak::now();
         record.line("all entries start again");
         entries[firstSeed]->start();
+        entries[thirdSeed]->start();
+        const auto waitFor = [](const std::atomic<unsigned>& count, unsigned wanted, TimePoint until) {
+            while (count < wanted && soak::now() < until)
+                std::this_thread::sleep_for(Milliseconds(1));
+        };
+        sleepUntil(startedAt + followerStart);
+        entries[follower]->start();
+        waitFor(firstPages, 3, startedAt + lateStart);
         for (unsigned number = 0; number < entryCount; ++number) {
-            if (number != firstSeed && number != follower)
+            if (number != firstSeed && number != thirdSeed && number != follower)
                 entries[number]->start();
         }
-        sleepUntil(startedAt + lateStart);
-        entries[follower]->start();
-        while (readsWithConfiguration == 0 && soak::now() < startedAt + slowTime)
-            std::this_thread::sleep_for(Milliseconds(5));
-        std::this_thread::sleep_for(lateStart / 2);
+        record.line("all entries run again");
+        // The two other seeds have read the configuration, the entry that will follow the store has not.
+        waitFor(firstPages, 3, startedAt + slowTime);
+        waitFor(readsWithConfiguration, 2, startedAt + slowTime);
         publish();
         sleepUntil(startedAt + slowTime);
         thread.run([&] {
--- a/review/common-2/SpoiltManifest.cc
+++ b/review/common-2/SpoiltManifest.cc
@@ -128,6 +128,7 @@
     std::unique_ptr<Origin> origin;
     std::vector<std::unique_ptr<soak::EngineStandIn>> engines;
     std::vector<std::unique_ptr<soak::PlainService>> plain;
+    const StopAtEnd stopAtEnd { thread };
     const auto storeAddress = network.at(soak::LoopbackNetwork::storeHost, Port::Store);
     const auto originAddress = network.at(soak::LoopbackNetwork::originHost, Port::Origin);
     const auto engineAddress = [&](unsigned number) { return network.at(soak::LoopbackNetwork::firstEngineHost + number, Port::Engine); };
