--- a/review/common-2/SpoiltManifest.cc
+++ b/review/common-2/SpoiltManifest.cc
@@ -136,7 +136,8 @@
     thread.run([&] {
         store = std::make_unique<soak::StoreStandIn>(thread.loop(), storeAddress);
         const char* spoilt = std::getenv("SPOILT"); // for trials
-        origin = std::make_unique<Origin>(thread.loop(), originAddress, record, !hasTrouble() ? 0 : spoilt ? static_cast<unsigned>(std::stoul(spoilt)) : spoiltAnswers);
+        origin = std::make_unique<Origin>(thread.loop(), originAddress, record, !hasTrouble() ? 0 : spoilt ? static_cast<unsigned>(std::stoul(spoilt))
+                                                                                                           : spoiltAnswers);
         auto configuration = soak::configuration(1, soak::EnginePace().slots, originAddress);
         for (auto& service : configuration["services"]) {
             if (service.contains("engine"))
