--- a/review/common-2/LongBodies.cc
+++ b/review/common-2/LongBodies.cc
@@ -1,4 +1,4 @@
-// Case 9: more clients than usual send long bodies at once. Usage: LongBodies ENTRY-PROGRAM RECORD-FILE
+// Case 7: more clients than usual send long bodies at once. Usage: LongBodies ENTRY-PROGRAM RECORD-FILE
 #include "Lab.hpp"
 
 #include <atomic>
