Review: slow readers on kept channels are taken for callers that left

TCP_USER_TIMEOUT on the sockets of callers ends channels whose window was closed before, and the entry cancels the run.

Long bodies become case 8.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,7 +12,7 @@
     tests/platform/soak/HttpServer.cpp
     tests/platform/soak/LoopbackNetwork.cpp
 )
-cases=(PagedRead LongBodies)
+cases=(PagedRead SlowReaders LongBodies)
 pids=()
 for source in "${shared[@]}" "${cases[@]/%/.cc}"; do
     [ -f "$source" ] || source=review/common-2/$source
--- a/review/common-2/LongBodies.cc
+++ b/review/common-2/LongBodies.cc
@@ -1,4 +1,4 @@
-// Case 7: more clients than usual send long bodies at once. Usage: LongBodies ENTRY-PROGRAM RECORD-FILE
+// Case 8: more clients than usual send long bodies at once. Usage: LongBodies ENTRY-PROGRAM RECORD-FILE
 #include "Lab.hpp"
 
 #include <atomic>
@@ -169,8 +169,10 @@
     unsigned lost = 0;
     thread.run([&] {
         std::set<std::string> ran;
-        for (const auto& one : runs)
+        for (const auto& one : runs) {
             ran.insert(one.request);
+            record.line("worker " + one.worker + " ran request " + one.request + ", " + one.target);
+        }
         for (unsigned number = 0; number < keptClients; ++number)
             lost += ran.count(kept[number]) != 0 && ends[number].compare(0, 8, "answered") != 0;
         record.line("workers ran " + std::to_string(ran.size()) + " requests");
