--- a/review/common-2/SlowReaders.cc
+++ b/review/common-2/SlowReaders.cc
@@ -12,8 +12,8 @@
 using namespace review;
 
 constexpr unsigned entryCount = 2;
-constexpr unsigned clientCount = 200;
-constexpr unsigned requestsOfClient = 5;
+constexpr unsigned clientCount = 300;
+constexpr unsigned requestsOfClient = 7;
 constexpr unsigned events = 21; // of a stream on the sheet
 constexpr Milliseconds eventPeriod { 45 };
 constexpr Milliseconds timeLimit { 6000 };
