--- a/review/common-2/PagedRead.cc
+++ b/review/common-2/PagedRead.cc
@@ -17,11 +17,12 @@
 constexpr unsigned entryCount = 54;
 constexpr Milliseconds usualDelay { 4 }; // of the store's answers
 constexpr Milliseconds slowDelay { 300 }; // 75 times as long
-constexpr Milliseconds pauseAfterKill { 2000 };
+constexpr Milliseconds pauseAfterKill { 1700 };
+constexpr Milliseconds slowBeforeStart { 200 };
 // All start within 0.3 s of each other.
 constexpr Milliseconds followerStart { 150 };
 constexpr Milliseconds lateStart { 230 };
-constexpr Milliseconds slowTime { 4500 };
+constexpr Milliseconds slowTime { 4200 }; // after the start
 constexpr Milliseconds settleTime { 14000 }; // configMs + stretchMaxMs + contactMs are 10 s
 constexpr unsigned rounds = 2;
 
@@ -107,8 +108,12 @@
     if (hasTrouble()) {
         std::atomic<unsigned> firstPages { 0 };
         std::atomic<unsigned> readsWithConfiguration { 0 };
+        record.line("all entries are killed");
+        for (const auto& entry : entries)
+            entry->kill();
+        std::this_thread::sleep_for(pauseAfterKill);
         thread.run([&] {
-            record.line("all entries are killed; the store's answers take " + std::to_string(slowDelay.count()) + " ms");
+            record.line("the store's answers take " + std::to_string(slowDelay.count()) + " ms");
             store->setDelay(slowDelay);
             store->onPage([&](const std::string& after, const std::string& first, const std::string& last) {
                 record.line("a page is read: after \"" + after + "\", " + first + " to " + last);
@@ -117,9 +122,7 @@
                     ++readsWithConfiguration;
             });
         });
-        for (const auto& entry : entries)
-            entry->kill();
-        std::this_thread::sleep_for(pauseAfterKill);
+        std::this_thread::sleep_for(slowBeforeStart);
         const auto startedAt = soak::now();
         record.line("all entries start again");
         entries[firstSeed]->start();
--- a/review/common-2/SlowReaders.cc
+++ b/review/common-2/SlowReaders.cc
@@ -21,7 +21,7 @@
 constexpr std::size_t readBytes = 150;
 constexpr Milliseconds readPeriod { 100 };
 constexpr Milliseconds idleTime { 5000 };
-constexpr Milliseconds settingsPeriod { 2000 }; // gap_s of the site's hup
+constexpr Milliseconds settingsPeriod { 1000 }; // to one of the two entries in turn, so 2 s for each
 constexpr Milliseconds configurationTime { 2000 }; // configMs
 
 Json configuration()
@@ -57,6 +57,7 @@
 
     const std::vector<std::pair<std::string, TimePoint>>& lost() const { return m_lost; }
     unsigned answered() const { return m_answered; }
+    unsigned entry() const { return (m_number - 1) % entryCount; }
 
 private:
     void connect()
@@ -195,12 +196,11 @@
     for (auto& client : clients)
         threads.emplace_back([&client] { client.run(); });
     std::atomic<bool> isOver { false };
-    std::vector<TimePoint> signalledAt;
+    std::vector<std::vector<TimePoint>> signalledAt(entryCount);
     std::thread platform([&] {
-        while (!isOver) {
-            signalledAt.push_back(soak::now());
-            for (const auto& entry : entries)
-                entry->signal(SIGHUP);
+        for (unsigned turn = 0; !isOver; ++turn) {
+            signalledAt[turn % entryCount].push_back(soak::now());
+            entries[turn % entryCount]->signal(SIGHUP);
             std::this_thread::sleep_for(settingsPeriod);
         }
     });
@@ -215,13 +215,13 @@
             answered += client.answered();
             for (const auto& [request, sentAt] : client.lost()) {
                 const auto at = sentAt;
-                const bool isBesideChange = std::any_of(signalledAt.begin(), signalledAt.end(), [at](TimePoint signal) { return signal <= at && at <= signal + configurationTime; });
+                const bool isBesideChange = std::any_of(signalledAt[client.entry()].begin(), signalledAt[client.entry()].end(), [at](TimePoint signal) { return signal <= at && at <= signal + configurationTime; });
                 lost += isBesideChange && ran.count(request) != 0;
             }
         }
         for (const auto& request : ran)
             record.line("a worker ran request " + request);
-        record.line("workers ran " + std::to_string(ran.size()) + " requests; each entry got SIGHUP " + std::to_string(signalledAt.size()) + " times");
+        record.line("workers ran " + std::to_string(ran.size()) + " requests; each entry got SIGHUP " + std::to_string(signalledAt.front().size()) + " times");
     });
     record.line(std::to_string(answered) + " of " + std::to_string(clientCount * requestsOfClient) + " requests were answered whole; " + std::to_string(lost) + " that were sent up to configMs after a SIGHUP were passed on to a worker, and their channel ended without a complete answer before the time limit");
     record.line(lost > 0 ? "LOST is broken" : "LOST holds");
