Log a digest of the view's content

Change: StoreView keeps a digest of its records that doesn't depend on the order in which they came; view.changed has it as content.

--- a/modules/hyssopwick_deployment/view/StoreView.cpp
+++ b/modules/hyssopwick_deployment/view/StoreView.cpp
@@ -8,6 +8,27 @@
     // A follower that lacks more changes than this gets a snapshot. The burst of
     // registrations when a fleet starts stays below it.
     constexpr std::size_t maxStoredChanges = 512;
+
+    std::uint64_t digestOf(const StoreRecord& record)
+    {
+        const auto digits = [](std::uint64_t number) { return std::to_string(number) + ' '; };
+        return stableHash(digits(stableHash(record.key)) + digits(record.revision) + digits(stableHash(record.value)));
+    }
+}
+
+void StoreView::put(const StoreRecord& record)
+{
+    auto& stored = m_records[record.key];
+    if (!stored.key.empty())
+        m_contentDigest -= digestOf(stored);
+    stored = record;
+    m_contentDigest += digestOf(record);
+}
+
+std::map<std::string, StoreRecord>::iterator StoreView::erase(std::map<std::string, StoreRecord>::iterator record)
+{
+    m_contentDigest -= digestOf(record->second);
+    return m_records.erase(record);
 }
 
 void StoreView::recordChange(const StoreRecord& record, std::uint64_t revision)
@@ -38,9 +59,9 @@
                 recordChange(record, update.revision);
                 continue;
             }
-            m_records.erase(known);
+            erase(known);
         } else {
-            m_records[record.key] = record;
+            put(record);
         }
         changed.push_back(record);
     }
@@ -54,7 +75,7 @@
                 continue;
             }
             changed.push_back({ known->first, "", update.revision, true });
-            known = m_records.erase(known);
+            known = erase(known);
         }
     }
     for (const auto& record : changed)
--- a/modules/hyssopwick_deployment/view/StoreView.h
+++ b/modules/hyssopwick_deployment/view/StoreView.h
@@ -55,6 +55,9 @@
 
     const std::map<std::string, StoreRecord>& records() const { return m_records; }
 
+    /// Returns a digest of all records, the same for views with the same content whatever the order in which it came.
+    std::uint64_t contentDigest() const { return m_contentDigest; }
+
 private:
     struct Change {
         std::uint64_t revision; // of the view when it received the change
@@ -63,11 +66,14 @@
     };
 
     void enterEra(std::uint64_t era);
+    void put(const StoreRecord& record);
+    std::map<std::string, StoreRecord>::iterator erase(std::map<std::string, StoreRecord>::iterator record);
     void recordChange(const StoreRecord& record, std::uint64_t revision);
 
     StorePosition m_position;
     std::uint64_t m_changesCompleteAfter = 0; // all changes after this revision are stored
     std::map<std::string, StoreRecord> m_records;
+    std::uint64_t m_contentDigest = 0; // sum of the digests of all records
     std::deque<Change> m_changes;
 };
 
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -1,5 +1,8 @@
 #include "ViewReplicator.h"
 
+#include <iomanip>
+#include <sstream>
+
 namespace hyssopwick {
 
 namespace {
@@ -42,6 +45,13 @@
     // The first failure may be that of one connection.
     constexpr unsigned failuresToLoseSource = 2;
 
+    std::string hexadecimal(std::uint64_t number)
+    {
+        std::ostringstream text;
+        text << std::hex << std::setw(16) << std::setfill('0') << number;
+        return text.str();
+    }
+
     std::string describe(const ViewSource& source)
     {
         struct Visitor {
@@ -426,7 +436,7 @@
     const bool hasNewVersions = recordReportedVersions(transfer);
     if (changed.empty() && !hasNewVersions)
         return isNewEra;
-    m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isSnapshot ? "true" : "false" }, { "bytes", std::to_string(transfer.bytes) }, { "age_ms", std::to_string(ageBefore.count()) } });
+    m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isSnapshot ? "true" : "false" }, { "bytes", std::to_string(transfer.bytes) }, { "age_ms", std::to_string(ageBefore.count()) }, { "content", hexadecimal(m_view.contentDigest()) } });
     ViewObserver::notify(m_observer.onBatchEnd);
     return true;
 }
