Changes for followers go by the revisions of records

Cause: a view that was read in pages has the first page's revision and holds records that were written after it. When the watch brought such a record again, apply() skipped it as known and noted no change at that revision; the change stood at the first page's revision only. updateSince() left it out for a follower past that revision, and the follower's position went on without it. Change: updateSince() returns every record and every deletion whose own revision is above the follower's position, from an index of the records. It doesn't matter any more when and how this view received one, so no way to skip a record can lose it for others. Only deletions need a bounded list; a follower that lacks more records than the list held gets these records, not all.

--- a/modules/hyssopwick_deployment/view/StoreView.h
+++ b/modules/hyssopwick_deployment/view/StoreView.h
@@ -2,10 +2,9 @@
 
 #include "StorePosition.h"
 
-#include <deque>
 #include <hyssopwick_core.h>
 #include <map>
-#include <optional>
+#include <set>
 #include <vector>
 
 namespace hyssopwick {
@@ -37,14 +36,16 @@
 };
 
 /// A process's copy of the store's records, all of one era. Updates older than the known state
-/// are ignored; a later era is entered with a snapshot only. Pure: no clock, no I/O.
+/// are ignored; a later era is entered with a snapshot only. Records may be ahead of the position,
+/// from a source that read them in pages; what followers get depends on the revisions of records, never
+/// on when this view received them. Pure: no clock, no I/O.
 class StoreView {
 public:
     /// Applies an update and returns the records that it changed. A snapshot of a later era
     /// changes every record whose value or revision differs, whichever revision is higher.
     std::vector<StoreRecord> apply(const ViewUpdate& update);
 
-    /// Returns the changes after \p known, or a snapshot when these are no longer stored or
+    /// Returns the changes after \p known, or a snapshot when deletions since then are no longer stored or
     /// \p known belongs to an earlier era.
     ViewUpdate updateSince(const StorePosition& known) const;
 
@@ -59,22 +60,21 @@
     std::uint64_t contentDigest() const { return m_contentDigest; }
 
 private:
-    struct Change {
-        std::uint64_t revision; // of the view when it received the change
-        std::string key;
-        std::uint64_t recordRevision;
-    };
+    using Records = std::map<std::string, StoreRecord>;
 
     void enterEra(std::uint64_t era);
+    bool isNews(const StoreRecord& record) const;
     void put(const StoreRecord& record);
-    std::map<std::string, StoreRecord>::iterator erase(std::map<std::string, StoreRecord>::iterator record);
-    void recordChange(const StoreRecord& record, std::uint64_t revision);
+    Records::iterator erase(Records::iterator record);
+    void recordDeletion(const std::string& key, std::uint64_t revision);
+    std::vector<StoreRecord> eraseMissing(const ViewUpdate& snapshot, bool isNewEra);
 
     StorePosition m_position;
-    std::uint64_t m_changesCompleteAfter = 0; // all changes after this revision are stored
-    std::map<std::string, StoreRecord> m_records;
+    Records m_records;
+    std::set<std::pair<std::uint64_t, std::string>> m_keysByRevision; // of all records
+    std::map<std::string, std::uint64_t> m_deletions; // revisions of deletions by key
+    std::uint64_t m_deletionsCompleteAfter = 0; // all deletions after this revision are stored
     std::uint64_t m_contentDigest = 0; // sum of the digests of all records
-    std::deque<Change> m_changes;
 };
 
 }
