--- a/modules/hyssopwick_deployment/hyssopwick_deployment.h
+++ b/modules/hyssopwick_deployment/hyssopwick_deployment.h
@@ -23,6 +23,7 @@
 #include "routes/UpstreamRegistry.h"
 #include "view/OldWeightsBounds.h"
 #include "view/RestoredRecords.h"
+#include "view/SnapshotRead.h"
 #include "view/StorePosition.h"
 #include "view/StoreView.h"
 #include "view/VersionPublications.h"
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -123,7 +123,7 @@
         void operator()(const StoreSource&) const
         {
             if (replicator.m_isFullReadNeeded || replicator.m_view.revision() == 0)
-                replicator.readStore("", std::make_shared<ViewUpdate>(), { monotonicNow(), {}, {} });
+                replicator.continueRead(std::make_shared<StoreRead>(StoreRead { {}, { monotonicNow(), {}, {} }, {} }));
             else
                 replicator.watchStore();
         }
@@ -155,40 +155,75 @@
     });
 }
 
-void ViewReplicator::readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before)
+void ViewReplicator::continueRead(const StoreReadPointer& read)
+{
+    struct Visitor {
+        ViewReplicator& replicator;
+        const StoreReadPointer& read;
+        void operator()(const SnapshotRead::PageNeeded& page) const { replicator.readPage(read, page.after); }
+        void operator()(const SnapshotRead::ChangesNeeded& changes) const { replicator.readMissedChanges(read, changes.revision); }
+        void operator()(const ViewUpdate& snapshot) const { replicator.finishRead(*read, snapshot); }
+    };
+    std::visit(Visitor { *this, read }, read->snapshot.next());
+}
+
+void ViewReplicator::readPage(const StoreReadPointer& read, const std::string& after)
 {
     const auto now = monotonicNow();
-    before.connectBy = now + connectTimeout;
-    before.answerBy = now + readTimeout;
-    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeRead(after), TransferLimits { before.connectBy, before.answerBy, stallTimeout, now + maxTransferTime, maxViewAnswerBytes },
-        [this, after, collected, before](WholeResponse response) {
+    read->pages.connectBy = now + connectTimeout;
+    read->pages.answerBy = now + readTimeout;
+    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeRead(after), TransferLimits { read->pages.connectBy, read->pages.answerBy, stallTimeout, now + maxTransferTime, maxViewAnswerBytes },
+        [this, read](WholeResponse response) {
             m_context.metrics.count("store_calls_total", "read");
-            const auto transfer = recordTransfer(StoreSource {}, before, response);
-            if (!response.isComplete() || response.status != statusOk)
-                return handleIncomplete(StoreSource {}, "read: ", response, transfer);
-            const auto era = currentEra(response);
-            if (!era || (!after.empty() && *era != collected->era))
-                return handleFailure(StoreSource {}, "read: of another era", transfer);
-            collected->era = *era;
+            read->latest = read->pages = recordTransfer(StoreSource {}, read->pages, response);
+            const auto era = acceptStoreAnswer("read: ", response, read->pages);
+            if (!era)
+                return;
             auto page = m_context.ports.store->decodeRead(response.body);
             if (!page)
-                return handleFailure(StoreSource {}, page.error().message, transfer);
-            // Pages are read one after another; changes made meanwhile are read by a watch that
-            // starts at the first page's revision.
-            if (after.empty())
-                collected->revision = page.value().revision;
-            auto& records = page.value().records;
-            collected->records.insert(collected->records.end(), std::make_move_iterator(records.begin()), std::make_move_iterator(records.end()));
-            if (page.value().hasMore && !collected->records.empty())
-                return readStore(collected->records.back().key, collected, transfer);
-            collected->isSnapshot = true;
-            m_isFullReadNeeded = false;
-            const bool isChanged = apply(*collected, "store", transfer);
-            m_decision.confirmCurrentAt(transfer.sentAfter);
-            handleAnswer(StoreSource {}, Milliseconds(0), transfer.beganAt, isChanged);
+                return handleFailure(StoreSource {}, page.error().message, read->pages);
+            const auto added = read->snapshot.addPage(std::move(page.value()), *era);
+            if (!added)
+                return handleFailure(StoreSource {}, "read: " + added.error().message, read->pages);
+            continueRead(read);
         });
 }
 
+// They exist, so the answer does not wait.
+void ViewReplicator::readMissedChanges(const StoreReadPointer& read, std::uint64_t revision)
+{
+    const auto now = monotonicNow();
+    const Transfer begun { now, now + connectTimeout, now + minStoreWait + storeRoundTripTime };
+    fetchWhole(m_context.loop, m_context.description.storeAddress, m_context.ports.store->encodeWatch(revision, minStoreWait), TransferLimits { begun.connectBy, begun.answerBy, stallTimeout, now + maxTransferTime, maxViewAnswerBytes },
+        [this, read, begun](WholeResponse response) {
+            m_context.metrics.count("store_calls_total", "watch");
+            read->latest = recordTransfer(StoreSource {}, begun, response);
+            read->pages.bytes += response.body.size();
+            // The pages took longer than the store keeps its history.
+            if (response.isComplete() && m_context.ports.store->isHistoryGone(response.status))
+                return handleFailure(StoreSource {}, "read: changes since the first page are gone", read->pages, FailureCause::Self);
+            const auto era = acceptStoreAnswer("read: ", response, read->latest);
+            if (!era)
+                return;
+            auto changes = m_context.ports.store->decodeWatch(response.body);
+            if (!changes)
+                return handleFailure(StoreSource {}, changes.error().message, read->latest);
+            const auto added = read->snapshot.addChanges(std::move(changes.value()), *era);
+            if (!added)
+                return handleFailure(StoreSource {}, "read: " + added.error().message, read->latest);
+            continueRead(read);
+        });
+}
+
+// The snapshot is as current as the latest answer. What it brings may have been written before the first one.
+void ViewReplicator::finishRead(const StoreRead& read, const ViewUpdate& snapshot)
+{
+    m_isFullReadNeeded = false;
+    const bool isChanged = apply(snapshot, "store", read.pages);
+    m_decision.confirmCurrentAt(read.latest.sentAfter);
+    handleAnswer(StoreSource {}, Milliseconds(0), read.latest.beganAt, isChanged);
+}
+
 void ViewReplicator::watchStore()
 {
     const auto now = monotonicNow();
@@ -204,11 +239,9 @@
                 m_context.log.write("view.history-gone", { { "revision", std::to_string(m_view.revision()) } });
                 return follow();
             }
-            if (!response.isComplete() || response.status != statusOk)
-                return handleIncomplete(StoreSource {}, "watch: ", response, transfer);
-            const auto era = currentEra(response);
+            const auto era = acceptStoreAnswer("watch: ", response, transfer);
             if (!era)
-                return handleFailure(StoreSource {}, "watch: of an earlier era", transfer);
+                return;
             if (*era != m_view.position().era) {
                 // The answer's changes continue a history that this view does not have.
                 m_isFullReadNeeded = true;
@@ -351,11 +384,18 @@
         follow();
 }
 
-std::optional<std::uint64_t> ViewReplicator::currentEra(const WholeResponse& response) const
+std::optional<std::uint64_t> ViewReplicator::acceptStoreAnswer(const char* call, const WholeResponse& response, const Transfer& transfer)
 {
+    if (!response.isComplete() || response.status != statusOk) {
+        handleIncomplete(StoreSource {}, call, response, transfer);
+        return std::nullopt;
+    }
     const auto known = m_view.position().era;
     const auto era = m_context.ports.store->decodeEra(response.fields).value_or(known);
-    return era < known ? std::nullopt : std::optional<std::uint64_t>(era);
+    if (era >= known)
+        return era;
+    handleFailure(StoreSource {}, call + std::string("of an earlier era"), transfer);
+    return std::nullopt;
 }
 
 void ViewReplicator::handleIncomplete(const ViewSource& source, const char* call, const WholeResponse& response, const Transfer& transfer)
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -57,19 +57,31 @@
         VersionAges estimatedAges {}; ///< as the peer estimated them
     };
 
+    /// A read of all records of the store.
+    struct StoreRead {
+        SnapshotRead snapshot;
+        Transfer pages; ///< from the first page on
+        Transfer latest; ///< up to which the records are complete: all pages, or the changes since
+    };
+    using StoreReadPointer = std::shared_ptr<StoreRead>;
+
     void follow();
     void logSource();
     void scheduleFollow(Milliseconds delay);
     void followNext(Milliseconds delay);
-    void readStore(const std::string& after, std::shared_ptr<ViewUpdate> collected, Transfer before);
+    void continueRead(const StoreReadPointer& read);
+    void readPage(const StoreReadPointer& read, const std::string& after);
+    void readMissedChanges(const StoreReadPointer& read, std::uint64_t revision);
+    void finishRead(const StoreRead& read, const ViewUpdate& snapshot);
     void watchStore();
     void followPeer(const PeerSource& peer);
     void scheduleAlternative(const PeerSource& slow, Milliseconds delay);
     void askAlternative(const PeerSource& slow);
     void handleAlternativeAnswer(const PeerSource& slow, const PeerSource& peer, Transfer transfer, const WholeResponse& response);
     void endPeerTransfer();
-    /// Returns the era of an answer of the store, and nothing if it is of an earlier era than the view.
-    std::optional<std::uint64_t> currentEra(const WholeResponse& response) const;
+    /// Returns the era of an answer of the store. Handles one that failed or is of an earlier era than the view, and
+    /// returns nothing.
+    std::optional<std::uint64_t> acceptStoreAnswer(const char* call, const WholeResponse& response, const Transfer& transfer);
     void handleFailure(const ViewSource& source, const std::string& problem, const Transfer& transfer, FailureCause cause = FailureCause::Source);
     void handleIncomplete(const ViewSource& source, const char* call, const WholeResponse& response, const Transfer& transfer);
     void handleLag(const ViewSource& source);
--- a/tests/StoreViewPagesTests.cpp
+++ b/tests/StoreViewPagesTests.cpp
@@ -162,6 +162,36 @@
     bool m_isWhole = false;
 };
 
+/// A read as this build makes it.
+class WholeRead {
+public:
+    bool goOn(const PagedStore& store)
+    {
+        struct Visitor {
+            SnapshotRead& read;
+            const PagedStore& store;
+            bool operator()(const SnapshotRead::PageNeeded& page) const { return read.addPage(store.page(page.after), store.position().era).has_value(); }
+            bool operator()(const SnapshotRead::ChangesNeeded& needed) const
+            {
+                const auto changes = store.changesAfter(needed.revision);
+                return changes && read.addChanges(*changes, store.position().era).has_value();
+            }
+            bool operator()(const ViewUpdate&) const { return true; }
+        };
+        return std::visit(Visitor { m_read, store }, m_read.next());
+    }
+
+    std::optional<ViewUpdate> snapshot() const
+    {
+        const auto next = m_read.next();
+        const auto* snapshot = std::get_if<ViewUpdate>(&next);
+        return snapshot ? std::optional<ViewUpdate>(*snapshot) : std::nullopt;
+    }
+
+private:
+    SnapshotRead m_read;
+};
+
 std::string drawnKey(RandomSource& random) { return std::string(1, static_cast<char>('a' + random.below(9))); }
 
 // Writes, deletes, or changes the history of the store.
@@ -255,3 +285,56 @@
     }
     LONGS_EQUAL(0, different);
 }
+
+// Guards against a view that holds records from after its position, so that others at the same position differ from it.
+TEST(StoreViewPages, ASnapshotThatWasReadInPagesHoldsOnePositionOfTheStore)
+{
+    std::size_t different = 0;
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        PagedStore store;
+        std::vector<PagedProcess<WholeRead>> processes(processCount);
+        drawOrder(seed, store, processes, [&] {
+            for (const auto& process : processes)
+                different += process.view().revision() != 0 && process.view().records() != store.recordsAt(process.view().position());
+        });
+        different += countDifferent(store, processes);
+    }
+    LONGS_EQUAL(0, different);
+}
+
+TEST(StoreViewPages, PagesOfOneRevisionAreASnapshot)
+{
+    SnapshotRead read;
+    CHECK(std::get<SnapshotRead::PageNeeded>(read.next()).after.empty());
+    CHECK(read.addPage({ { { "a", "1", 5, false } }, true, 7 }, 1).has_value());
+    STRCMP_EQUAL("a", std::get<SnapshotRead::PageNeeded>(read.next()).after.c_str());
+    CHECK(read.addPage({ { { "b", "1", 6, false } }, false, 7 }, 1).has_value());
+    CHECK(std::get<ViewUpdate>(read.next()) == ViewUpdate({ 7, true, { { "a", "1", 5, false }, { "b", "1", 6, false } }, 1 }));
+}
+
+// Changes may come in several answers, and delete what a page brought.
+TEST(StoreViewPages, AReadGoesOnUntilAllChangesSinceItsFirstPageAreKnown)
+{
+    SnapshotRead read;
+    CHECK(read.addPage({ { { "a", "1", 5, false }, { "b", "1", 6, false } }, true, 7 }, 1).has_value());
+    CHECK(read.addPage({ { { "c", "2", 9, false } }, false, 10 }, 1).has_value());
+    LONGS_EQUAL(7, std::get<SnapshotRead::ChangesNeeded>(read.next()).revision);
+    CHECK(read.addChanges({ { { "a", "", 8, true }, { "c", "2", 9, false } }, false, 9 }, 1).has_value());
+    LONGS_EQUAL(9, std::get<SnapshotRead::ChangesNeeded>(read.next()).revision);
+    CHECK(read.addChanges({ { { "b", "2", 10, false }, { "a", "3", 11, false } }, false, 11 }, 1).has_value());
+    CHECK(std::get<ViewUpdate>(read.next()) == ViewUpdate({ 11, true, { { "a", "3", 11, false }, { "b", "2", 10, false }, { "c", "2", 9, false } }, 1 }));
+}
+
+TEST(StoreViewPages, AReadThatCannotGoOnFails)
+{
+    SnapshotRead read;
+    CHECK_FALSE(read.addPage({ {}, true, 7 }, 1).has_value()); // would be asked for again and again
+    CHECK(read.addPage({ { { "b", "1", 5, false } }, true, 7 }, 1).has_value());
+    CHECK_FALSE(read.addPage({ { { "a", "1", 5, false } }, true, 7 }, 1).has_value());
+    CHECK_FALSE(read.addPage({ { { "c", "1", 5, false } }, false, 7 }, 2).has_value()); // the store came back from a copy
+    CHECK(read.addPage({ { { "c", "1", 5, false } }, false, 8 }, 1).has_value());
+    CHECK_FALSE(read.addChanges({ {}, false, 7 }, 1).has_value());
+    CHECK_FALSE(read.addChanges({ {}, false, 8 }, 2).has_value());
+    CHECK(read.addChanges({ {}, false, 8 }, 1).has_value());
+    CHECK(std::holds_alternative<ViewUpdate>(read.next()));
+}
