Views at the same position have to have the same content

Change: answers and requests for the view carry its digest. A process whose content differs from its source's at the same position is in doubt: it asks for the whole view and tells its source, which is in doubt, too, up to the process that follows the store, which reads it again. A source answers a request with another digest at once. Of two records the higher revision stays, so that a follower that is right doesn't go back; of two values of one revision the source's is taken. Reads in a row get rarer (ContentCheck), so a difference that they don't end costs a read a minute. An earlier build tells no digest and isn't compared. About 70 bytes more for each poll of a peer, no call of the store without a difference.

--- a/modules/hyssopwick_deployment/hyssopwick_deployment.h
+++ b/modules/hyssopwick_deployment/hyssopwick_deployment.h
@@ -21,6 +21,7 @@
 #include "routes/AddressRegions.h"
 #include "routes/RouteTable.h"
 #include "routes/UpstreamRegistry.h"
+#include "view/ContentCheck.h"
 #include "view/OldWeightsBounds.h"
 #include "view/RestoredRecords.h"
 #include "view/SnapshotRead.h"
--- a/modules/hyssopwick_deployment/view/StoreView.cpp
+++ b/modules/hyssopwick_deployment/view/StoreView.cpp
@@ -64,7 +64,10 @@
     m_position.revision = update.revision;
     for (const auto& record : update.records) {
         const auto known = m_records.find(record.key);
-        if (isNewEra ? known != m_records.end() && known->second == record : !isNews(record))
+        const bool isKnown = known != m_records.end() && known->second == record;
+        // One revision has one value. If not, that of the source counts, so that all end with the same.
+        const bool isCorrection = update.isSnapshot && known != m_records.end() && known->second.revision == record.revision;
+        if (isKnown || !(isNewEra || isCorrection || isNews(record)))
             continue;
         if (!record.isDeleted) {
             put(record);
--- a/modules/hyssopwick_gateway/view/ViewMessage.cpp
+++ b/modules/hyssopwick_gateway/view/ViewMessage.cpp
@@ -2,7 +2,10 @@
 
 #include "../http/Compression.h"
 
+#include <charconv>
+#include <iomanip>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace hyssopwick {
 
@@ -15,6 +18,7 @@
     // limit saves memory of the entry VM.
     constexpr std::size_t maxCachedEncodings = 4;
     constexpr std::size_t maxDigits = 18;
+    constexpr int hexadecimalBase = 16;
     constexpr std::string_view viewPath = "/view?after=";
     constexpr std::string_view eraParameter = "&era=";
     constexpr const char* ageField = "View-Age-Ms";
@@ -23,6 +27,8 @@
     constexpr const char* maxAgeField = "View-Max-Age-Ms";
     constexpr const char* versionAgesField = "View-Versions"; // [[MODEL, VERSION, MILLISECONDS], ...]
     constexpr const char* estimatedAgesField = "View-Estimated-Versions";
+    constexpr const char* contentDigestField = "View-Content";
+    constexpr const char* doubtField = "View-Content-Differs";
     constexpr int noIndent = -1;
     // Only a sanity check: ten years, still far below the range of a time.
     constexpr std::uint64_t maxVersionAgeMilliseconds = std::uint64_t(10) * 365 * 24 * 3600 * 1000;
@@ -95,11 +101,39 @@
     return std::string(viewPath) + std::to_string(known.revision) + std::string(eraParameter) + std::to_string(known.era);
 }
 
-HttpCall encodeViewCall(const StorePosition& known, Milliseconds maxAge)
+HttpCall encodeViewCall(const StorePosition& known, Milliseconds maxAge, std::optional<std::uint64_t> contentDigest)
 {
-    return { "GET", encodeViewTarget(known), { { maxAgeField, std::to_string(maxAge.count()) } }, "" };
+    HttpCall call { "GET", encodeViewTarget(known), { { maxAgeField, std::to_string(maxAge.count()) } }, "" };
+    if (contentDigest)
+        call.fields.emplace_back(contentDigestField, contentDigestText(*contentDigest));
+    return call;
 }
 
+HttpCall encodeDoubtfulViewCall(const StorePosition& known, Milliseconds maxAge)
+{
+    auto call = encodeViewCall({ known.era, 0 }, maxAge);
+    call.fields.emplace_back(doubtField, "1");
+    return call;
+}
+
+std::string contentDigestText(std::uint64_t digest)
+{
+    std::ostringstream text;
+    text << std::hex << std::setw(16) << std::setfill('0') << digest;
+    return text.str();
+}
+
+// One that cannot be read is that of a build with another digest, which cannot be compared.
+std::optional<std::uint64_t> decodeContentDigest(const HeaderFields& fields)
+{
+    const auto text = headerValue(fields, contentDigestField);
+    std::uint64_t digest = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), digest, hexadecimalBase);
+    return result.ec == std::errc() && result.ptr == text.data() + text.size() ? std::optional<std::uint64_t>(digest) : std::nullopt;
+}
+
+bool isViewInDoubt(const HeaderFields& fields) { return !headerValue(fields, doubtField).empty(); }
+
 std::optional<Milliseconds> decodeMaxAge(const HeaderFields& fields)
 {
     const auto milliseconds = decodeNumber(headerValue(fields, maxAgeField));
@@ -126,6 +160,8 @@
     HeaderFields fields { { ageField, std::to_string(times.age.count()) }, { confirmedAgeField, std::to_string(times.confirmedAge.count()) }, { heldField, std::to_string(times.held.count()) } };
     if (isCompressed)
         fields.emplace_back(codingField, deflateCoding);
+    if (contentDigest)
+        fields.emplace_back(contentDigestField, contentDigestText(*contentDigest));
     if (!versionAges.empty())
         fields.emplace_back(versionAgesField, encodeVersionAges(versionAges));
     if (!estimatedAges.empty())
@@ -160,16 +196,17 @@
     // A build that does not tell for how long it held a request may have read of a version late.
     if (headerValue(fields, heldField).empty())
         estimatedAges.swap(versionAges);
+    const auto contentDigest = decodeContentDigest(fields);
     const auto coding = headerValue(fields, codingField);
     if (!coding.empty() && coding != deflateCoding)
         return failure(ErrorCode::InvalidInput, "malformed view: content coding \"" + std::string(coding) + "\"");
     if (coding.empty()) {
         BOOST_OUTCOME_TRY(update, decodeUpdate(body));
-        return ReceivedView { std::move(update), times, std::move(versionAges), std::move(estimatedAges) };
+        return ReceivedView { std::move(update), times, std::move(versionAges), std::move(estimatedAges), contentDigest };
     }
     BOOST_OUTCOME_TRY(bytes, decompress(body, maxViewBytes));
     BOOST_OUTCOME_TRY(update, decodeUpdate(bytes));
-    return ReceivedView { std::move(update), times, std::move(versionAges), std::move(estimatedAges) };
+    return ReceivedView { std::move(update), times, std::move(versionAges), std::move(estimatedAges), contentDigest };
 }
 
 std::shared_ptr<const EncodedView> EncodedViewCache::updateSince(const StoreView& view, const StorePosition& known)
@@ -177,7 +214,9 @@
     const auto cached = m_byPosition.find(known);
     if (cached != m_byPosition.end())
         return cached->second;
-    const auto encoded = std::make_shared<const EncodedView>(encodeView(view.updateSince(known)));
+    auto encodedNow = encodeView(view.updateSince(known));
+    encodedNow.contentDigest = view.contentDigest();
+    const auto encoded = std::make_shared<const EncodedView>(std::move(encodedNow));
     if (m_byPosition.size() < maxCachedEncodings)
         m_byPosition.emplace(known, encoded);
     return encoded;
--- a/modules/hyssopwick_gateway/view/ViewMessage.h
+++ b/modules/hyssopwick_gateway/view/ViewMessage.h
@@ -8,7 +8,20 @@
 std::string encodeViewTarget(const StorePosition& known);
 
 /// Returns a request for the updates after a position, to a source that lags when its view is older than \p maxAge.
-HttpCall encodeViewCall(const StorePosition& known, Milliseconds maxAge);
+/// \param contentDigest  of the sender's view, if the source has to answer at once when its own differs
+HttpCall encodeViewCall(const StorePosition& known, Milliseconds maxAge, std::optional<std::uint64_t> contentDigest = std::nullopt);
+
+/// Returns a request for the whole view, which tells the source that its content is in doubt.
+HttpCall encodeDoubtfulViewCall(const StorePosition& known, Milliseconds maxAge);
+
+/// Returns the 16 hexadecimal digits of a view's digest in messages and events.
+std::string contentDigestText(std::uint64_t digest);
+
+/// Decodes the digest of the sender's view, in a request or an answer; nothing if it is not told or of another build's kind.
+std::optional<std::uint64_t> decodeContentDigest(const HeaderFields& fields);
+
+/// Returns whether the sender of a request found that the content of the view is in doubt.
+bool isViewInDoubt(const HeaderFields& fields);
 
 /// Decodes the age at which the sender of a request replaces its source; nothing if it is not told.
 std::optional<Milliseconds> decodeMaxAge(const HeaderFields& fields);
@@ -36,6 +49,7 @@
     bool isCompressed = false;
     bool isSnapshot = false;
     bool isEmpty = false;
+    std::optional<std::uint64_t> contentDigest {}; ///< of the view that a receiver has with this update
 
     /// Returns the header fields of an answer with this body.
     /// \param estimatedAges  ages with the basis PublicationBasis::Estimated; others are measured
@@ -48,6 +62,7 @@
     ViewTimes times;
     VersionAges versionAges; ///< measured ones
     VersionAges estimatedAges;
+    std::optional<std::uint64_t> contentDigest; ///< nothing from a build that does not tell it
 };
 
 /// Encodes an update, compressed when it is large.
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -1,8 +1,5 @@
 #include "ViewReplicator.h"
 
-#include <iomanip>
-#include <sstream>
-
 namespace hyssopwick {
 
 namespace {
@@ -45,13 +42,6 @@
     // The first failure may be that of one connection.
     constexpr unsigned failuresToLoseSource = 2;
 
-    std::string hexadecimal(std::uint64_t number)
-    {
-        std::ostringstream text;
-        text << std::hex << std::setw(16) << std::setfill('0') << number;
-        return text.str();
-    }
-
     std::string describe(const ViewSource& source)
     {
         struct Visitor {
@@ -122,7 +112,7 @@
         ViewReplicator& replicator;
         void operator()(const StoreSource&) const
         {
-            if (replicator.m_isFullReadNeeded || replicator.m_view.revision() == 0)
+            if (replicator.m_isFullReadNeeded || replicator.m_view.revision() == 0 || replicator.m_contentCheck.isReadDue(monotonicNow()))
                 replicator.continueRead(std::make_shared<StoreRead>(StoreRead { {}, { monotonicNow(), {}, {} }, {} }));
             else
                 replicator.watchStore();
@@ -220,6 +210,7 @@
 {
     m_isFullReadNeeded = false;
     const bool isChanged = apply(snapshot, "store", read.pages);
+    m_contentCheck.recordRead(monotonicNow());
     m_decision.confirmCurrentAt(read.latest.sentAfter);
     handleAnswer(StoreSource {}, Milliseconds(0), read.latest.beganAt, isChanged);
 }
@@ -267,9 +258,12 @@
 void ViewReplicator::followPeer(const PeerSource& peer)
 {
     const auto now = monotonicNow();
-    auto call = encodeViewCall(m_view.position(), m_decision.maxSourceAge());
+    const bool isWholeNeeded = m_contentCheck.isReadDue(now);
+    // In doubt, what differs is known.
+    const auto comparedDigest = m_contentCheck.isInDoubt() ? std::optional<std::uint64_t>() : m_view.contentDigest();
+    auto call = isWholeNeeded ? encodeDoubtfulViewCall(m_view.position(), m_decision.maxSourceAge()) : encodeViewCall(m_view.position(), m_decision.maxSourceAge(), comparedDigest);
     scheduleAlternative(peer, m_consecutiveFailures > 0 ? slowAnswerTimeInTrouble : slowAnswerTime);
-    m_peerExchange = fetchWhole(m_context.loop, peer.address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, peer, now](WholeResponse response) {
+    m_peerExchange = fetchWhole(m_context.loop, peer.address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, peer, now, isWholeNeeded](WholeResponse response) {
         m_peerExchange.reset();
         m_alternativeTimer.cancel();
         if (m_alternativeExchange && !m_alternativeExchange->hasAnswerBegun())
@@ -285,6 +279,8 @@
         if (answer.value().update.era < m_view.position().era)
             return handleLag(peer);
         endPeerTransfer();
+        if (isWholeNeeded)
+            m_contentCheck.recordRead(monotonicNow());
         const auto& times = answer.value().times;
         const bool isChanged = applyFromPeer(answer.value(), peer.id, transfer);
         handleAnswer(peer, times.age, transfer.beganAt, isChanged);
@@ -476,11 +472,22 @@
     const bool hasNewVersions = recordReportedVersions(transfer);
     if (changed.empty() && !hasNewVersions)
         return isNewEra;
-    m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isSnapshot ? "true" : "false" }, { "bytes", std::to_string(transfer.bytes) }, { "age_ms", std::to_string(ageBefore.count()) }, { "content", hexadecimal(m_view.contentDigest()) } });
+    m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isSnapshot ? "true" : "false" }, { "bytes", std::to_string(transfer.bytes) }, { "age_ms", std::to_string(ageBefore.count()) }, { "content", contentDigestText(m_view.contentDigest()) } });
     ViewObserver::notify(m_observer.onBatchEnd);
     return true;
 }
 
+// A follower found a difference. The source is asked at once, not after the wait for a change.
+void ViewReplicator::handleDoubt()
+{
+    m_context.metrics.count("view_content_differences_total", "follower");
+    m_contentCheck.recordDifference();
+    if (!m_peerExchange || m_peerExchange->hasAnswerBegun() || !m_contentCheck.isReadDue(monotonicNow()))
+        return;
+    endPeerTransfer();
+    scheduleFollow(Milliseconds(0));
+}
+
 bool ViewReplicator::applyFromPeer(const ReceivedView& view, const std::string& peer, Transfer transfer)
 {
     // The request cannot have arrived before it was sent.
@@ -489,9 +496,22 @@
     transfer.estimatedAges = view.estimatedAges;
     const bool isChanged = apply(view.update, peer, transfer);
     m_decision.confirmCurrentAt(transfer.sentAfter - view.times.confirmedAge);
+    compareContent(view, peer);
     return isChanged;
 }
 
+// Views at the same position have the same content, unless one of them has lost a change or a deletion.
+void ViewReplicator::compareContent(const ReceivedView& view, const std::string& peer)
+{
+    const auto own = m_view.contentDigest();
+    if (!view.contentDigest || *view.contentDigest == own || view.update.position() != m_view.position())
+        return;
+    m_context.metrics.count("view_content_differences_total", "source");
+    if (!m_contentCheck.isInDoubt())
+        m_context.log.write("view.content-differs", { { "source", peer }, { "revision", std::to_string(m_view.revision()) }, { "content", contentDigestText(own) }, { "source_content", contentDigestText(*view.contentDigest) } });
+    m_contentCheck.recordDifference();
+}
+
 // A peer reports the version's maximum age, which stays right however late its answer is read.
 // Without that, the version is no older than the last time the view was known to be current.
 void ViewReplicator::recordPublication(const WeightsVersion& version, const Transfer& transfer)
@@ -608,11 +628,15 @@
         exchange->respond(statusUnavailable, {}, "this view is of an earlier era\n");
         return true;
     }
+    const auto& fields = exchange->request().fields;
+    if (isViewInDoubt(fields))
+        handleDoubt();
     const auto now = monotonicNow();
-    const WaitingPeer peer { exchange, *known, now, now + peerWait };
+    const WaitingPeer peer { exchange, *known, now, now + peerWait, m_view.contentDigest() };
     // If this process's own source lags, it answers at once, so that the peer can choose another.
-    const auto maxAge = decodeMaxAge(exchange->request().fields).value_or(defaultMaxAge);
-    if (*known < m_view.position() || servedAge() > maxAge) {
+    const auto maxAge = decodeMaxAge(fields).value_or(defaultMaxAge);
+    const auto isDifferent = *known == m_view.position() && decodeContentDigest(fields).value_or(peer.contentDigest) != peer.contentDigest;
+    if (*known < m_view.position() || isDifferent || servedAge() > maxAge) {
         answerPeer(peer);
         return true;
     }
@@ -636,7 +660,7 @@
 void ViewReplicator::answerWaitingPeers()
 {
     for (auto peer = m_waitingPeers.begin(); peer != m_waitingPeers.end();) {
-        if (!(peer->known < m_view.position())) {
+        if (!(peer->known < m_view.position()) && peer->contentDigest == m_view.contentDigest()) {
             ++peer;
             continue;
         }
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -42,6 +42,7 @@
         StorePosition known;
         TimePoint receivedAt;
         TimePoint deadline;
+        std::uint64_t contentDigest; // of this view when the request came
     };
 
     /// The progress of a request for the view.
@@ -91,6 +92,8 @@
     void handleAnswer(const ViewSource& source, Milliseconds age, TimePoint at, bool isChanged, Milliseconds delay = Milliseconds(0));
     Transfer recordTransfer(const ViewSource& source, Transfer transfer, const WholeResponse& response);
     bool applyFromPeer(const ReceivedView& view, const std::string& peer, Transfer transfer);
+    void compareContent(const ReceivedView& view, const std::string& peer);
+    void handleDoubt();
     /// Returns whether a record changed.
     bool apply(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
     void notifyObserver(const StoreRecord& record, const Transfer& transfer, RegistrationSource source = RegistrationSource::Owner);
@@ -110,6 +113,7 @@
     GatewayContext& m_context;
     ViewSourceDecision m_decision;
     StoreView m_view;
+    ContentCheck m_contentCheck;
     VersionPublications m_publications;
     RestoredRecords m_restored;
     EncodedViewCache m_encoded; // of the view's current revision
--- a/tests/platform/FleetSupport.h
+++ b/tests/platform/FleetSupport.h
@@ -32,6 +32,11 @@
         answerWatches();
     }
 
+    /// Lets the next read of all records return one with another value and revision, or without the value not at all.
+    void spoilNextRead(const std::string& key, const std::string& value, std::uint64_t revision) { m_spoilt[key] = { value, revision }; }
+
+    std::uint64_t revision() const { return m_revision; }
+
     /// Stops answering calls, or answers again. Calls that arrive while it is silent stay unanswered.
     void setSilent(bool isSilent) { m_isSilent = isSilent; }
 
@@ -63,10 +68,21 @@
         exchange->respond(status, { { "Content-Type", "application/json" } }, body.dump());
     }
 
-    Json recordsAfter(std::uint64_t revision) const
+    Json readAll()
+    {
+        auto records = m_records;
+        for (const auto& [key, record] : std::exchange(m_spoilt, {})) {
+            records[key] = record;
+            if (record.value.empty())
+                records.erase(key);
+        }
+        return recordsAfter(0, records);
+    }
+
+    static Json recordsAfter(std::uint64_t revision, const std::map<std::string, Record>& records)
     {
         auto items = Json::array();
-        for (const auto& [key, record] : m_records) {
+        for (const auto& [key, record] : records) {
             if (record.revision <= revision)
                 continue;
             if (record.value.empty())
@@ -84,7 +100,7 @@
         const auto& target = exchange->request().target;
         const auto startsWith = [&target](const char* prefix) { return target.rfind(prefix, 0) == 0; };
         if (startsWith("/-/kv-range"))
-            return respond(exchange, 200, { { "items", recordsAfter(0) }, { "hasMore", false }, { "at", m_revision } });
+            return respond(exchange, 200, { { "items", readAll() }, { "hasMore", false }, { "at", m_revision } });
         if (startsWith("/-/kv-watch")) {
             const auto timer = std::make_shared<LoopTimer>(m_loop, Milliseconds(parameter(target, "waitMs")));
             timer->async_wait([this, raw = exchange.get()](boost::system::error_code error) {
@@ -136,13 +152,14 @@
             if (watch.after >= m_revision)
                 m_watches.push_back(watch);
             else
-                respond(watch.exchange, 200, { { "events", recordsAfter(watch.after) }, { "at", m_revision } });
+                respond(watch.exchange, 200, { { "events", recordsAfter(watch.after, m_records) }, { "at", m_revision } });
         }
     }
 
     EventLoop& m_loop;
     HttpListener m_listener;
     std::map<std::string, Record> m_records;
+    std::map<std::string, Record> m_spoilt; // in the next read
     std::vector<Watch> m_watches;
     std::vector<ServerExchangePointer> m_unanswered;
     std::uint64_t m_revision = 0;
