--- a/tests/platform/soak/StoreStandIn.cpp
+++ b/tests/platform/soak/StoreStandIn.cpp
@@ -6,6 +6,7 @@
 
 namespace {
     constexpr Milliseconds expiryPeriod { 50 };
+    constexpr std::size_t pageItems = 10; // so that a small fleet is read in several pages
 
     std::string base64(const std::string& bytes)
     {
@@ -66,11 +67,15 @@
 {
     const auto prefix = connection->request().parameter("prefix");
     auto items = Json::array();
-    for (const auto& [key, item] : m_items) {
-        if (!item.isDeleted && startsWith(key, prefix))
-            items.push_back(itemJson(key, item));
+    bool hasMore = false;
+    for (auto item = m_items.upper_bound(connection->request().parameter("after")); item != m_items.end() && !hasMore; ++item) {
+        if (item->second.isDeleted || !startsWith(item->first, prefix))
+            continue;
+        hasMore = items.size() == pageItems;
+        if (!hasMore)
+            items.push_back(itemJson(item->first, item->second));
     }
-    connection->respondJson(200, Json { { "items", items }, { "hasMore", false }, { "at", m_revision } }.dump());
+    connection->respondJson(200, Json { { "items", items }, { "hasMore", hasMore }, { "at", m_revision } }.dump());
 }
 
 void StoreStandIn::serveWatch(const ServerConnectionPointer& connection)
