Tests of views: keys outside the platform's names, repeated set-ups joined

check-boundary.sh found a key of the platform in StoreViewPagesTests. The tests of ContentDifference had the same set-up five times; the checks are the same.

--- a/tests/StoreViewPagesTests.cpp
+++ b/tests/StoreViewPagesTests.cpp
@@ -264,13 +264,13 @@
 TEST(StoreViewPages, AFollowerGetsARecordThatCameWithALaterPage)
 {
     StoreView reader;
-    reader.apply({ 10, true, { { "node", "1", 5, false }, { "op/config", "new", 12, false } } }); // its first page was read at revision 10
+    reader.apply({ 10, true, { { "node", "1", 5, false }, { "configuration", "new", 12, false } } }); // its first page was read at revision 10
     StoreView follower;
-    follower.apply({ 11, true, { { "node", "1", 5, false }, { "op/config", "old", 3, false } } });
-    reader.apply({ 12, false, { { "op/config", "new", 12, false } } });
+    follower.apply({ 11, true, { { "node", "1", 5, false }, { "configuration", "old", 3, false } } });
+    reader.apply({ 12, false, { { "configuration", "new", 12, false } } });
     follower.apply(reader.updateSince(follower.position()));
     LONGS_EQUAL(12, follower.revision());
-    STRCMP_EQUAL("new", follower.records().at("op/config").value.c_str());
+    STRCMP_EQUAL("new", follower.records().at("configuration").value.c_str());
 }
 
 // Guards against the same loss in any order of pages, writes, deletions, eras and sources.
--- a/tests/platform/ContentDifferenceTests.cpp
+++ b/tests/platform/ContentDifferenceTests.cpp
@@ -83,6 +83,29 @@
         CHECK(recordsOf(process) == records);
     }
 
+    // Returns whether a process that has these records gets those of its source, which has the store's.
+    bool healsFollowerWith(const std::vector<StoreRecord>& records)
+    {
+        Source source(loop, first, store.address());
+        start(source.process);
+        ViewProcess follower(loop, "follower", unusedStore.address(), false);
+        startWith(follower, records);
+        follower.replicator.setEntries({ entry(first, source.address()) });
+        return healInTime({ &follower, &source.process });
+    }
+
+    // Returns whether a process whose read of the store was spoilt gets the store's records, which its follower has.
+    bool healsSource()
+    {
+        Source source(loop, first, store.address());
+        start(source.process);
+        CHECK_FALSE(recordsOf(source.process) == storedRecords());
+        ViewProcess follower(loop, "follower", unusedStore.address(), false);
+        startWith(follower, storedRecords());
+        follower.replicator.setEntries({ entry(first, source.address()) });
+        return healInTime({ &follower, &source.process });
+    }
+
     // Returns whether all processes have the store's records within the bound of configurations.
     bool healInTime(const std::vector<ViewProcess*>& processes)
     {
@@ -95,58 +118,31 @@
 // Guards against an entry that keeps an old configuration at the newest position until the next change.
 TEST(ContentDifference, AFollowerWithAnOldRecordTakesItsSourcesContent)
 {
-    Source source(loop, first, store.address());
-    start(source.process);
-    ViewProcess follower(loop, "follower", unusedStore.address(), false);
-    startWith(follower, { { "hyssopwick/nodes/n", "{}", 1, false }, { "op/config", "old", 2, false } });
-    follower.replicator.setEntries({ entry(first, source.address()) });
-    CHECK(healInTime({ &follower, &source.process }));
+    CHECK(healsFollowerWith({ { "hyssopwick/nodes/n", "{}", 1, false }, { "op/config", "old", 2, false } }));
 }
 
 TEST(ContentDifference, AFollowerWithADeletedRecordTakesItsSourcesContent)
 {
-    Source source(loop, first, store.address());
-    start(source.process);
-    ViewProcess follower(loop, "follower", unusedStore.address(), false);
-    startWith(follower, { { "deleted", "{}", 1, false }, { "hyssopwick/nodes/n", "{}", 1, false }, { "op/config", "new", 3, false } });
-    follower.replicator.setEntries({ entry(first, source.address()) });
-    CHECK(healInTime({ &follower, &source.process }));
+    CHECK(healsFollowerWith({ { "deleted", "{}", 1, false }, { "hyssopwick/nodes/n", "{}", 1, false }, { "op/config", "new", 3, false } }));
 }
 
 // Guards against two values of one revision, of which neither would replace the other.
 TEST(ContentDifference, AFollowerWithAnotherValueTakesItsSourcesContent)
 {
-    Source source(loop, first, store.address());
-    start(source.process);
-    ViewProcess follower(loop, "follower", unusedStore.address(), false);
-    startWith(follower, { { "hyssopwick/nodes/n", "{}", 1, false }, { "op/config", "spoilt", 3, false } });
-    follower.replicator.setEntries({ entry(first, source.address()) });
-    CHECK(healInTime({ &follower, &source.process }));
+    CHECK(healsFollowerWith({ { "hyssopwick/nodes/n", "{}", 1, false }, { "op/config", "spoilt", 3, false } }));
 }
 
 // Guards against a source that follows the store and is wrong itself: only its followers can tell.
 TEST(ContentDifference, ASourceWithAnOldRecordReadsTheStoreAgain)
 {
     store.spoilNextRead("op/config", base64("old"), 2);
-    Source source(loop, first, store.address());
-    start(source.process);
-    ViewProcess follower(loop, "follower", unusedStore.address(), false);
-    startWith(follower, storedRecords());
-    CHECK_FALSE(recordsOf(source.process) == storedRecords());
-    follower.replicator.setEntries({ entry(first, source.address()) });
-    CHECK(healInTime({ &follower, &source.process }));
+    CHECK(healsSource());
 }
 
 TEST(ContentDifference, ASourceWithoutARecordReadsTheStoreAgain)
 {
     store.spoilNextRead("op/config", "", 0);
-    Source source(loop, first, store.address());
-    start(source.process);
-    ViewProcess follower(loop, "follower", unusedStore.address(), false);
-    startWith(follower, storedRecords());
-    CHECK_FALSE(recordsOf(source.process) == storedRecords());
-    follower.replicator.setEntries({ entry(first, source.address()) });
-    CHECK(healInTime({ &follower, &source.process }));
+    CHECK(healsSource());
 }
 
 // Guards against a difference that only an agent can see, since the entries before it agree with one another.
