--- a/tests/StoreViewPagesTests.cpp
+++ b/tests/StoreViewPagesTests.cpp
@@ -273,6 +273,33 @@
     STRCMP_EQUAL("new", follower.records().at("configuration").value.c_str());
 }
 
+// Guards against a deletion that a follower never gets, since the view stores a limited number of them.
+TEST(StoreViewPages, AFollowerThatLacksAnOldDeletionGetsAllRecords)
+{
+    constexpr std::uint64_t begin = 10;
+    constexpr std::uint64_t deletions = 1000;
+    StoreView view;
+    view.apply({ begin, true, { { "kept", "1", 5, false } } });
+    StoreView early = view;
+    early.apply({ begin + 1, false, { { "0", "1", begin + 1, false } } });
+    StoreView late;
+    for (std::uint64_t i = 0; i < deletions; ++i) {
+        const auto written = begin + 2 * i + 1;
+        view.apply({ written, false, { { std::to_string(i), "1", written, false } } });
+        if (i == deletions - 1)
+            late = view;
+        view.apply({ written + 1, false, { { std::to_string(i), "", written + 1, true } } });
+    }
+    CHECK(view.updateSince(early.position()).isSnapshot);
+    CHECK_FALSE(view.updateSince(late.position()).isSnapshot);
+    LONGS_EQUAL(1, view.updateSince(late.position()).records.size());
+    for (auto* follower : { &early, &late }) {
+        follower->apply(view.updateSince(follower->position()));
+        CHECK(follower->records() == view.records());
+        CHECK(follower->contentDigest() == view.contentDigest());
+    }
+}
+
 // Guards against the same loss in any order of pages, writes, deletions, eras and sources.
 TEST(StoreViewPages, ViewsThatWereReadInPagesEndEqualToTheStore)
 {
