Reads of the store for other reasons do not delay the end of a difference

Cause, found by the second reading: ContentCheck counted every read of all records as one in a row, so that after five of them within two minutes (history dropped, starts) a difference would have stayed for 8 s, above the shortest bound of 2 s. Change: only reads of a view in doubt count. Measured: ContentDifference.ReadsWithoutADifferenceDelayNone fails without it and passes with it.

--- a/modules/hyssopwick_deployment/view/ContentCheck.cpp
+++ b/modules/hyssopwick_deployment/view/ContentCheck.cpp
@@ -13,6 +13,8 @@
 
 void ContentCheck::recordRead(TimePoint now)
 {
+    if (!m_isInDoubt)
+        return;
     m_isInDoubt = false;
     if (m_rowEndsAt && now >= *m_rowEndsAt)
         m_readsInARow = 0;
--- a/tests/platform/ContentDifferenceTests.cpp
+++ b/tests/platform/ContentDifferenceTests.cpp
@@ -183,6 +183,16 @@
     CHECK(check.isReadDue(at(1200250))); // a later one is not delayed by those
 }
 
+// Guards against reads for other reasons, after which a difference would stay longer.
+TEST(ContentDifference, ReadsWithoutADifferenceDelayNone)
+{
+    ContentCheck check;
+    for (int time = 0; time < 10000; time += 1000)
+        check.recordRead(at(time));
+    check.recordDifference();
+    CHECK(check.isReadDue(at(9000)));
+}
+
 TEST(ContentDifference, ViewsWithoutADigestAreNotCompared)
 {
     const ViewUpdate update { 9, true, { { "a", "1", 5, false } } };
