One model of the store for the tests of views; a read in pages holds its records once

Cause: StoreViewPagesTests had a second model of the store with history, eras and copies beside that of StoreEraTests. SnapshotRead::next() copied all records, of which the read had another copy for a moment. The conditions by which StoreView takes a record stood in two places.

--- a/modules/hyssopwick_deployment/view/SnapshotRead.cpp
+++ b/modules/hyssopwick_deployment/view/SnapshotRead.cpp
@@ -4,17 +4,23 @@
 
 namespace hyssopwick {
 
-std::variant<SnapshotRead::PageNeeded, SnapshotRead::ChangesNeeded, ViewUpdate> SnapshotRead::next() const
+std::variant<SnapshotRead::PageNeeded, SnapshotRead::ChangesNeeded, SnapshotRead::Complete> SnapshotRead::next() const
 {
     if (!m_hasLastPage)
         return PageNeeded { m_after };
     if (m_completeRevision < m_newestRevision)
         return ChangesNeeded { m_completeRevision };
+    return Complete {};
+}
+
+ViewUpdate SnapshotRead::takeSnapshot()
+{
     ViewUpdate snapshot { m_completeRevision, true, {}, m_era };
-    for (const auto& [key, record] : m_records) {
+    for (auto& [key, record] : m_records) {
         if (!record.isDeleted)
-            snapshot.records.push_back(record);
+            snapshot.records.push_back(std::move(record));
     }
+    m_records.clear();
     return snapshot;
 }
 
--- a/modules/hyssopwick_deployment/view/SnapshotRead.h
+++ b/modules/hyssopwick_deployment/view/SnapshotRead.h
@@ -20,8 +20,12 @@
         std::uint64_t revision = 0;
     };
 
-    /// Returns what has to be read next, or the snapshot.
-    std::variant<PageNeeded, ChangesNeeded, ViewUpdate> next() const;
+    /// Nothing is needed any more.
+    struct Complete {
+    };
+
+    /// Returns what has to be read next.
+    std::variant<PageNeeded, ChangesNeeded, Complete> next() const;
 
     /// Adds the page that is needed next. Fails when the read cannot go on and has to begin anew: with
     /// ErrorCode::Conflict when the store came back from an older copy meanwhile, with ErrorCode::InvalidInput
@@ -31,6 +35,9 @@
     /// Adds the changes that are needed next. Fails as addPage() does, with ErrorCode::InvalidInput when there are none.
     Outcome<void> addChanges(StorePage changes, std::uint64_t era);
 
+    /// Returns the snapshot of a complete read, once.
+    ViewUpdate takeSnapshot();
+
 private:
     void add(std::vector<StoreRecord> records);
 
--- a/modules/hyssopwick_deployment/view/StoreView.cpp
+++ b/modules/hyssopwick_deployment/view/StoreView.cpp
@@ -15,11 +15,12 @@
     }
 }
 
-bool StoreView::isNews(const StoreRecord& record) const
+bool StoreView::isNews(const StoreRecord& record, bool isInSnapshot) const
 {
     const auto known = m_records.find(record.key);
+    // One revision has one value. If not, that of the source counts, so that all end with the same.
     if (known != m_records.end())
-        return known->second.revision < record.revision;
+        return known->second.revision < record.revision || (isInSnapshot && known->second.revision == record.revision && known->second != record);
     const auto deletion = m_deletions.find(record.key);
     return deletion == m_deletions.end() || deletion->second < record.revision;
 }
@@ -64,10 +65,7 @@
     m_position.revision = update.revision;
     for (const auto& record : update.records) {
         const auto known = m_records.find(record.key);
-        const bool isKnown = known != m_records.end() && known->second == record;
-        // One revision has one value. If not, that of the source counts, so that all end with the same.
-        const bool isCorrection = update.isSnapshot && known != m_records.end() && known->second.revision == record.revision;
-        if (isKnown || !(isNewEra || isCorrection || isNews(record)))
+        if (isNewEra ? known != m_records.end() && known->second == record : !isNews(record, update.isSnapshot))
             continue;
         if (!record.isDeleted) {
             put(record);
--- a/modules/hyssopwick_deployment/view/StoreView.h
+++ b/modules/hyssopwick_deployment/view/StoreView.h
@@ -63,7 +63,7 @@
     using Records = std::map<std::string, StoreRecord>;
 
     void enterEra(std::uint64_t era);
-    bool isNews(const StoreRecord& record) const;
+    bool isNews(const StoreRecord& record, bool isInSnapshot) const;
     void put(const StoreRecord& record);
     Records::iterator erase(Records::iterator record);
     void recordDeletion(const std::string& key, std::uint64_t revision);
--- a/tests/StoreViewPagesTests.cpp
+++ b/tests/StoreViewPagesTests.cpp
@@ -1,110 +1,25 @@
-#include "TestSupport.h"
+#include "ModelStore.h"
 
 #include <algorithm>
-#include <hyssopwick_deployment.h>
 
 using namespace hyssopwick;
 
 namespace {
 
-/// The store, which is read page by page. Pages are no snapshot: each holds its records as they are when it is read.
-class PagedStore {
-public:
-    static constexpr std::size_t pageSize = 3;
-
-    void write(const std::string& key) { change({ key, "value " + std::to_string(m_position.revision + 1), m_position.revision + 1, false }); }
-
-    void erase(const std::string& key)
-    {
-        if (m_records.count(key) != 0)
-            change({ key, "", m_position.revision + 1, true });
-    }
-
-    /// Comes back in a new era from a copy that lacks the last \p changes changes.
-    void returnFromCopy(std::size_t changes)
-    {
-        for (std::size_t i = 0; i < changes && !m_history.empty(); ++i)
-            m_history.pop_back();
-        m_position = { m_position.era + 1, m_history.empty() ? 1 : m_history.back().revision };
-        m_records.clear();
-        for (const auto& record : m_history)
-            applyTo(m_records, record);
-        m_states[m_position] = m_records;
-    }
-
-    void dropHistory() { m_historyAfter = m_position.revision; }
-
-    StorePage page(const std::string& after) const
-    {
-        StorePage page;
-        page.revision = m_position.revision;
-        for (auto record = m_records.upper_bound(after); record != m_records.end(); ++record) {
-            if (page.records.size() == pageSize) {
-                page.hasMore = true;
-                break;
-            }
-            page.records.push_back(record->second);
-        }
-        return page;
-    }
-
-    /// Returns the changes after a revision, or nothing if the store does not have that history.
-    std::optional<StorePage> changesAfter(std::uint64_t revision) const
-    {
-        if (revision > m_position.revision || revision < m_historyAfter)
-            return std::nullopt;
-        StorePage changes;
-        changes.revision = m_position.revision;
-        for (const auto& record : m_history) {
-            if (record.revision > revision)
-                changes.records.push_back(record);
-        }
-        return changes;
-    }
-
-    const StorePosition& position() const { return m_position; }
-
-    const std::map<std::string, StoreRecord>& records() const { return m_records; }
-
-    /// Returns the records at any position that the store ever had.
-    const std::map<std::string, StoreRecord>& recordsAt(const StorePosition& position) const { return m_states.at(position); }
-
-private:
-    static void applyTo(std::map<std::string, StoreRecord>& records, const StoreRecord& record)
-    {
-        if (record.isDeleted)
-            records.erase(record.key);
-        else
-            records[record.key] = record;
-    }
-
-    void change(const StoreRecord& record)
-    {
-        m_position.revision = record.revision;
-        m_history.push_back(record);
-        applyTo(m_records, record);
-        m_states[m_position] = m_records;
-    }
-
-    StorePosition m_position { 1, 1 };
-    std::map<std::string, StoreRecord> m_records;
-    std::vector<StoreRecord> m_history; // of this era
-    std::uint64_t m_historyAfter = 0;
-    std::map<StorePosition, std::map<std::string, StoreRecord>> m_states { { { 1, 1 }, {} } };
-};
+constexpr std::size_t pageSize = 3;
 
 /// A process that reads the store in pages, watches it, or follows another one. \tparam Read  its read of all records
 template <typename Read>
 class PagedProcess {
 public:
-    void readStore(const PagedStore& store)
+    void readStore(const ModelStore& store)
     {
         const auto era = store.position().era;
         if (m_read)
             return goOn(store);
-        const auto changes = m_view.revision() == 0 || m_isReadNeeded ? std::nullopt : store.changesAfter(m_view.revision());
+        const auto changes = m_view.revision() == 0 || m_isReadNeeded ? std::nullopt : store.watch(m_view.revision());
         if (changes && era == m_view.position().era) {
-            m_view.apply({ changes->revision, false, changes->records, era });
+            m_view.apply(*changes);
             return;
         }
         m_isReadNeeded = true;
@@ -123,7 +38,7 @@
     const StoreView& view() const { return m_view; }
 
 private:
-    void goOn(const PagedStore& store)
+    void goOn(const ModelStore& store)
     {
         if (!m_read->goOn(store))
             return giveUpRead();
@@ -143,13 +58,13 @@
 /// A read as processes of earlier builds make it: what all pages brought, at the revision of the first one.
 class FirstPageRead {
 public:
-    bool goOn(const PagedStore& store)
+    bool goOn(const ModelStore& store)
     {
         if (m_collected.revision == 0)
             m_collected = { store.position().revision, true, {}, store.position().era };
         if (m_collected.era != store.position().era)
             return false;
-        const auto page = store.page(m_collected.records.empty() ? "" : m_collected.records.back().key);
+        const auto page = store.page(m_collected.records.empty() ? "" : m_collected.records.back().key, pageSize);
         m_collected.records.insert(m_collected.records.end(), page.records.begin(), page.records.end());
         m_isWhole = !page.hasMore;
         return true;
@@ -165,27 +80,25 @@
 /// A read as this build makes it.
 class WholeRead {
 public:
-    bool goOn(const PagedStore& store)
+    bool goOn(const ModelStore& store)
     {
         struct Visitor {
             SnapshotRead& read;
-            const PagedStore& store;
-            bool operator()(const SnapshotRead::PageNeeded& page) const { return read.addPage(store.page(page.after), store.position().era).has_value(); }
+            const ModelStore& store;
+            bool operator()(const SnapshotRead::PageNeeded& page) const { return read.addPage(store.page(page.after, pageSize), store.position().era).has_value(); }
             bool operator()(const SnapshotRead::ChangesNeeded& needed) const
             {
-                const auto changes = store.changesAfter(needed.revision);
-                return changes && read.addChanges(*changes, store.position().era).has_value();
+                const auto changes = store.watch(needed.revision);
+                return changes && read.addChanges({ changes->records, false, changes->revision }, changes->era).has_value();
             }
-            bool operator()(const ViewUpdate&) const { return true; }
+            bool operator()(const SnapshotRead::Complete&) const { return true; }
         };
         return std::visit(Visitor { m_read, store }, m_read.next());
     }
 
-    std::optional<ViewUpdate> snapshot() const
+    std::optional<ViewUpdate> snapshot()
     {
-        const auto next = m_read.next();
-        const auto* snapshot = std::get_if<ViewUpdate>(&next);
-        return snapshot ? std::optional<ViewUpdate>(*snapshot) : std::nullopt;
+        return std::holds_alternative<SnapshotRead::Complete>(m_read.next()) ? std::optional<ViewUpdate>(m_read.takeSnapshot()) : std::nullopt;
     }
 
 private:
@@ -195,7 +108,7 @@
 std::string drawnKey(RandomSource& random) { return std::string(1, static_cast<char>('a' + random.below(9))); }
 
 // Writes, deletes, or changes the history of the store.
-void changeStore(RandomSource& random, PagedStore& store)
+void changeStore(RandomSource& random, ModelStore& store)
 {
     const auto kind = random.below(40);
     if (kind == 0)
@@ -205,13 +118,13 @@
     else if (kind < 12)
         store.erase(drawnKey(random));
     else
-        store.write(drawnKey(random));
+        store.write(drawnKey(random), std::to_string(store.position().revision));
 }
 
 // Draws an order of pages, changes, restarts, reads that are given up, and changes of source. At its end one process
 // follows the store, and all others follow one another. Calls \p check with all processes after each step.
 template <typename Process, typename Check>
-void drawOrder(std::uint64_t seed, PagedStore& store, std::vector<Process>& processes, Check&& check)
+void drawOrder(std::uint64_t seed, ModelStore& store, std::vector<Process>& processes, Check&& check)
 {
     RandomSource random(seed);
     for (int step = 0; step < 80; ++step) {
@@ -244,7 +157,7 @@
 }
 
 template <typename Process>
-std::size_t countDifferent(const PagedStore& store, const std::vector<Process>& processes)
+std::size_t countDifferent(const ModelStore& store, const std::vector<Process>& processes)
 {
     return static_cast<std::size_t>(std::count_if(processes.begin(), processes.end(), [&store](const Process& process) {
         return process.view().position() != store.position() || process.view().records() != store.records();
@@ -305,7 +218,7 @@
 {
     std::size_t different = 0;
     for (std::uint64_t seed = 0; seed < seeds; ++seed) {
-        PagedStore store;
+        ModelStore store;
         std::vector<PagedProcess<FirstPageRead>> processes(processCount);
         drawOrder(seed, store, processes, [] {});
         different += countDifferent(store, processes);
@@ -318,7 +231,7 @@
 {
     std::size_t different = 0;
     for (std::uint64_t seed = 0; seed < seeds; ++seed) {
-        PagedStore store;
+        ModelStore store;
         std::vector<PagedProcess<WholeRead>> processes(processCount);
         drawOrder(seed, store, processes, [&] {
             for (const auto& process : processes)
@@ -336,7 +249,8 @@
     CHECK(read.addPage({ { { "a", "1", 5, false } }, true, 7 }, 1).has_value());
     STRCMP_EQUAL("a", std::get<SnapshotRead::PageNeeded>(read.next()).after.c_str());
     CHECK(read.addPage({ { { "b", "1", 6, false } }, false, 7 }, 1).has_value());
-    CHECK(std::get<ViewUpdate>(read.next()) == ViewUpdate({ 7, true, { { "a", "1", 5, false }, { "b", "1", 6, false } }, 1 }));
+    CHECK(std::holds_alternative<SnapshotRead::Complete>(read.next()));
+    CHECK(read.takeSnapshot() == ViewUpdate({ 7, true, { { "a", "1", 5, false }, { "b", "1", 6, false } }, 1 }));
 }
 
 // Changes may come in several answers, and delete what a page brought.
@@ -349,7 +263,8 @@
     CHECK(read.addChanges({ { { "a", "", 8, true }, { "c", "2", 9, false } }, false, 9 }, 1).has_value());
     LONGS_EQUAL(9, std::get<SnapshotRead::ChangesNeeded>(read.next()).revision);
     CHECK(read.addChanges({ { { "b", "2", 10, false }, { "a", "3", 11, false } }, false, 11 }, 1).has_value());
-    CHECK(std::get<ViewUpdate>(read.next()) == ViewUpdate({ 11, true, { { "a", "3", 11, false }, { "b", "2", 10, false }, { "c", "2", 9, false } }, 1 }));
+    CHECK(std::holds_alternative<SnapshotRead::Complete>(read.next()));
+    CHECK(read.takeSnapshot() == ViewUpdate({ 11, true, { { "a", "3", 11, false }, { "b", "2", 10, false }, { "c", "2", 9, false } }, 1 }));
 }
 
 TEST(StoreViewPages, AReadThatCannotGoOnFails)
@@ -363,5 +278,5 @@
     CHECK_FALSE(read.addChanges({ {}, false, 7 }, 1).has_value());
     CHECK_FALSE(read.addChanges({ {}, false, 8 }, 2).has_value());
     CHECK(read.addChanges({ {}, false, 8 }, 1).has_value());
-    CHECK(std::holds_alternative<ViewUpdate>(read.next()));
+    CHECK(std::holds_alternative<SnapshotRead::Complete>(read.next()));
 }
