ViewReplicator only follows sources; what it tells observers and peers has classes of its own

Change: RecordNotifier decodes changed records, dates versions and keeps what a restored store lacks; ViewServer answers peers. Nothing is decided differently: the lines were moved. Conclusion: follower, notifier and server can be read by themselves.

--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -7,7 +7,6 @@
     // answer is noticed well within the time in which a change has to take effect (2 s).
     constexpr Milliseconds storeWait { 700 };
     constexpr Milliseconds minStoreWait { 100 };
-    constexpr Milliseconds peerWait { 500 };
     // In addition to the wait: the longest typical round trip.
     constexpr Milliseconds storeRoundTripTime { 600 };
     constexpr Milliseconds peerRoundTripTime { 300 };
@@ -21,15 +20,13 @@
     constexpr std::uint64_t maxViewAnswerBytes = std::uint64_t(16) << 20;
     // An answer that takes this long after the request arrives over a narrow link; the shortest bound on
     // the propagation of a change is 2 s.
-    constexpr Milliseconds slowAnswerTime = peerWait + peerRoundTripTime + Milliseconds(200);
+    constexpr Milliseconds slowAnswerTime = ViewServer::maxWait + peerRoundTripTime + Milliseconds(200);
     // After a failure, or while sources lag, one that has news should answer at once.
     constexpr Milliseconds slowAnswerTimeInTrouble { 200 };
     constexpr Milliseconds alternativeRetryDelay { 300 };
     // An answer that goes on in place of a failed source is given up after this time.
     constexpr Milliseconds replacementTime = slowAnswerTime + alternativeRetryDelay;
     constexpr Milliseconds connectTimeout { 400 };
-    // Age at which processes of a build that does not tell it replace their source.
-    constexpr Milliseconds defaultMaxAge { 900 };
     // A failure that is noticed later than this after its time limit shows that this process was late.
     constexpr Milliseconds maxFailureDelay { 50 };
     constexpr Milliseconds readTimeout { 1500 };
@@ -51,13 +48,6 @@
         return std::visit(Visitor {}, source);
     }
 
-    const char* answerKind(const EncodedView& encoded)
-    {
-        if (encoded.isSnapshot)
-            return "whole";
-        return encoded.isEmpty ? "empty" : "changes";
-    }
-
     // Addresses of the seeds, from which starting processes read the view; empty in a seed.
     std::vector<std::string> seedsOf(const GatewayContext& context)
     {
@@ -74,16 +64,16 @@
 ViewReplicator::ViewReplicator(GatewayContext& context, VmIdentity self, bool isEntry)
     : m_context(context)
     , m_decision(std::move(self), isEntry, seedsOf(context))
+    , m_notifier(context, m_view)
+    , m_server(context, m_view, m_notifier.publications(), { [this] { return ViewTimes { servedAge(), m_decision.confirmedAge(monotonicNow()) }; }, [this] { handleDoubt(); } })
     , m_followTimer(context.loop)
-    , m_peerTimer(context.loop)
     , m_alternativeTimer(context.loop)
-    , m_restorationTimer(context.loop)
 {
 }
 
 void ViewReplicator::start(Observer observer)
 {
-    m_observer = std::move(observer);
+    m_notifier.setObserver(std::move(observer));
     follow();
 }
 
@@ -152,7 +142,7 @@
         const StoreReadPointer& read;
         void operator()(const SnapshotRead::PageNeeded& page) const { replicator.readPage(read, page.after); }
         void operator()(const SnapshotRead::ChangesNeeded& changes) const { replicator.readMissedChanges(read, changes.revision); }
-        void operator()(const ViewUpdate& snapshot) const { replicator.finishRead(*read, snapshot); }
+        void operator()(const SnapshotRead::Complete&) const { replicator.finishRead(*read); }
     };
     std::visit(Visitor { *this, read }, read->snapshot.next());
 }
@@ -206,10 +196,10 @@
 }
 
 // The snapshot is as current as the latest answer. What it brings may have been written before the first one.
-void ViewReplicator::finishRead(const StoreRead& read, const ViewUpdate& snapshot)
+void ViewReplicator::finishRead(StoreRead& read)
 {
     m_isFullReadNeeded = false;
-    const bool isChanged = apply(snapshot, "store", read.pages);
+    const bool isChanged = apply(read.snapshot.takeSnapshot(), "store", read.pages);
     m_contentCheck.recordRead(monotonicNow());
     m_decision.confirmCurrentAt(read.latest.sentAfter);
     handleAnswer(StoreSource {}, Milliseconds(0), read.latest.beganAt, isChanged);
@@ -263,12 +253,12 @@
     const auto comparedDigest = m_contentCheck.isInDoubt() ? std::optional<std::uint64_t>() : m_view.contentDigest();
     auto call = isWholeNeeded ? encodeDoubtfulViewCall(m_view.position(), m_decision.maxSourceAge()) : encodeViewCall(m_view.position(), m_decision.maxSourceAge(), comparedDigest);
     scheduleAlternative(peer, m_consecutiveFailures > 0 ? slowAnswerTimeInTrouble : slowAnswerTime);
-    m_peerExchange = fetchWhole(m_context.loop, peer.address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, peer, now, isWholeNeeded](WholeResponse response) {
+    m_peerExchange = fetchWhole(m_context.loop, peer.address, std::move(call), TransferLimits { now + connectTimeout, now + ViewServer::maxWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, peer, now, isWholeNeeded](WholeResponse response) {
         m_peerExchange.reset();
         m_alternativeTimer.cancel();
         if (m_alternativeExchange && !m_alternativeExchange->hasAnswerBegun())
             endPeerTransfer();
-        auto transfer = recordTransfer(peer, { now, now + connectTimeout, now + peerWait + peerRoundTripTime }, response);
+        auto transfer = recordTransfer(peer, { now, now + connectTimeout, now + ViewServer::maxWait + peerRoundTripTime }, response);
         if (response.isComplete() && response.status == statusUnavailable)
             return handleLag(peer);
         if (!response.isComplete() || response.status != statusOk)
@@ -316,7 +306,7 @@
     m_context.metrics.count("view_slow_answers_total");
     m_context.log.write("view.source-slow", { { "source", slow.id }, { "asked", peer->id }, { "age_ms", std::to_string(m_decision.age(now).count()) } });
     auto call = encodeViewCall(m_view.position(), ViewSourceDecision::maxUsableAge());
-    m_alternativeExchange = fetchWhole(m_context.loop, peer->address, std::move(call), TransferLimits { now + connectTimeout, now + peerWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, slow, peer = *peer, now](const WholeResponse& response) { handleAlternativeAnswer(slow, peer, { now, now + connectTimeout, now + peerWait + peerRoundTripTime }, response); });
+    m_alternativeExchange = fetchWhole(m_context.loop, peer->address, std::move(call), TransferLimits { now + connectTimeout, now + ViewServer::maxWait + peerRoundTripTime, stallTimeout, now + maxTransferTime, maxViewAnswerBytes }, [this, slow, peer = *peer, now](const WholeResponse& response) { handleAlternativeAnswer(slow, peer, { now, now + connectTimeout, now + ViewServer::maxWait + peerRoundTripTime }, response); });
 }
 
 void ViewReplicator::handleAlternativeAnswer(const PeerSource& slow, const PeerSource& peer, Transfer transfer, const WholeResponse& response)
@@ -334,7 +324,7 @@
     const bool isChanged = applyFromPeer(answer.value(), peer.id, transfer);
     m_decision.recordAnswer(peer, answer.value().times.age, transfer.beganAt);
     if (isChanged)
-        answerWaitingPeers();
+        m_server.answerOutdated();
     if (isSourceSlow)
         m_decision.recordLag(slow, monotonicNow());
     follow();
@@ -351,7 +341,7 @@
     // So late, the answer may have waited for this process; all that is certain is that it was
     // current after the request.
     const bool isStore = std::holds_alternative<StoreSource>(source);
-    const auto expectedBy = transfer.requestedAt + (isStore ? storeWait + storeRoundTripTime : peerWait + peerRoundTripTime);
+    const auto expectedBy = transfer.requestedAt + (isStore ? storeWait + storeRoundTripTime : ViewServer::maxWait + peerRoundTripTime);
     if (transfer.beganAt > expectedBy)
         transfer.beganAt = transfer.requestedAt;
     return transfer;
@@ -369,7 +359,7 @@
     m_decision.recordAnswer(source, age, at);
     // After recordAnswer(), since the answers contain the age of this process's view.
     if (isChanged)
-        answerWaitingPeers();
+        m_server.answerOutdated();
     if (isTooOld)
         scheduleFollow(nextLagDelay());
     else if (!(source == m_decision.source()))
@@ -413,7 +403,7 @@
     }
     followNext(nextRetryDelay());
     if (m_consecutiveFailures == failuresToLoseSource)
-        answerAllWaitingPeers();
+        m_server.answerAll();
 }
 
 // The source answers but has not read the store yet.
@@ -422,7 +412,7 @@
     m_decision.recordLag(source, monotonicNow());
     followNext(nextLagDelay());
     if (m_consecutiveFailures == failuresToLoseSource)
-        answerAllWaitingPeers();
+        m_server.answerAll();
 }
 
 // Peers need not wait for the age of this view to exceed the limit: it will.
@@ -449,34 +439,29 @@
     const auto before = m_view.position();
     const auto changed = m_view.apply(update);
     if (m_view.position() != before || !update.records.empty())
-        m_encoded.clear();
+        m_server.clearEncodings();
     const bool isNewEra = m_view.position().era != before.era;
-    const bool isRestored = isNewEra && before.revision != 0;
     if (isNewEra) {
         m_context.log.write("store.era-changed", { { "from", std::to_string(before.era) }, { "to", std::to_string(update.era) }, { "revision_before", std::to_string(before.revision) }, { "revision", std::to_string(update.revision) }, { "changed", std::to_string(changed.size()) } });
         m_context.metrics.count("store_era_changes_total");
-        m_restored.recordReturn(transfer.arrivedAt);
-        ViewObserver::notify(m_observer.onEra, update.era);
-    }
-    for (const auto& record : changed) {
-        if (isRestored && record.isDeleted) {
-            m_restored.recordMissing(record.key, transfer.arrivedAt);
-            continue;
-        }
-        m_restored.recordPresent(record.key);
-        notifyObserver(record, transfer, isRestored ? RegistrationSource::RestoredCopy : RegistrationSource::Owner);
+        m_notifier.notifyEra(update.era, transfer.arrivedAt);
     }
-    if (isRestored)
-        expireRestoration();
-    // After the configuration, by which agents tell which versions concern them.
-    const bool hasNewVersions = recordReportedVersions(transfer);
-    if (changed.empty() && !hasNewVersions)
+    const auto source = isNewEra && before.revision != 0 ? RegistrationSource::RestoredCopy : RegistrationSource::Owner;
+    if (!m_notifier.notifyChanges(changed, { source, transfer.arrivedAt, transfer.sentAfter, publicationFrom(transfer), transfer.versionAges, transfer.estimatedAges }))
         return isNewEra;
     m_context.log.write("view.changed", { { "source", from }, { "revision", std::to_string(m_view.revision()) }, { "records", std::to_string(changed.size()) }, { "whole", update.isSnapshot ? "true" : "false" }, { "bytes", std::to_string(transfer.bytes) }, { "age_ms", std::to_string(ageBefore.count()) }, { "content", contentDigestText(m_view.contentDigest()) } });
-    ViewObserver::notify(m_observer.onBatchEnd);
+    m_notifier.notifyBatchEnd();
     return true;
 }
 
+// A peer reports a version's maximum age, which stays right however late its answer is read.
+// Without that, the version is no older than the last time the view was known to be current.
+Publication ViewReplicator::publicationFrom(const Transfer& transfer) const
+{
+    const auto basis = m_decision.isAfterOutage(transfer.sentAfter) ? PublicationBasis::Estimated : PublicationBasis::Measured;
+    return { m_decision.earliestChangeTime(transfer.sentAfter), m_decision.hasAnswer() ? basis : PublicationBasis::FoundAtStart };
+}
+
 // A follower found a difference. The source is asked at once, not after the wait for a change.
 void ViewReplicator::handleDoubt()
 {
@@ -512,187 +497,4 @@
     m_contentCheck.recordDifference();
 }
 
-// A peer reports the version's maximum age, which stays right however late its answer is read.
-// Without that, the version is no older than the last time the view was known to be current.
-void ViewReplicator::recordPublication(const WeightsVersion& version, const Transfer& transfer)
-{
-    if (transfer.versionAges.count(version) > 0 || transfer.estimatedAges.count(version) > 0)
-        return; // see recordReportedVersions()
-    const auto basis = m_decision.isAfterOutage(transfer.sentAfter) ? PublicationBasis::Estimated : PublicationBasis::Measured;
-    addPublication(version, { m_decision.earliestChangeTime(transfer.sentAfter), m_decision.hasAnswer() ? basis : PublicationBasis::FoundAtStart });
-}
-
-bool ViewReplicator::addPublication(const WeightsVersion& version, const Publication& publication)
-{
-    const auto before = m_publications.find(version);
-    const auto known = m_publications.record(version, publication);
-    if (before && before->earliest <= known.earliest)
-        return false;
-    if (m_observer.onVersion)
-        m_observer.onVersion(version, known.earliest);
-    return true;
-}
-
-// Those that a later version replaced have no record, but a bound.
-bool ViewReplicator::recordReportedVersions(const Transfer& transfer)
-{
-    bool hasNews = false;
-    for (const auto& [version, age] : transfer.versionAges)
-        hasNews = addPublication(version, { transfer.sentAfter - age, PublicationBasis::Measured }) || hasNews;
-    for (const auto& [version, age] : transfer.estimatedAges)
-        hasNews = addPublication(version, { transfer.sentAfter - age, PublicationBasis::Estimated }) || hasNews;
-    return hasNews;
-}
-
-// Removes the records whose owners did not write them again after the store's return.
-void ViewReplicator::expireRestoration()
-{
-    const auto expired = m_restored.expire(monotonicNow());
-    for (const auto& key : expired)
-        notifyRemoval(key, RegistrationEnd::NotRestored);
-    if (!expired.empty()) {
-        m_context.log.write("store.records-not-restored", { { "records", std::to_string(expired.size()) }, { "revision", std::to_string(m_view.revision()) } });
-        ViewObserver::notify(m_observer.onBatchEnd);
-    }
-    const auto next = m_restored.nextExpiry();
-    if (!next)
-        return;
-    m_restorationTimer.expires_at(*next);
-    m_restorationTimer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            expireRestoration();
-    });
-}
-
-void ViewReplicator::notifyRemoval(const std::string& key, RegistrationEnd end)
-{
-    const auto [kind, id] = m_context.ports.store->decodeKey(key);
-    if (kind == StoreRecordKind::Upstream)
-        ViewObserver::notify(m_observer.onUpstreamGone, id, end);
-    if (kind == StoreRecordKind::Node)
-        ViewObserver::notify(m_observer.onNodeGone, id);
-    // A record that an older copy of the store lacks is written again by the process that wrote it.
-    if (kind == StoreRecordKind::PromptBlock && end == RegistrationEnd::Ended)
-        ViewObserver::notify(m_observer.onPromptBlockGone, id);
-    if (kind == StoreRecordKind::Evacuation)
-        ViewObserver::notify(m_observer.onEvacuationEnd, Evacuation { id });
-}
-
-void ViewReplicator::notifyObserver(const StoreRecord& record, const Transfer& transfer, RegistrationSource source)
-{
-    if (record.isDeleted)
-        return notifyRemoval(record.key, RegistrationEnd::Ended);
-    const auto [kind, id] = m_context.ports.store->decodeKey(record.key);
-    struct Visitor {
-        ViewReplicator& replicator;
-        const ViewObserver& observer;
-        const StoreRecord& record;
-        const Transfer& transfer;
-        RegistrationSource source;
-        StoreRecordKind kind;
-        const std::string& id;
-
-        void operator()(const IrrelevantRecord&) const { }
-        void operator()(const UnreadableRecord& unreadable) const
-        {
-            replicator.m_context.metrics.count("store_records_skipped_total");
-            replicator.m_context.log.write("view.record-skipped", { { "key", record.key }, { "problem", unreadable.problem }, { "revision", std::to_string(record.revision) } });
-            if (kind == StoreRecordKind::Upstream)
-                ViewObserver::notify(observer.onUpstreamGone, id, RegistrationEnd::Unreadable);
-        }
-        void operator()(const DeploymentConfiguration& configuration) const { ViewObserver::notify(observer.onConfiguration, configuration); }
-        void operator()(const Upstream& upstream) const { ViewObserver::notify(observer.onUpstream, upstream, source); }
-        void operator()(const WeightsVersion& version) const { replicator.recordPublication(version, transfer); }
-        void operator()(const PromptBlockRecord& block) const { ViewObserver::notify(observer.onPromptBlock, block); }
-        void operator()(const Evacuation& evacuation) const { ViewObserver::notify(observer.onEvacuation, evacuation); }
-        void operator()(const RegisteredNode& node) const { ViewObserver::notify(observer.onNode, node); }
-    };
-    std::visit(Visitor { *this, m_observer, record, transfer, source, kind, id }, m_context.ports.store->decodeRecord(record));
-}
-
-bool ViewReplicator::serve(const ServerExchangePointer& exchange)
-{
-    const auto& target = exchange->request().target;
-    if (!isViewTarget(target))
-        return false;
-    const auto known = decodeViewTarget(target);
-    if (!known) {
-        exchange->respond(statusBadRequest, {}, "malformed position\n");
-        return true;
-    }
-    if (m_view.revision() == 0) {
-        exchange->respond(statusUnavailable, {}, "the store was not read yet\n");
-        return true;
-    }
-    if (known->era > m_view.position().era) {
-        exchange->respond(statusUnavailable, {}, "this view is of an earlier era\n");
-        return true;
-    }
-    const auto& fields = exchange->request().fields;
-    if (isViewInDoubt(fields))
-        handleDoubt();
-    const auto now = monotonicNow();
-    const WaitingPeer peer { exchange, *known, now, now + peerWait, m_view.contentDigest() };
-    // If this process's own source lags, it answers at once, so that the peer can choose another.
-    const auto maxAge = decodeMaxAge(fields).value_or(defaultMaxAge);
-    const auto isDifferent = *known == m_view.position() && decodeContentDigest(fields).value_or(peer.contentDigest) != peer.contentDigest;
-    if (*known < m_view.position() || isDifferent || servedAge() > maxAge) {
-        answerPeer(peer);
-        return true;
-    }
-    m_waitingPeers.push_back(peer);
-    exchange->onCallerLeft([this, raw = exchange.get()] { m_waitingPeers.remove_if([raw](const WaitingPeer& waiting) { return waiting.exchange.get() == raw; }); });
-    if (m_waitingPeers.size() == 1)
-        expireWaitingPeers();
-    return true;
-}
-
-void ViewReplicator::answerPeer(const WaitingPeer& peer)
-{
-    const auto encoded = m_encoded.updateSince(m_view, peer.known);
-    m_context.metrics.count("view_answers_total", answerKind(*encoded));
-    m_context.metrics.count("view_bytes_sent_total", "", encoded->body.size());
-    const auto now = monotonicNow();
-    const ViewTimes times { servedAge(), m_decision.confirmedAge(now), Milliseconds(millisecondsBetween(peer.receivedAt, now)) };
-    peer.exchange->respond(statusOk, encoded->fields(times, m_publications.ages(PublicationBasis::Measured, now), m_publications.ages(PublicationBasis::Estimated, now)), encoded->body);
-}
-
-void ViewReplicator::answerWaitingPeers()
-{
-    for (auto peer = m_waitingPeers.begin(); peer != m_waitingPeers.end();) {
-        if (!(peer->known < m_view.position()) && peer->contentDigest == m_view.contentDigest()) {
-            ++peer;
-            continue;
-        }
-        const auto ready = *peer;
-        peer = m_waitingPeers.erase(peer);
-        answerPeer(ready);
-    }
-}
-
-void ViewReplicator::answerAllWaitingPeers()
-{
-    const auto waiting = std::move(m_waitingPeers);
-    m_waitingPeers.clear();
-    for (const auto& peer : waiting)
-        answerPeer(peer);
-}
-
-void ViewReplicator::expireWaitingPeers()
-{
-    const auto now = monotonicNow();
-    while (!m_waitingPeers.empty() && m_waitingPeers.front().deadline <= now) {
-        const auto peer = m_waitingPeers.front();
-        m_waitingPeers.pop_front();
-        answerPeer(peer);
-    }
-    if (m_waitingPeers.empty())
-        return;
-    m_peerTimer.expires_at(m_waitingPeers.front().deadline);
-    m_peerTimer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            expireWaitingPeers();
-    });
-}
-
 }
--- a/modules/hyssopwick_gateway/view/ViewReplicator.h
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.h
@@ -1,17 +1,13 @@
 #pragma once
 
 #include "../http/HttpExchange.h"
-#include "../http/ServerExchange.h"
-#include "../runtime/GatewayContext.h"
-#include "ViewMessage.h"
-#include "ViewObserver.h"
-
-#include <list>
+#include "RecordNotifier.h"
+#include "ViewServer.h"
 
 namespace hyssopwick {
 
 /// Replicates the store's records into this process's view: follows the store or a peer as
-/// ViewSourceDecision says, decodes what changed, and serves the view to peers.
+/// ViewSourceDecision says. RecordNotifier decodes what changed, ViewServer serves the view to peers.
 class ViewReplicator {
 public:
     using Observer = ViewObserver;
@@ -24,7 +20,7 @@
     void setEntries(const std::vector<VmIdentity>& entries) { m_decision.setEntries(entries); }
 
     /// Answers a request if it is for the view. Returns whether it is.
-    bool serve(const ServerExchangePointer& exchange);
+    bool serve(const ServerExchangePointer& exchange) { return m_server.serve(exchange); }
 
     /// Returns how long ago the view was known to be current.
     Milliseconds age() const { return m_decision.age(monotonicNow()); }
@@ -37,14 +33,6 @@
     const StorePosition& position() const { return m_view.position(); }
 
 private:
-    struct WaitingPeer {
-        ServerExchangePointer exchange;
-        StorePosition known;
-        TimePoint receivedAt;
-        TimePoint deadline;
-        std::uint64_t contentDigest; // of this view when the request came
-    };
-
     /// The progress of a request for the view.
     struct Transfer {
         TimePoint requestedAt;
@@ -73,7 +61,7 @@
     void continueRead(const StoreReadPointer& read);
     void readPage(const StoreReadPointer& read, const std::string& after);
     void readMissedChanges(const StoreReadPointer& read, std::uint64_t revision);
-    void finishRead(const StoreRead& read, const ViewUpdate& snapshot);
+    void finishRead(StoreRead& read);
     void watchStore();
     void followPeer(const PeerSource& peer);
     void scheduleAlternative(const PeerSource& slow, Milliseconds delay);
@@ -96,35 +84,18 @@
     void handleDoubt();
     /// Returns whether a record changed.
     bool apply(const ViewUpdate& update, const std::string& from, const Transfer& transfer);
-    void notifyObserver(const StoreRecord& record, const Transfer& transfer, RegistrationSource source = RegistrationSource::Owner);
-    void notifyRemoval(const std::string& key, RegistrationEnd end);
-    void expireRestoration();
-    void recordPublication(const WeightsVersion& version, const Transfer& transfer);
-    /// Records a publication and tells the observer of an unknown version, or one that was published earlier than
-    /// known. Returns whether it does.
-    bool addPublication(const WeightsVersion& version, const Publication& publication);
-    /// Returns whether the observer was told of one.
-    bool recordReportedVersions(const Transfer& transfer);
-    void answerPeer(const WaitingPeer& peer);
-    void answerWaitingPeers();
-    void answerAllWaitingPeers();
-    void expireWaitingPeers();
+    Publication publicationFrom(const Transfer& transfer) const;
 
     GatewayContext& m_context;
     ViewSourceDecision m_decision;
     StoreView m_view;
     ContentCheck m_contentCheck;
-    VersionPublications m_publications;
-    RestoredRecords m_restored;
-    EncodedViewCache m_encoded; // of the view's current revision
-    Observer m_observer;
+    RecordNotifier m_notifier;
+    ViewServer m_server;
     LoopTimer m_followTimer;
-    LoopTimer m_peerTimer;
     LoopTimer m_alternativeTimer;
     HttpExchangePointer m_peerExchange; // the request to the source that is followed, if it is a peer
     HttpExchangePointer m_alternativeExchange; // the request to another peer beside it
-    LoopTimer m_restorationTimer;
-    std::list<WaitingPeer> m_waitingPeers;
     ViewSource m_followedSource;
     ViewSource m_loggedSource; // as in the last log line
     TimePoint m_sourceLoggedAt;
