hyssopwick_node: a bundle that could not be read is read again

What callers saw: an entry refused every request (not-ready) until the next configuration, if it had no peer with this one. Cause: HeadWatcher took the head's revision for read although its bundle could not be parsed or had another digest, so the position went on without the content; a process that was starting never read the head again. While a part was missing it asked again without a pause. Change: a head counts as read when its configuration is active, or is of a newer schema. Otherwise it is read again after 0.4 s, then rarer, up to 6.4 s. One that stays unreadable costs its reads each 6.4 s.

--- a/modules/hyssopwick_node/entry/HeadWatcher.cpp
+++ b/modules/hyssopwick_node/entry/HeadWatcher.cpp
@@ -7,6 +7,7 @@
     constexpr Milliseconds watchTimeout { 4000 };
     constexpr Milliseconds nonWatcherPeriod { 300 };
     constexpr Milliseconds retryDelay { 400 };
+    constexpr unsigned maxRetryDoublings = 4; // 6.4 s
     constexpr Milliseconds vmListPeriod { 3000 };
 }
 
@@ -69,17 +70,18 @@
             if (m_members.entries(true).empty())
                 readVmList();
             wasHeadRead = readHead();
-            delay = wasHeadRead ? Milliseconds(0) : retryDelay + Milliseconds(m_random.below(static_cast<std::uint64_t>(retryDelay.count())));
+            delay = wasHeadRead ? Milliseconds(0) : nextRetryDelay();
         } else if (isWatcher()) {
             if (monotonicNow() > m_vmListReadAt + vmListPeriod)
                 readVmList();
             const auto watchedAt = monotonicNow();
             const auto watched = m_keyValue.watch(headKey, m_headKeyRevision, watchedAt + watchTimeout, KeyValuePriority::Head);
+            bool isRead = watched.has_value();
             if (watched && watched.value().revision > m_headKeyRevision)
-                adopt(watched.value(), watchedAt);
+                isRead = adopt(watched.value(), watchedAt);
             else if (watched) // not sent before the wait was over
                 m_configuration.confirmCurrentAt(m_configuration.revision(), std::min(monotonicNow(), watchedAt + watchTimeout));
-            delay = watched ? Milliseconds(0) : retryDelay + Milliseconds(m_random.below(static_cast<std::uint64_t>(retryDelay.count())));
+            delay = isRead ? Milliseconds(0) : nextRetryDelay();
         } else if (m_members.entries(true).empty()) {
             readVmList();
         }
@@ -98,42 +100,56 @@
         m_configuration.recordHeadRevision(0);
         return true;
     }
-    adopt(read.value(), readAt);
-    return true;
+    return adopt(read.value(), readAt);
+}
+
+Milliseconds HeadWatcher::nextRetryDelay()
+{
+    const auto delay = retryDelay * (1 << std::min(m_failedReads, maxRetryDoublings));
+    return delay + Milliseconds(m_random.below(static_cast<std::uint64_t>(retryDelay.count())));
 }
 
-void HeadWatcher::adopt(const KeyValue& stored, TimePoint currentAt)
+bool HeadWatcher::adopt(const KeyValue& stored, TimePoint currentAt)
 {
     const auto head = headFromText(stored.value);
-    if (!head) {
+    if (!head)
         m_context.metrics.count("head_failures_total", "malformed");
-        return;
+    if (!head || !readBundle(head.value())) {
+        ++m_failedReads;
+        return false;
     }
-    m_configuration.recordHeadRevision(head.value().revision);
-    if (head.value().revision <= m_configuration.revision()) {
-        m_configuration.confirmCurrentAt(head.value().revision, currentAt);
-        m_headKeyRevision = stored.revision;
-        return;
+    m_configuration.confirmCurrentAt(head.value().revision, currentAt);
+    m_headKeyRevision = stored.revision;
+    m_failedReads = 0;
+    return true;
+}
+
+// Returns whether the head's configuration is active, or cannot be with this program.
+bool HeadWatcher::readBundle(const Head& head)
+{
+    m_configuration.recordHeadRevision(head.revision);
+    if (head.revision <= m_configuration.revision())
+        return true;
+    if (head.schema > newestRecordSchema) {
+        m_configuration.offer(head, nullptr);
+        return true;
     }
     std::string text;
-    for (std::int64_t part = 0; part < head.value().parts; ++part) {
-        const auto read = m_keyValue.read(bundlePartKey(head.value().bundle, part), KeyValuePriority::Head);
+    for (std::int64_t part = 0; part < head.parts; ++part) {
+        const auto read = m_keyValue.read(bundlePartKey(head.bundle, part), KeyValuePriority::Head);
         if (!read || read.value().revision == 0) {
             m_context.metrics.count("head_failures_total", read ? "part-missing" : errorCodeName(read.error().code));
-            return;
+            return false;
         }
         text += read.value().value;
     }
     const auto bundle = Bundle::parse(text);
     if (!bundle) {
         m_context.metrics.count("head_failures_total", "bundle");
-        m_context.log.write("config.unreadable", { { "revision", std::to_string(head.value().revision) }, { "detail", bundle.error().message } });
-        m_headKeyRevision = stored.revision;
-        return;
+        m_context.log.write("config.unreadable", { { "revision", std::to_string(head.revision) }, { "detail", bundle.error().message } });
+        return false;
     }
-    m_configuration.offer(head.value(), std::make_shared<const Bundle>(bundle.value()));
-    m_configuration.confirmCurrentAt(head.value().revision, currentAt);
-    m_headKeyRevision = stored.revision;
+    return m_configuration.offer(head, std::make_shared<const Bundle>(bundle.value())) != AdoptionResult::DigestDiffers;
 }
 
 void HeadWatcher::readVmList()
--- a/modules/hyssopwick_node/entry/HeadWatcher.h
+++ b/modules/hyssopwick_node/entry/HeadWatcher.h
@@ -26,8 +26,11 @@
     void run();
     bool isWatcher();
     bool readHead();
+    /// Returns whether the head needs no further read. One whose bundle could not be read does.
     /// \param currentAt  a time before the service sent its answer
-    void adopt(const KeyValue& stored, TimePoint currentAt);
+    bool adopt(const KeyValue& stored, TimePoint currentAt);
+    bool readBundle(const Head& head);
+    Milliseconds nextRetryDelay();
     void readVmList();
 
     NodeContext& m_context;
@@ -36,6 +39,7 @@
     KeyValueLimiter& m_keyValue;
     VmListClient m_vmList;
     KeyRevision m_headKeyRevision = 0;
+    unsigned m_failedReads = 0; // of the newest head's bundle, in a row
     TimePoint m_vmListReadAt;
     RandomSource m_random;
     std::mutex m_mutex; // guards m_isStopping
--- a/tests/EntryConfigurationTests.cpp
+++ b/tests/EntryConfigurationTests.cpp
@@ -28,8 +28,7 @@
     {
         CHECK(keyValue.start().has_value());
         KeyValueClient store(client, keyValue.address(), "operator");
-        const Bundle bundle({ AccountRecord { "caller", Digest::of("secret"), 1, 5, 0 }, ServiceRecord { "permit", "permit", false, false, { "status" }, { "book" } } });
-        CHECK(Applier(store, "test", "1").apply(bundle, std::nullopt).verdict == ApplyVerdict::Accepted);
+        CHECK(Applier(store, "test", "1").apply(bundleWith("secret"), std::nullopt).verdict == ApplyVerdict::Accepted);
         ProcessSettings settings;
         settings.vm = { "entry-1", address, "region-0", "region-0-0", "entry" };
         settings.listen = address;
@@ -50,6 +49,28 @@
         keyValue.stop();
     }
 
+    static Bundle bundleWith(const std::string& secret)
+    {
+        return Bundle({ AccountRecord { "caller", Digest::of(secret), 1, 5, 0 }, ServiceRecord { "permit", "permit", false, false, { "status" }, { "book" } } });
+    }
+
+    // Accepts a configuration whose bundle reads as another text at first. Returns whether it is active within its bound.
+    bool isActiveInTime(const std::string& readAs)
+    {
+        const auto bundle = bundleWith("second");
+        KeyValueClient store(client, keyValue.address(), "operator");
+        const auto key = bundlePartKey(bundle.digest(), 0);
+        const auto spoilt = store.swap(key, 0, readAs, Milliseconds(0));
+        CHECK(spoilt && spoilt.value().isSwapped);
+        const auto until = monotonicNow() + configurationBound;
+        CHECK(Applier(store, "test", "2").apply(bundle, std::nullopt).verdict == ApplyVerdict::Accepted);
+        awaitReason("permit", "second", "not-ready");
+        CHECK(store.swap(key, spoilt.value().revision, bundle.text(), Milliseconds(0)).value().isSwapped);
+        while (monotonicNow() < until && reasonFor("archive", "second") != "unknown-service")
+            std::this_thread::sleep_for(Milliseconds(50));
+        return monotonicNow() < until;
+    }
+
     // Calls a service and returns why the call was refused.
     std::string reasonFor(const std::string& service, const std::string& secret)
     {
@@ -82,3 +103,14 @@
     awaitReason("archive", "secret", "unknown-service");
     STRCMP_EQUAL("unauthenticated", reasonFor("permit", "other").c_str());
 }
+
+// Guards against an entry that refuses all requests until the next configuration, since one read of the newest was spoilt.
+TEST(EntryConfiguration, ABundleThatCouldNotBeParsedIsReadAgain)
+{
+    CHECK(isActiveInTime("no records"));
+}
+
+TEST(EntryConfiguration, ABundleWithAnotherDigestIsReadAgain)
+{
+    CHECK(isActiveInTime(bundleWith("third").text()));
+}
