An answer without a length is complete only if its request was written without an error

Callers saw: part of a body as a complete 200, when an upstream answered a long upload early without a length and reset the connection while the upload was being written.

Cause: the pending write takes the socket's error and HttpExchange ignored it; the read that follows sees a plain end, which completes such a body.

Change: the exchange reads by itself and keeps the outcome of its write. A body that ends with its connection waits for the write and is lost if that fails. A connection whose request was not written whole is not kept. The body of a call is sent from where it lies, and may be shared.

Why it works: the error that the write took is the reset; without it, the connection's end is that of the server.

--- a/modules/hyssopwick_deployment/ports/HttpParts.h
+++ b/modules/hyssopwick_deployment/ports/HttpParts.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -23,8 +25,11 @@
     std::string target;
     HeaderFields fields;
     std::string body;
+    std::shared_ptr<const std::string> sharedBody = nullptr; ///< sent in place of \a body, without a copy
 
-    auto tied() const { return std::tie(method, target, fields, body); }
+    const std::string& content() const { return sharedBody ? *sharedBody : body; }
+
+    auto tied() const { return std::tie(method, target, fields, content()); }
     bool operator==(const HttpCall& other) const { return tied() == other.tied(); }
     bool operator!=(const HttpCall& other) const { return !(*this == other); }
 };
--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -18,6 +18,13 @@
     // whole header takes.
     constexpr std::size_t maxBufferedBytes = 65536;
     constexpr unsigned firstFinalStatus = 200;
+    // Shortest rest of a body in chunks; the parser expects that it arrives in pieces of some bytes.
+    constexpr std::size_t lastChunkBytes = 5;
+
+    bool isProtocolError(error_code error)
+    {
+        return error.category() == make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream && error != http::error::partial_message;
+    }
     constexpr unsigned httpVersion = 11;
 }
 
@@ -71,14 +78,18 @@
     TransferLimits limits;
     TimePoint deadline; // of the next piece of the answer
     std::optional<TimePoint> connectedAt;
-    http::request<http::string_body> request;
-    boost::beast::flat_buffer buffer { maxBufferedBytes };
+    http::request<http::span_body<const char>> request; // its body is that of call
+    boost::beast::flat_buffer buffer;
     boost::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, readBufferBytes> chunk;
     std::shared_ptr<KeptConnections> kept;
+    unsigned connectionGeneration = 0;
     bool isReused = false; // the connection was kept
     bool hasAnswerByte = false;
     bool isSent = false;
+    bool isWritten = false; // the whole request
+    bool isWriteFailed = false;
+    bool isAnswerEndDeferred = false; // until the request is written
     bool isPaused = false;
     bool isReadDeferred = false; // the next read of the body waits for resume()
     bool isEnded = false;
@@ -244,9 +255,9 @@
     if (!state.isReused || state.hasAnswerByte)
         return false;
     state.isReused = false;
-    state.call = { std::string(state.request.method_string()), std::string(state.request.target()), state.call.fields, std::move(state.request.body()) };
     state.request = {};
     state.buffer.clear();
+    state.isWritten = state.isWriteFailed = false;
     state.socket = TcpSocket(state.loop);
     connect();
     return true;
@@ -266,9 +277,10 @@
         state.request.insert(name, value);
     if (state.request.count(http::field::host) == 0)
         state.request.set(http::field::host, state.address);
-    state.request.body() = std::move(state.call.body);
-    if (!state.request.body().empty() || state.request.method() == http::verb::post || state.request.method() == http::verb::put)
-        state.request.content_length(state.request.body().size());
+    const auto& content = state.call.content();
+    state.request.body() = { content.data(), content.size() };
+    if (!content.empty() || state.request.method() == http::verb::post || state.request.method() == http::verb::put)
+        state.request.content_length(content.size());
     if (!state.kept)
         state.request.set(http::field::connection, "close");
     state.isSent = true;
@@ -276,15 +288,27 @@
     if (state.limits.deliveryTimeout.count() > 0)
         watchDelivery(std::numeric_limits<std::size_t>::max());
     // A server may answer before it has read a long body, so reading starts at once.
-    http::async_write(state.socket, state.request, [self = shared_from_this(), keepsBody = state.isReused](error_code, std::size_t) {
-        if (keepsBody)
-            return;
-        self->m_state->request.body().clear();
-        self->m_state->request.body().shrink_to_fit();
+    const auto generation = ++state.connectionGeneration;
+    http::async_write(state.socket, state.request, [self = shared_from_this(), generation](error_code error, std::size_t) {
+        if (generation == self->m_state->connectionGeneration)
+            self->handleWritten(error);
     });
     readHead();
 }
 
+void HttpExchange::handleWritten(error_code error)
+{
+    auto& state = *m_state;
+    state.isWritten = !error;
+    state.isWriteFailed = static_cast<bool>(error);
+    if (!state.isReused || state.hasAnswerByte) { // otherwise it may be sent again
+        state.call.body = {};
+        state.call.sharedBody.reset();
+    }
+    if (state.isAnswerEndDeferred)
+        handleAnswerEnd();
+}
+
 void HttpExchange::readHead()
 {
     auto& state = *m_state;
@@ -292,66 +316,127 @@
     state.parser->header_limit(maxResponseHeaderBytes);
     state.parser->body_limit(state.limits.maxBodyBytes);
     state.parser->skip(state.request.method() == http::verb::head);
-    http::async_read_header(state.socket, state.buffer, *state.parser, [self = shared_from_this()](error_code error, std::size_t size) {
+    receive(&HttpExchange::parseHead);
+}
+
+// Reads some bytes and calls parse.
+void HttpExchange::receive(void (HttpExchange::*parse)())
+{
+    auto& state = *m_state;
+    const auto room = maxBufferedBytes - std::min(maxBufferedBytes, state.buffer.size());
+    if (room == 0)
+        return end(ExchangeEnd::Malformed);
+    state.socket.async_read_some(state.buffer.prepare(std::min(readBufferBytes, room)), [self = shared_from_this(), parse](error_code error, std::size_t size) {
         auto& state = *self->m_state;
         if (state.isEnded)
             return;
-        state.hasAnswerByte = size > 0 || state.buffer.size() > 0;
-        if (error) {
-            if (self->retryOnNewConnection())
-                return;
-            const bool isProtocolError = error.category() == make_error_code(http::error::bad_method).category();
-            const bool isTruncated = error == http::error::end_of_stream || error == http::error::partial_message;
-            return self->end(isProtocolError && !isTruncated ? ExchangeEnd::Malformed : ExchangeEnd::Lost);
-        }
-        self->extendDeadline();
-        ResponseHead head;
-        head.status = state.parser->get().result_int();
-        for (const auto& field : state.parser->get())
-            head.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
-        // No interim answer was asked for (RFC 7231, section 6.2).
-        if (head.status < firstFinalStatus)
-            return self->end(ExchangeEnd::Malformed);
-        // The handler may cancel the exchange, which releases the handlers.
-        if (const auto onHead = std::move(state.handlers.onHead))
-            onHead(head);
-        self->readBody();
+        state.buffer.commit(size);
+        state.hasAnswerByte = state.hasAnswerByte || size > 0;
+        if (error && !state.parser->is_header_done())
+            return self->failHead(error);
+        if (error == asio::error::eof)
+            state.parser->put_eof(error);
+        if (error)
+            return self->end(isProtocolError(error) ? ExchangeEnd::Malformed : ExchangeEnd::Lost);
+        (self.get()->*parse)();
     });
 }
 
+void HttpExchange::failHead(error_code error)
+{
+    if (retryOnNewConnection())
+        return;
+    end(isProtocolError(error) ? ExchangeEnd::Malformed : ExchangeEnd::Lost);
+}
+
+void HttpExchange::parseHead()
+{
+    auto& state = *m_state;
+    error_code error;
+    const auto size = state.parser->put(state.buffer.data(), error);
+    if (error && error != http::error::need_more)
+        return end(ExchangeEnd::Malformed);
+    state.buffer.consume(size);
+    if (state.parser->is_header_done())
+        return handleHead();
+    receive(&HttpExchange::parseHead);
+}
+
+void HttpExchange::handleHead()
+{
+    auto& state = *m_state;
+    extendDeadline();
+    ResponseHead head;
+    head.status = state.parser->get().result_int();
+    for (const auto& field : state.parser->get())
+        head.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    // No interim answer was asked for (RFC 7231, section 6.2).
+    if (head.status < firstFinalStatus)
+        return end(ExchangeEnd::Malformed);
+    state.parser->eager(true);
+    // The handler may cancel the exchange, which releases the handlers.
+    if (const auto onHead = std::move(state.handlers.onHead))
+        onHead(head);
+    readBody();
+}
+
 void HttpExchange::readBody()
+{
+    auto& state = *m_state;
+    while (!state.isEnded && !state.parser->is_done()) {
+        if (state.isPaused) {
+            state.isReadDeferred = true;
+            return;
+        }
+        const std::size_t needed = state.parser->chunked() ? lastChunkBytes : 1;
+        if (state.buffer.size() < needed || !parseBody())
+            return state.isEnded ? void() : receive(&HttpExchange::readBody);
+    }
+    handleAnswerEnd();
+}
+
+// Returns whether more of the body can be parsed without further bytes from the connection.
+bool HttpExchange::parseBody()
+{
+    auto& state = *m_state;
+    state.parser->get().body().data = state.chunk.data();
+    state.parser->get().body().size = state.chunk.size();
+    error_code error;
+    state.buffer.consume(state.parser->put(state.buffer.data(), error));
+    if (const auto size = state.chunk.size() - state.parser->get().body().size)
+        forwardBody(size);
+    if (error && error != http::error::need_more && error != http::error::need_buffer)
+        end(isProtocolError(error) ? ExchangeEnd::Malformed : ExchangeEnd::Lost);
+    return !state.isEnded && error != http::error::need_more;
+}
+
+void HttpExchange::forwardBody(std::size_t size)
+{
+    auto& state = *m_state;
+    extendDeadline();
+    if (!state.handlers.onBody)
+        return;
+    auto onBody = std::move(state.handlers.onBody); // as for onHead
+    onBody({ state.chunk.data(), size });
+    if (!state.isEnded)
+        state.handlers.onBody = std::move(onBody);
+}
+
+// A write may take the reset of a connection from its socket, which then reads as a plain end. So a
+// body that ends with its connection is complete only if the request was written without an error.
+void HttpExchange::handleAnswerEnd()
 {
     auto& state = *m_state;
     if (state.isEnded)
         return;
-    if (state.parser->is_done())
-        return end(ExchangeEnd::Complete);
-    if (state.isPaused) {
-        state.isReadDeferred = true;
+    const bool endsWithConnection = state.parser->need_eof();
+    if (endsWithConnection && state.isWriteFailed)
+        return end(ExchangeEnd::Lost);
+    if (endsWithConnection && !state.isWritten) {
+        state.isAnswerEndDeferred = true;
         return;
     }
-    state.parser->get().body().data = state.chunk.data();
-    state.parser->get().body().size = state.chunk.size();
-    http::async_read_some(state.socket, state.buffer, *state.parser, [self = shared_from_this()](error_code error, std::size_t) {
-        auto& state = *self->m_state;
-        if (state.isEnded)
-            return;
-        const auto size = state.chunk.size() - state.parser->get().body().size;
-        if (size > 0)
-            self->extendDeadline();
-        if (size > 0 && state.handlers.onBody) {
-            auto onBody = std::move(state.handlers.onBody); // as for onHead
-            onBody({ state.chunk.data(), size });
-            if (state.isEnded)
-                return;
-            state.handlers.onBody = std::move(onBody);
-        }
-        if (error && error != http::error::need_buffer) {
-            const bool isProtocolError = error.category() == make_error_code(http::error::bad_method).category();
-            return self->end(isProtocolError && error != http::error::partial_message ? ExchangeEnd::Malformed : ExchangeEnd::Lost);
-        }
-        self->readBody();
-    });
+    end(ExchangeEnd::Complete);
 }
 
 void HttpExchange::end(ExchangeEnd end)
@@ -363,7 +448,7 @@
     error_code ignored;
     state.timer.cancel(ignored);
     state.deliveryTimer.cancel(ignored);
-    if (end == ExchangeEnd::Complete && state.kept && state.parser->keep_alive() && state.buffer.size() == 0)
+    if (end == ExchangeEnd::Complete && state.kept && state.isWritten && state.parser->keep_alive() && state.buffer.size() == 0)
         state.kept->keep(std::move(state.socket));
     else
         state.socket.close(ignored);
--- a/modules/hyssopwick_gateway/http/HttpExchange.h
+++ b/modules/hyssopwick_gateway/http/HttpExchange.h
@@ -111,8 +111,16 @@
     void sendRequest();
     void discardUnsent();
     void watchDelivery(std::size_t unacknowledgedBefore);
+    void handleWritten(boost::system::error_code error);
     void readHead();
+    void receive(void (HttpExchange::*parse)());
+    void parseHead();
+    void handleHead();
+    void failHead(boost::system::error_code error);
     void readBody();
+    bool parseBody();
+    void forwardBody(std::size_t size);
+    void handleAnswerEnd();
     void end(ExchangeEnd end);
     void armDeadlineTimer();
     void extendDeadline();
