Entries and agents: statuses over 599 and folded lines make an answer malformed

Callers saw: statuses 600 and 999 as answers; a line that begins with a blank as part of the value before it, such as the upstream's receipt.

Cause: Beast accepts any three digits, and joins folded lines.

Evidence: AStatusOutOfRangeIsNoAnswer and AFieldWhoseNameIsNoTokenIsNoAnswer fail before (600 was complete; " Name" got a 200). Names with blanks and control bytes inside, in heads, interim answers and trailers, were malformed before; their tests are kept as guards.

Why it works: the status is checked when the head is complete, and each parsed part of a head is searched for a line break that a blank follows.

Measured: MalformedAnswer 7 of 7; EndlessAnswer, UnframedAnswer, TruncatedHead, CallFlow and KeptConnections pass.

--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -18,6 +18,7 @@
     // whole header takes.
     constexpr std::size_t maxBufferedBytes = 65536;
     constexpr unsigned firstFinalStatus = 200;
+    constexpr unsigned lastStatus = 599;
     // Shortest rest of a body in chunks; the parser expects that it arrives in pieces of some bytes.
     constexpr std::size_t lastChunkBytes = 5;
 
@@ -25,6 +26,13 @@
     {
         return error.category() == make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream && error != http::error::partial_message;
     }
+
+    // A line that begins with a blank continues the field before it, which is obsolete
+    // (RFC 7230, section 3.2.4): no server means it, and some readers take it for a field of its own.
+    bool hasFoldedLine(std::string_view head)
+    {
+        return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+    }
     constexpr unsigned httpVersion = 11;
 }
 
@@ -354,7 +362,8 @@
     auto& state = *m_state;
     error_code error;
     const auto size = state.parser->put(state.buffer.data(), error);
-    if (error && error != http::error::need_more)
+    const std::string_view parsed(static_cast<const char*>(state.buffer.data().data()), size);
+    if (hasFoldedLine(parsed) || (error && error != http::error::need_more))
         return end(ExchangeEnd::Malformed);
     state.buffer.consume(size);
     if (state.parser->is_header_done())
@@ -371,7 +380,7 @@
     for (const auto& field : state.parser->get())
         head.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
     // No interim answer was asked for (RFC 7231, section 6.2).
-    if (head.status < firstFinalStatus)
+    if (head.status < firstFinalStatus || head.status > lastStatus)
         return end(ExchangeEnd::Malformed);
     state.parser->eager(true);
     // The handler may cancel the exchange, which releases the handlers.
--- a/tests/platform/MalformedAnswerTests.cpp
+++ b/tests/platform/MalformedAnswerTests.cpp
@@ -142,3 +142,31 @@
         STRCMP_EQUAL("done", response.body.c_str());
     }
 }
+
+TEST(MalformedAnswer, AStatusOutOfRangeIsNoAnswer)
+{
+    for (const auto& status : malformedStatuses) {
+        first.answer("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nno");
+        CHECK_TEXT(fetch(first.address(), { "GET", "/", {}, "" }).end == ExchangeEnd::Malformed, status.c_str());
+        checkNotForwarded("HTTP/1.1 " + status + " Odd\r\nRequest-Id: r1\r\nServer-Seal: s1\r\nContent-Length: 2\r\n\r\nno");
+    }
+}
+
+TEST(MalformedAnswer, AFieldWhoseNameIsNoTokenIsNoAnswer)
+{
+    for (const auto& name : malformedNames)
+        checkNotForwarded(okHead + name + ": value\r\nContent-Length: 2\r\n\r\nno");
+}
+
+TEST(MalformedAnswer, ATrailerWhoseNameIsNoTokenMakesAnAnswerIncomplete)
+{
+    for (const auto& name : malformedNames)
+        checkNotForwarded(okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n" + name + ": value\r\n\r\n");
+}
+
+TEST(MalformedAnswer, AnInterimAnswerThatIsMalformedIsNoAnswer)
+{
+    for (const auto& name : malformedNames)
+        checkNotForwarded("HTTP/1.1 103 Early Hints\r\n" + name + ": value\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nno");
+    checkNotForwarded("HTTP/1.1 099 Odd\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nno");
+}
