HttpClient checks statuses and names of fields, and keeps interim answers and trailers apart

Callers saw: answers with the status 600, and with fields whose names hold blanks or control bytes, which were passed on. A trailer or an interim answer could replace a field of the head.

Cause: libcurl hands over each line as it comes; the client split it at the colon, whatever stood before, and put all lines into one table.

Evidence: in MalformedResponse, four tests of seven failed before, in heads, interim answers and trailers. The case of the reset during an upload passed: libcurl reports the error of its write.

Why it works: each status line and each line of a head, of an interim answer or of trailers is checked as it arrives, and the transfer ends with "malformed answer", as one that may have run.

--- a/modules/hyssopwick_transport/http/HttpClient.cpp
+++ b/modules/hyssopwick_transport/http/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "HttpClient.h"
 
+#include <algorithm>
+#include <charconv>
 #include <condition_variable>
 #include <curl/curl.h>
 #include <future>
@@ -21,6 +23,9 @@
     constexpr std::size_t maxHeadBytes = std::size_t(64) << 10;
     constexpr int statusOk = 200;
     constexpr std::string_view statusLinePrefix = "HTTP/";
+    constexpr int firstStatus = 100;
+    constexpr int lastStatus = 599;
+    constexpr std::size_t statusDigits = 3;
 
     enum class ExceededLimit {
         None,
@@ -40,6 +45,7 @@
         std::size_t headBytes = 0;
         ExceededLimit exceededLimit = ExceededLimit::None;
         bool isHeadComplete = false; // of the latest answer, which follows any interim ones
+        bool isMalformed = false;
 
         ~Transfer()
         {
@@ -69,6 +75,33 @@
         return bytes;
     }
 
+    // Returns whether a status line has a status that HTTP defines (RFC 9110, section 15).
+    bool hasValidStatus(std::string_view line)
+    {
+        const auto begin = line.find(' ') + 1;
+        const auto digits = begin == 0 ? std::string_view() : line.substr(begin, statusDigits);
+        int status = 0;
+        const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), status);
+        const bool isNumber = digits.size() == statusDigits && parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size();
+        const auto next = begin + statusDigits;
+        return isNumber && status >= firstStatus && status <= lastStatus && (next >= line.size() || std::isspace(static_cast<unsigned char>(line[next])) != 0);
+    }
+
+    // Returns whether the name of a field is a token (RFC 9110, section 5.6.2). The line may be folded, too.
+    bool hasValidName(std::string_view line)
+    {
+        constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos || colon == 0)
+            return false;
+        const auto isTokenCharacter = [marks](char character) {
+            const bool isAscii = static_cast<unsigned char>(character) < 128;
+            return (isAscii && std::isalnum(static_cast<unsigned char>(character)) != 0) || marks.find(character) != std::string_view::npos;
+        };
+        const auto name = line.substr(0, colon);
+        return std::all_of(name.begin(), name.end(), isTokenCharacter);
+    }
+
     std::size_t receiveHeader(char* data, std::size_t size, std::size_t count, void* context)
     {
         auto& transfer = *static_cast<Transfer*>(context);
@@ -80,10 +113,16 @@
         }
         const bool isStatusLine = line.substr(0, statusLinePrefix.size()) == statusLinePrefix;
         const bool isHeadEnd = line.find_first_not_of("\r\n") == std::string_view::npos;
+        const bool isTrailer = !isStatusLine && transfer.isHeadComplete;
         transfer.isHeadComplete = !isStatusLine && (isHeadEnd || transfer.isHeadComplete);
-        const auto colon = line.find(':');
-        if (colon == std::string_view::npos)
+        transfer.isMalformed = !isHeadEnd && !(isStatusLine ? hasValidStatus(line) : hasValidName(line));
+        if (transfer.isMalformed)
+            return 0;
+        if (isStatusLine)
+            transfer.response.headers.clear(); // of an interim answer
+        if (isStatusLine || isHeadEnd || isTrailer)
             return line.size();
+        const auto colon = line.find(':');
         std::string name(line.substr(0, colon));
         for (auto& character : name)
             character = static_cast<char>(std::tolower(static_cast<unsigned char>(character)));
@@ -117,6 +156,8 @@
         const std::string what = transfer.request.method + " " + transfer.request.url + ": " + curl_easy_strerror(code);
         if (transfer.exceededLimit != ExceededLimit::None)
             return { ErrorCode::UnknownResult, what + limitText(transfer) };
+        if (transfer.isMalformed)
+            return { ErrorCode::UnknownResult, what + " (malformed answer)" };
         if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
             return { ErrorCode::Unavailable, what };
         double connectSeconds = 0;
