ServerConnection has one read at a time, and discards what follows a rejection with it

Cause: a 408 for a slow head or body is sent while a read into m_buffer is pending; discardInput() then replaced the buffer, and the pending read wrote into freed memory.

Change: the connection reads and feeds the parser by itself and knows whether a read is pending. What arrives after a rejection is discarded by that read; no second one begins. It gives the parser five bytes of a chunked body at least: Beast 1.74 asserts that further bytes of a last chunk arrive together, so that "0", CR, LF and one byte, sent apart, ended builds with assertions by signal 6.

BytesThatFollowARejectionAreDiscarded passed before, too: it does not hit the freed memory, and is kept as a guard. ABodyInChunksIsReceivedWholeHoweverItsBytesAreSplit is a guard as well.

Why it works: nothing touches the buffer while an operation writes into it.

--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -19,9 +19,15 @@
     // them the connection is left unread until the answer is complete.
     constexpr std::size_t maxReadAheadBytes = 16384;
     constexpr std::size_t readBytes = 4096;
+    constexpr std::size_t headReadBytes = 512;
+    constexpr std::size_t bodyReadBytes = 16384;
+    // Shortest rest of a body in chunks.
+    constexpr std::size_t lastChunkBytes = 5;
     constexpr Milliseconds departureCheckPeriod { 200 };
     // A caller's deadline may have passed when its refusal is sent.
     constexpr Milliseconds minSendTime { 100 };
+    // For an answer whose caller has no deadline, such as a peer that fetches weights over a slow link.
+    constexpr Milliseconds maxSendTime { 60000 };
     // A kept connection does not retain the buffer of a long answer.
     constexpr std::size_t maxRetainedBytes = 16384;
 
@@ -201,6 +207,7 @@
     m_isIdle = m_buffer.size() == 0;
     if (!m_isIdle)
         return readHeader();
+    m_buffer.shrink_to_fit();
     armTimer(monotonicNow() + m_listener->limits().idleTimeout, [this] { close(); });
     m_socket.async_wait(TcpSocket::wait_read, [self = shared_from_this()](error_code error) {
         if (error || self->m_isClosed)
@@ -214,34 +221,71 @@
 
 void ServerConnection::readHeader()
 {
-    const auto limits = m_listener->limits();
+    m_limits = m_listener->limits();
     m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-    m_parser->body_limit(limits.bodyBytes);
-    armTimer(monotonicNow() + limits.headerTimeout, [this] {
-        if (m_buffer.size() == 0)
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+    m_parser->body_limit(m_limits.bodyBytes);
+    m_headBytes = 0;
+    armTimer(monotonicNow() + m_limits.headerTimeout, [this] {
+        if (m_headBytes == 0 && m_buffer.size() == 0)
             return close();
         reject(statusRequestTimeout, "slow-header");
     });
-    http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
-        if (self->m_isClosed || self->m_isRejected)
+    parse();
+}
+
+void ServerConnection::receive()
+{
+    const auto wanted = m_parser->is_header_done() ? std::min(bodyReadBytes, std::max<std::uint64_t>(headReadBytes, m_parser->content_length_remaining().value_or(bodyReadBytes))) : std::max(headReadBytes, m_buffer.capacity() - m_buffer.size());
+    m_isReading = true;
+    m_socket.async_read_some(m_buffer.prepare(wanted), [self = shared_from_this()](error_code error, std::size_t size) { self->handleReceived(error, size); });
+}
+
+void ServerConnection::handleReceived(error_code error, std::size_t size)
+{
+    m_isReading = false;
+    if (m_isClosed || (m_isRejected && !m_isDiscarding))
+        return;
+    if (error)
+        return close();
+    if (m_isDiscarding)
+        return discardInput();
+    m_buffer.commit(size);
+    parse();
+}
+
+std::size_t ServerConnection::minBytesToParse() const
+{
+    // The parser expects that the last chunk arrives in pieces of some bytes.
+    return m_parser->is_header_done() && m_parser->chunked() ? lastChunkBytes : 1;
+}
+
+void ServerConnection::parse()
+{
+    while (m_buffer.size() >= minBytesToParse()) {
+        error_code error;
+        const bool isHead = !m_parser->is_header_done();
+        const auto size = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(size);
+        m_headBytes += isHead ? size : 0;
+        if (error && error != http::error::need_more)
+            return handleProtocolError(error);
+        if (isHead && m_parser->is_header_done() && !acceptHead())
             return;
+        if (m_parser->is_done())
+            return dispatch();
         if (error)
-            return self->handleHeaderError(error);
-        self->readBody();
-    });
+            break;
+    }
+    receive();
 }
 
-void ServerConnection::handleHeaderError(error_code error)
+void ServerConnection::handleProtocolError(error_code error)
 {
-    if (error == http::error::end_of_stream || error.category() != make_error_code(http::error::bad_method).category())
-        return close();
     if (error == http::error::header_limit)
         return reject(statusHeaderTooLarge, "header-too-large");
     if (error == http::error::body_limit)
         return reject(statusTooLarge, "body-too-large");
-    if (error == http::error::partial_message)
-        return close();
     reject(statusBadRequest, "malformed");
 }
 
@@ -261,23 +305,19 @@
     return nullptr;
 }
 
-void ServerConnection::readBody()
+bool ServerConnection::acceptHead()
 {
-    if (const auto* problem = framingProblem())
-        return reject(statusBadRequest, problem);
+    if (const auto* problem = framingProblem()) {
+        reject(statusBadRequest, problem);
+        return false;
+    }
     if (m_parser->is_done())
-        return dispatch();
-    if (boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+        return true;
+    if (boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
         enqueue("HTTP/1.1 100 Continue\r\n\r\n", false);
-    }
     armTimer(monotonicNow() + bodyTimeout, [this] { reject(statusRequestTimeout, "slow-body"); });
-    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
-        if (self->m_isClosed || self->m_isRejected)
-            return;
-        if (error)
-            return self->handleHeaderError(error);
-        self->dispatch();
-    });
+    m_parser->eager(true);
+    return true;
 }
 
 void ServerConnection::dispatch()
@@ -293,6 +333,7 @@
         request.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
     request.host = hostWithoutPort(message[http::field::host]);
     request.body = std::move(message.body());
+    m_buffer.shrink_to_fit();
     request.waitedUnread = timeSinceReceived(m_socket);
     request.receivedAt = monotonicNow() - request.waitedUnread;
     m_exchange = std::make_shared<Exchange>(weak_from_this(), std::move(request));
@@ -311,7 +352,7 @@
 {
     // Unread requests hide the caller's leaving, which has to be asked for.
     if (m_buffer.size() >= maxReadAheadBytes)
-        return armTimer(monotonicNow() + departureCheckPeriod, [this] { isClosedByPeer(m_socket) ? handleCallerLeft() : watchCaller(); });
+        return watchDeparture();
     const auto watched = m_exchange;
     m_socket.async_wait(TcpSocket::wait_read, [self = shared_from_this(), watched](error_code error) {
         if (self->m_isClosed || self->m_exchange != watched)
@@ -328,6 +369,11 @@
     });
 }
 
+void ServerConnection::watchDeparture()
+{
+    armTimer(monotonicNow() + departureCheckPeriod, [this] { isClosedByPeer(m_socket) ? handleCallerLeft() : watchCaller(); });
+}
+
 void ServerConnection::handleCallerLeft()
 {
     const auto exchange = m_exchange;
@@ -342,6 +388,9 @@
     m_isRejected = true;
     m_isKeptAlive = false;
     m_isIdle = false;
+    m_isHeadMethod = false;
+    m_sendBy = monotonicNow() + lingerTime;
+    m_parser.reset();
     sendWhole(status, {}, std::string(reason) + "\n");
 }
 
@@ -386,8 +435,9 @@
     m_listener->bufferedBytes += data.size();
     m_unsent.push_back(std::move(data));
     m_isLastQueued = m_isLastQueued || isLast;
-    if (isLast && m_sendBy) {
-        armTimer(std::max(*m_sendBy, monotonicNow() + minSendTime), [this] {
+    if (isLast) {
+        const auto now = monotonicNow();
+        armTimer(m_sendBy ? std::max(*m_sendBy, now + minSendTime) : now + maxSendTime, [this] {
             ++m_listener->unreadAnswers;
             close();
         });
@@ -444,9 +494,7 @@
 {
     m_isLastQueued = false;
     endExchange();
-    if (!m_isKeptAlive)
-        return closeLingering();
-    if (m_listener->isClosing && m_buffer.size() == 0)
+    if (!m_isKeptAlive || (m_listener->isClosing && m_buffer.size() == 0))
         return closeLingering();
     readNext();
 }
@@ -463,13 +511,12 @@
 
 void ServerConnection::discardInput()
 {
+    m_isDiscarding = true;
+    if (m_isReading) // into m_buffer; its handler discards further
+        return;
     m_buffer.clear();
-    m_socket.async_read_some(m_buffer.prepare(readBytes), [self = shared_from_this()](error_code error, std::size_t) {
-        if (error)
-            return self->close();
-        if (!self->m_isClosed)
-            self->discardInput();
-    });
+    m_isReading = true;
+    m_socket.async_read_some(m_buffer.prepare(readBytes), [self = shared_from_this()](error_code error, std::size_t size) { self->handleReceived(error, size); });
 }
 
 void ServerConnection::close()
--- a/modules/hyssopwick_gateway/http/ServerConnection.h
+++ b/modules/hyssopwick_gateway/http/ServerConnection.h
@@ -51,11 +51,16 @@
 
     void readNext();
     void readHeader();
-    void readBody();
-    void handleHeaderError(boost::system::error_code error);
+    void receive();
+    void handleReceived(boost::system::error_code error, std::size_t size);
+    void parse();
+    std::size_t minBytesToParse() const;
+    bool acceptHead();
+    void handleProtocolError(boost::system::error_code error);
     const char* framingProblem() const;
     void dispatch();
     void watchCaller();
+    void watchDeparture();
     void handleCallerLeft();
     void reject(unsigned status, const char* reason);
     void decideConnectionEnd();
@@ -78,6 +83,8 @@
     LoopTimer m_timer;
     boost::beast::flat_buffer m_buffer;
     boost::optional<Parser> m_parser;
+    CallerLimits m_limits; // of the request that is being read
+    std::size_t m_headBytes = 0; // of it
     std::shared_ptr<Exchange> m_exchange;
     std::shared_ptr<ServerConnection> m_self; // while an exchange is open
     std::deque<std::string> m_unsent;
@@ -91,7 +98,9 @@
     bool m_isKeptAlive = true;
     bool m_isIdle = true;
     bool m_isClosed = false;
-    bool m_isRejected = false; // nothing further is read
+    bool m_isRejected = false; // no further request is read
+    bool m_isReading = false; // an operation that writes into m_buffer is pending
+    bool m_isDiscarding = false; // what still arrives
     bool m_isHeadMethod = false;
 };
 
--- a/tests/platform/ServerConnectionTests.cpp
+++ b/tests/platform/ServerConnectionTests.cpp
@@ -189,3 +189,96 @@
     CHECK(received.empty());
     LONGS_EQUAL(1, countOf(answers, "HTTP/1.1 4"));
 }
+
+TEST(ServerConnection, ABodyInChunksIsReceivedWholeHoweverItsBytesAreSplit)
+{
+    const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string body = "4;a=b\r\nbody\r\n3\r\nend\r\n0\r\nX-Trailer: a\r\n\r\n";
+    for (std::size_t split = 1; split < body.size(); ++split) {
+        received.clear();
+        answers.clear();
+        send(head + body.substr(0, split));
+        for (int i = 0; i < 3; ++i)
+            loop.run_one_for(Milliseconds(1));
+        send(body.substr(split, 1));
+        for (int i = 0; i < 3; ++i)
+            loop.run_one_for(Milliseconds(1));
+        send(body.substr(split + 1));
+        answerAll(1);
+        STRCMP_EQUAL("bodyend", received[0]->request().body.c_str());
+    }
+}
+
+// The parser of the library has preconditions for the last chunk that arrives in pieces.
+TEST(ServerConnection, TrailersThatArriveByteForByteAreRead)
+{
+    send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (const char byte : std::string("0\r\nX-Trailer: a\r\n\r\n")) {
+        for (int i = 0; i < 5; ++i)
+            loop.run_one_for(Milliseconds(1));
+        send({ byte });
+    }
+    answerAll(1);
+    STRCMP_EQUAL("", received[0]->request().body.c_str());
+}
+
+// Each write ends with a line, so that nothing of the head is left over between them.
+TEST(ServerConnection, AHeadWithoutEndIsRejectedHoweverItsLinesArrive)
+{
+    send("GET /x HTTP/1.1\r\nHost: h\r\n");
+    boost::system::error_code error;
+    for (int line = 0; line < 1000 && answers.empty(); ++line) {
+        asio::write(caller, asio::buffer("X-More: " + std::string(100, 'm') + "\r\n"), error);
+        for (int i = 0; i < 3; ++i)
+            loop.run_one_for(Milliseconds(1));
+    }
+    LONGS_EQUAL(1, countOf(answers, "HTTP/1.1 431"));
+    CHECK(received.empty());
+}
+
+/// A listener whose clients have little time.
+TEST_GROUP_BASE(HastyListener, TEST_GROUP_CppUTestGroupServerConnection)
+{
+    HttpListener hasty { loop,
+        [this](const ServerExchangePointer& exchange) { received.push_back(exchange); }, [] {
+                            CallerLimits limits;
+                            limits.headerTimeout = Milliseconds(20);
+                            return limits; } };
+};
+
+// A rejected client's bytes must not become part of another client's request, nor of freed memory.
+TEST(HastyListener, BytesThatFollowARejectionAreDiscarded)
+{
+    constexpr std::size_t others = 4;
+    CHECK(hasty.listen("127.0.0.1:0").has_value());
+    const auto connectAndSend = [this](TcpSocket& socket, const std::string& bytes) {
+        socket.connect({ asio::ip::address_v4::loopback(), hasty.port() });
+        asio::write(socket, asio::buffer(bytes));
+    };
+    const std::string padding(200, 'n');
+    for (int round = 0; round < 30; ++round) {
+        TcpSocket slow(loop);
+        connectAndSend(slow, "POST /slow HTTP/1.1\r\nHost: h\r\nX-Rest: ");
+        const auto rejections = [this] { return hasty.rejections().count("slow-header") == 0 ? 0 : hasty.rejections().at("slow-header"); };
+        const auto rejectionsBefore = rejections();
+        runUntil([&] { return rejections() > rejectionsBefore; });
+        std::array<char, 256> answer;
+        slow.read_some(asio::buffer(answer));
+        for (int i = 0; i < 10; ++i)
+            loop.poll();
+        std::vector<TcpSocket> next;
+        for (std::size_t number = 0; number < others; ++number)
+            connectAndSend(next.emplace_back(loop), firstRequest + ("GET /second HTTP/1.1\r\nHost: h\r\nX-Padding: " + padding + "\r\n\r\n"));
+        runUntil([&] { return received.size() == others; });
+        boost::system::error_code error;
+        asio::write(slow, asio::buffer(std::string(500, 'r')), error);
+        for (int i = 0; i < 10; ++i)
+            loop.poll();
+        for (std::size_t number = 0; number < others; ++number)
+            received[number]->respond(200, {}, "");
+        runUntil([&] { return received.size() == 2 * others; });
+        for (std::size_t number = others; number < received.size(); ++number)
+            CHECK(headerValue(received[number]->request().fields, "X-Padding") == padding);
+        received.clear();
+    }
+}
