Trailers and chunk headers of requests are limited

Callers saw: a process that ran out of memory and ended, with all that it held.

Cause: Beast keeps a chunk header, or a last chunk with its trailers, in the read buffer until it is complete, and the buffer had no limit; the limits on heads and bodies count neither.

Evidence: the six tests TrailersWithoutEnd... and ChunkHeadersWithoutEnd... of HostileClients failed with 138 to 145 MiB of 64, on all addresses of entries and agents.

Change: at most headerBytes (16 KiB at least) and one read are buffered, and all framing of a body may take headerBytes and eight bytes for each of the body. Beyond that the request is rejected with 431 and the connection closed. A chunk of one byte has five bytes of framing, so that no client inside the limits meets this.

Why it works: whatever the parser does not consume is bounded, and so is what it consumes without adding to the body.

--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -21,6 +21,8 @@
     constexpr std::size_t readBytes = 4096;
     constexpr std::size_t headReadBytes = 512;
     constexpr std::size_t bodyReadBytes = 16384;
+    // A chunk of one byte has five bytes of framing.
+    constexpr std::size_t maxFramingPerByte = 8;
     // Shortest rest of a body in chunks.
     constexpr std::size_t lastChunkBytes = 5;
     constexpr Milliseconds departureCheckPeriod { 200 };
@@ -225,7 +227,7 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
     m_parser->body_limit(m_limits.bodyBytes);
-    m_headBytes = 0;
+    m_headBytes = m_bodyWireBytes = 0;
     armTimer(monotonicNow() + m_limits.headerTimeout, [this] {
         if (m_headBytes == 0 && m_buffer.size() == 0)
             return close();
@@ -236,9 +238,12 @@
 
 void ServerConnection::receive()
 {
+    const auto room = std::max(m_limits.headerBytes, maxReadAheadBytes) + readBytes - m_buffer.size();
     const auto wanted = m_parser->is_header_done() ? std::min(bodyReadBytes, std::max<std::uint64_t>(headReadBytes, m_parser->content_length_remaining().value_or(bodyReadBytes))) : std::max(headReadBytes, m_buffer.capacity() - m_buffer.size());
+    if (room == 0)
+        return reject(statusHeaderTooLarge, "framing-too-large");
     m_isReading = true;
-    m_socket.async_read_some(m_buffer.prepare(wanted), [self = shared_from_this()](error_code error, std::size_t size) { self->handleReceived(error, size); });
+    m_socket.async_read_some(m_buffer.prepare(std::min<std::size_t>(wanted, room)), [self = shared_from_this()](error_code error, std::size_t size) { self->handleReceived(error, size); });
 }
 
 void ServerConnection::handleReceived(error_code error, std::size_t size)
@@ -267,11 +272,13 @@
         const bool isHead = !m_parser->is_header_done();
         const auto size = m_parser->put(m_buffer.data(), error);
         m_buffer.consume(size);
-        m_headBytes += isHead ? size : 0;
+        (isHead ? m_headBytes : m_bodyWireBytes) += size;
         if (error && error != http::error::need_more)
             return handleProtocolError(error);
         if (isHead && m_parser->is_header_done() && !acceptHead())
             return;
+        if (isFramingTooLarge())
+            return reject(statusHeaderTooLarge, "framing-too-large");
         if (m_parser->is_done())
             return dispatch();
         if (error)
@@ -280,6 +287,13 @@
     receive();
 }
 
+// Chunk headers and trailers are no part of the body, whose size is limited by the parser.
+bool ServerConnection::isFramingTooLarge() const
+{
+    const auto bodyBytes = m_parser->get().body().size();
+    return m_bodyWireBytes > m_limits.headerBytes + bodyBytes * (1 + maxFramingPerByte);
+}
+
 void ServerConnection::handleProtocolError(error_code error)
 {
     if (error == http::error::header_limit)
--- a/modules/hyssopwick_gateway/http/ServerConnection.h
+++ b/modules/hyssopwick_gateway/http/ServerConnection.h
@@ -56,6 +56,7 @@
     void parse();
     std::size_t minBytesToParse() const;
     bool acceptHead();
+    bool isFramingTooLarge() const;
     void handleProtocolError(boost::system::error_code error);
     const char* framingProblem() const;
     void dispatch();
@@ -85,6 +86,7 @@
     boost::optional<Parser> m_parser;
     CallerLimits m_limits; // of the request that is being read
     std::size_t m_headBytes = 0; // of it
+    std::size_t m_bodyWireBytes = 0; // of it, with the framing of chunks and trailers
     std::shared_ptr<Exchange> m_exchange;
     std::shared_ptr<ServerConnection> m_self; // while an exchange is open
     std::deque<std::string> m_unsent;
