Trailers of a request are not taken for fields of its head

Callers saw: nothing that is known. A trailer called Authorization, Host or Request-Id reached the handler among the fields of the head.

Cause: Beast adds trailers to the message's fields, and the request took its fields when the whole message was read.

Evidence: ServerConnection.TrailersAreNoFieldsOfTheRequest failed before.

Why it works: method, target, host and fields are taken when the head is complete. Trailers are dropped, as RFC 9110 (section 6.5.1) allows.

--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -319,15 +319,25 @@
     return nullptr;
 }
 
+// Trailers are added to the parser's fields later, so the request takes its fields here.
 bool ServerConnection::acceptHead()
 {
     if (const auto* problem = framingProblem()) {
         reject(statusBadRequest, problem);
         return false;
     }
+    const auto& message = m_parser->get();
+    m_request = {};
+    m_request.method = std::string(message.method_string());
+    m_request.target = std::string(message.target());
+    for (const auto& field : message)
+        m_request.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    m_request.host = hostWithoutPort(message[http::field::host]);
+    m_isKeptAlive = message.keep_alive();
+    m_isHeadMethod = message.method() == http::verb::head;
     if (m_parser->is_done())
         return true;
-    if (boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
+    if (boost::beast::iequals(message[http::field::expect], "100-continue"))
         enqueue("HTTP/1.1 100 Continue\r\n\r\n", false);
     armTimer(monotonicNow() + bodyTimeout, [this] { reject(statusRequestTimeout, "slow-body"); });
     m_parser->eager(true);
@@ -337,16 +347,11 @@
 void ServerConnection::dispatch()
 {
     disarmTimer();
-    auto message = m_parser->release();
-    m_isKeptAlive = message.keep_alive();
-    m_isHeadMethod = message.method() == http::verb::head;
-    ServerRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto& field : message)
-        request.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    request.host = hostWithoutPort(message[http::field::host]);
-    request.body = std::move(message.body());
+    auto request = std::move(m_request);
+    request.body = std::move(m_parser->get().body());
+    if (m_parser->chunked())
+        request.body.shrink_to_fit(); // it grew as the chunks came
+    m_parser.reset();
     m_buffer.shrink_to_fit();
     request.waitedUnread = timeSinceReceived(m_socket);
     request.receivedAt = monotonicNow() - request.waitedUnread;
@@ -405,6 +410,7 @@
     m_isHeadMethod = false;
     m_sendBy = monotonicNow() + lingerTime;
     m_parser.reset();
+    m_request = {};
     sendWhole(status, {}, std::string(reason) + "\n");
 }
 
--- a/modules/hyssopwick_gateway/http/ServerConnection.h
+++ b/modules/hyssopwick_gateway/http/ServerConnection.h
@@ -85,6 +85,7 @@
     boost::beast::flat_buffer m_buffer;
     boost::optional<Parser> m_parser;
     CallerLimits m_limits; // of the request that is being read
+    ServerRequest m_request; // the one that is being read
     std::size_t m_headBytes = 0; // of it
     std::size_t m_bodyWireBytes = 0; // of it, with the framing of chunks and trailers
     std::shared_ptr<Exchange> m_exchange;
--- a/tests/platform/ServerConnectionTests.cpp
+++ b/tests/platform/ServerConnectionTests.cpp
@@ -190,6 +190,16 @@
     LONGS_EQUAL(1, countOf(answers, "HTTP/1.1 4"));
 }
 
+// Trailers describe the body that was sent; as fields of the head they could replace what was checked.
+TEST(ServerConnection, TrailersAreNoFieldsOfTheRequest)
+{
+    send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nAuthorization: other\r\nHost: other\r\n\r\n");
+    runUntil([this] { return received.size() == 1; });
+    STRCMP_EQUAL("body", received[0]->request().body.c_str());
+    STRCMP_EQUAL("h", received[0]->request().host.c_str());
+    CHECK(headerValue(received[0]->request().fields, "Authorization").empty());
+}
+
 TEST(ServerConnection, ABodyInChunksIsReceivedWholeHoweverItsBytesAreSplit)
 {
     const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
