One budget bounds the memory of all requests of a process

Cause: each request was limited, all of them together were not, and the body was copied for its upstream. A body that makes no progress kept its memory for 10 s.

Change: RequestBudget (hyssopwick_core), a decision of its own that needs no network. A body is reserved when its length is announced, or as its chunks arrive. Without room, a request without progress for 1 s is ended with 408; otherwise the new one is refused at once with 503 and Retry-After. Both have not run. What was passed on keeps its memory. A body is sent from where it lies. Addresses that need no bodies take 64 KiB.

Why not a limit a connection: the sum of such limits is far over the memory of a VM, or each is below what the configuration allows.

--- a/modules/hyssopwick_core/hyssopwick_core.h
+++ b/modules/hyssopwick_core/hyssopwick_core.h
@@ -1,11 +1,12 @@
 // Module: hyssopwick_core
 // Dependencies: Boost.Outcome, Boost.Histogram, glog, OpenSSL
-// Purpose: value types, errors, findings, hashing, event log, metrics, worker pool
-// and scheduler, which all other modules use.
+// Purpose: value types, errors, findings, hashing, event log, metrics, worker pool,
+// scheduler and the budget of clients, which all other modules use.
 #pragma once
 
 #include "concurrency/Scheduler.h"
 #include "concurrency/WorkerPool.h"
+#include "limits/RequestBudget.h"
 #include "logging/EventLine.h"
 #include "logging/EventLog.h"
 #include "logging/StandardOutputLog.h"
--- a/modules/hyssopwick_deployment/model/ProcessDescription.h
+++ b/modules/hyssopwick_deployment/model/ProcessDescription.h
@@ -31,6 +31,7 @@
     double cores = 1; ///< of this VM
     double cpuShare = 1; ///< of each core that this process may use
     std::size_t memoryBytes = std::size_t(128) << 20; ///< that this process may use
+    std::size_t maxDescriptors = 4096; ///< that this process may have open, files included
 
     Milliseconds drainBound { 2000 }; ///< after it a leaving upstream must get no new calls
     Milliseconds stopBound { 8000 }; ///< from SIGTERM to SIGKILL
@@ -67,7 +68,7 @@
     auto tied() const
     {
         return std::tie(node, ip, region, failureDomain, regionOfFailureDomain, callerAddress, readyAddress, directoryAddress, internalPort,
-            metricsPort, seedIps, storeAddress, engineAddress, engineService, linkBytesPerSecond, cores, cpuShare, memoryBytes, drainBound, stopBound, versionBound,
+            metricsPort, seedIps, storeAddress, engineAddress, engineService, linkBytesPerSecond, cores, cpuShare, memoryBytes, maxDescriptors, drainBound, stopBound, versionBound,
             configurationBound, contactBound, evacuationBound, addressLifetime, retryRatio, retrySlack, retryWindow, coldOvershoot, coldSlack);
     }
     bool operator==(const ProcessDescription& other) const { return tied() == other.tied(); }
--- a/modules/hyssopwick_gateway/agent/AgentGateway.cpp
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.cpp
@@ -36,15 +36,19 @@
     , m_engine(context)
     , m_retirement(context, m_engine)
     , m_internal(
-          context.loop, [this](const ServerExchangePointer& exchange) { serveInternal(exchange); }, [] { return CallerLimits(); })
+          context.loop, [this](const ServerExchangePointer& exchange) { serveInternal(exchange); }, HttpListener::limitsWithoutBodies, context.requestBudget)
     , m_metrics(
-          context.loop, [this](const ServerExchangePointer& exchange) { serveMetrics(exchange); }, [] { return CallerLimits(); })
+          context.loop, [this](const ServerExchangePointer& exchange) { serveMetrics(exchange); }, HttpListener::limitsWithoutBodies, context.requestBudget)
+    , m_budgetReport(context)
     , m_updates(context, m_peerSocket)
     , m_pollTimer(context.loop)
     , m_retirementTimer(context.loop)
     , m_registry(context.description.drainBound)
     , m_eligibility(context.description)
 {
+    m_context.applyRequestLimits();
+    m_budgetReport.add("internal", m_internal);
+    m_budgetReport.add("metrics", m_metrics);
 }
 
 Outcome<void> AgentGateway::start()
@@ -99,6 +103,7 @@
 {
     m_context.log.write("settings.reloaded", { { "changed", description == m_context.description ? "false" : "true" } });
     m_context.description = description;
+    m_context.applyRequestLimits();
 }
 
 void AgentGateway::poll()
@@ -117,6 +122,7 @@
 
 void AgentGateway::recordReport(const Outcome<EngineReport>& report)
 {
+    m_budgetReport.logChanges();
     if (!report) {
         ++m_failedPolls;
         m_context.metrics.count("engine_polls_failed_total", errorCodeName(report.error().code));
@@ -445,6 +451,7 @@
 {
     m_peerSocket.exportTraffic();
     m_updates.exportMetrics();
+    m_budgetReport.exportMetrics();
     m_context.metrics.gauge("weights_loaded_version", double(loadedVersion()));
     m_context.metrics.gauge("view_age_milliseconds", double(m_view.age().count()));
     exchange->respond(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.metrics.prometheusText());
--- a/modules/hyssopwick_gateway/agent/AgentGateway.h
+++ b/modules/hyssopwick_gateway/agent/AgentGateway.h
@@ -3,6 +3,7 @@
 #include "../http/HttpListener.h"
 #include "../runtime/GatewayProcess.h"
 #include "../runtime/PeerSocket.h"
+#include "../runtime/RequestBudgetReport.h"
 #include "../view/EvacuationRecord.h"
 #include "../view/ViewReplicator.h"
 #include "EngineActivation.h"
@@ -71,6 +72,7 @@
     EngineRetirement m_retirement;
     HttpListener m_internal;
     HttpListener m_metrics;
+    RequestBudgetReport m_budgetReport;
     EngineUpdates m_updates;
     LoopTimer m_pollTimer;
     LoopTimer m_retirementTimer;
--- a/modules/hyssopwick_gateway/entry/CallFlow.cpp
+++ b/modules/hyssopwick_gateway/entry/CallFlow.cpp
@@ -225,7 +225,7 @@
     if (!isEngineCall())
         m_services.plainPool(m_service->name).recordSend(upstreamId);
     const auto& request = m_exchange->request();
-    HttpCall call { request.method, request.target, {}, request.body };
+    HttpCall call { request.method, request.target, {}, "", std::shared_ptr<const std::string>(m_exchange, &request.body) };
     const auto self = weak_from_this();
     ExchangeHandlers handlers { [self](HttpCall& call) { const auto flow = self.lock(); return flow && flow->completeFields(call); }, weakHandler(self, &CallFlow::handleHead), weakHandler(self, &CallFlow::handleBody), weakHandler(self, &CallFlow::handleEnd) };
     const auto beginBy = isEngineCall() ? m_services.usableUntil(*upstream) : std::nullopt;
--- a/modules/hyssopwick_gateway/entry/EntryGateway.cpp
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.cpp
@@ -1,5 +1,7 @@
 #include "EntryGateway.h"
 
+#include "CallLimits.h"
+
 #include <algorithm>
 
 namespace hyssopwick {
@@ -28,8 +30,6 @@
     // others know well before the bound within which it counts as back (3 s at least).
     constexpr Milliseconds repeatPeriod { 400 };
 
-    // Limits on requests from other processes of the deployment: the defaults.
-    CallerLimits internalLimits() { return {}; }
 }
 
 EntryGateway::EntryGateway(GatewayContext& context)
@@ -42,19 +42,27 @@
     , m_view(context, m_gossip.self(), true)
     , m_blockRecords(context)
     , m_callers(
-          context.loop, [this](const ServerExchangePointer& exchange) { serveCaller(exchange); }, [this] { return m_services.routes() ? m_services.routes()->configuration().limits : CallerLimits(); })
+          context.loop, [this](const ServerExchangePointer& exchange) { serveCaller(exchange); }, [this] { return m_services.routes() ? m_services.routes()->configuration().limits : CallerLimits(); }, context.requestBudget)
     , m_directory(
-          context.loop, [this](const ServerExchangePointer& exchange) { serveDirectory(exchange); }, internalLimits)
+          context.loop, [this](const ServerExchangePointer& exchange) { serveDirectory(exchange); }, HttpListener::limitsWithoutBodies, context.requestBudget)
     , m_readiness(
-          context.loop, [this](const ServerExchangePointer& exchange) { serveReadiness(exchange); }, internalLimits)
+          context.loop, [this](const ServerExchangePointer& exchange) { serveReadiness(exchange); }, HttpListener::limitsWithoutBodies, context.requestBudget)
     , m_internal(
-          context.loop, [this](const ServerExchangePointer& exchange) { serveInternal(exchange); }, internalLimits)
+          context.loop, [this](const ServerExchangePointer& exchange) { serveInternal(exchange); }, HttpListener::limitsWithoutBodies, context.requestBudget)
     , m_metrics(
-          context.loop, [this](const ServerExchangePointer& exchange) { serveMetrics(exchange); }, internalLimits)
+          context.loop, [this](const ServerExchangePointer& exchange) { serveMetrics(exchange); }, HttpListener::limitsWithoutBodies, context.requestBudget)
+    , m_budgetReport(context)
     , m_maintenanceTimer(context.loop)
     , m_registrationTimer(context.loop)
     , m_stopTimer(context.loop)
 {
+    m_context.applyRequestLimits();
+    m_callers.setBusyFields(m_context.ports.calls->encodeRetryAfter(overloadRetryAfter));
+    m_budgetReport.add("callers", m_callers);
+    m_budgetReport.add("directory", m_directory);
+    m_budgetReport.add("readiness", m_readiness);
+    m_budgetReport.add("internal", m_internal);
+    m_budgetReport.add("metrics", m_metrics);
 }
 
 Outcome<void> EntryGateway::start()
@@ -217,6 +225,7 @@
 void EntryGateway::serveMetrics(const ServerExchangePointer& exchange)
 {
     m_peerSocket.exportTraffic();
+    m_budgetReport.exportMetrics();
     m_context.metrics.gauge("calls_open", double(m_calls.size()));
     m_context.metrics.gauge("answer_bytes_held", double(m_services.answerMemory()->heldBytes()));
     m_context.metrics.gauge("answers_unread", double(m_callers.unreadAnswers()));
@@ -323,6 +332,7 @@
 void EntryGateway::maintain()
 {
     const auto next = m_services.maintain();
+    m_budgetReport.logChanges();
     reconsiderCalls();
     repeatToPeer();
     m_maintenanceTimer.expires_at(next);
@@ -410,6 +420,7 @@
 {
     m_context.log.write("settings.reloaded", { { "changed", description == m_context.description ? "false" : "true" } });
     m_context.description = description;
+    m_context.applyRequestLimits();
     if (m_services.routes())
         m_services.allowances().setConfiguration(m_services.routes()->configuration());
 }
--- a/modules/hyssopwick_gateway/entry/EntryGateway.h
+++ b/modules/hyssopwick_gateway/entry/EntryGateway.h
@@ -4,6 +4,7 @@
 #include "../members/MemberGossip.h"
 #include "../runtime/GatewayProcess.h"
 #include "../runtime/PeerSocket.h"
+#include "../runtime/RequestBudgetReport.h"
 #include "../view/ViewReplicator.h"
 #include "AddressAnswers.h"
 #include "CallFlow.h"
@@ -63,6 +64,7 @@
     HttpListener m_readiness;
     HttpListener m_internal;
     HttpListener m_metrics;
+    RequestBudgetReport m_budgetReport;
     LoopTimer m_maintenanceTimer;
     LoopTimer m_registrationTimer;
     LoopTimer m_stopTimer;
--- a/modules/hyssopwick_gateway/http/HttpListener.cpp
+++ b/modules/hyssopwick_gateway/http/HttpListener.cpp
@@ -6,6 +6,7 @@
 
 namespace {
     constexpr int acceptBacklog = 512;
+    constexpr std::size_t maxUnusedBodyBytes = std::size_t(64) << 10;
 
     void acceptNext(const std::shared_ptr<ListenerState>& listener)
     {
@@ -25,12 +26,20 @@
     std::shared_ptr<ListenerState> listener;
 };
 
-HttpListener::HttpListener(EventLoop& loop, Handler handler, LimitsSource limits)
+HttpListener::HttpListener(EventLoop& loop, Handler handler, LimitsSource limits, std::shared_ptr<RequestBudget> budget)
     : m_state(std::make_shared<State>())
 {
     m_state->listener = std::make_shared<ListenerState>(loop);
     m_state->listener->handler = std::move(handler);
     m_state->listener->limits = std::move(limits);
+    m_state->listener->budget = budget ? std::move(budget) : std::make_shared<RequestBudget>();
+}
+
+CallerLimits HttpListener::limitsWithoutBodies()
+{
+    CallerLimits limits;
+    limits.bodyBytes = maxUnusedBodyBytes;
+    return limits;
 }
 
 HttpListener::~HttpListener()
@@ -56,10 +65,13 @@
         acceptor.listen(acceptBacklog, error);
     if (error)
         return failure(ErrorCode::Unavailable, "cannot listen on " + address + ": " + error.message());
+    m_state->listener->address = address;
     acceptNext(m_state->listener);
     return success();
 }
 
+void HttpListener::setBusyFields(HeaderFields fields) { m_state->listener->busyFields = std::move(fields); }
+
 std::uint16_t HttpListener::port() const
 {
     boost::system::error_code error;
--- a/modules/hyssopwick_gateway/http/HttpListener.h
+++ b/modules/hyssopwick_gateway/http/HttpListener.h
@@ -11,13 +11,21 @@
     /// Returns the active limits; called for each request.
     using LimitsSource = std::function<CallerLimits()>;
 
+    /// Limits of addresses whose requests need no body: those for processes of the deployment, for
+    /// the platform's checks and for callers that ask for addresses.
+    static CallerLimits limitsWithoutBodies();
+
     /// \param handler  called for each whole, well-formed request
-    HttpListener(EventLoop& loop, Handler handler, LimitsSource limits);
+    /// \param budget   of the process, shared by its listeners; without one, nothing limits all clients together
+    HttpListener(EventLoop& loop, Handler handler, LimitsSource limits, std::shared_ptr<RequestBudget> budget = nullptr);
     ~HttpListener();
 
     /// Starts to listen. Fails with ErrorCode::Unavailable when the address is taken.
     Outcome<void> listen(const std::string& address);
 
+    /// Sets the header fields of answers that refuse a request for lack of memory.
+    void setBusyFields(HeaderFields fields);
+
     /// Returns the port that it listens on, or 0.
     std::uint16_t port() const;
 
--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -25,6 +25,8 @@
     constexpr std::size_t maxFramingPerByte = 8;
     // Shortest rest of a body in chunks.
     constexpr std::size_t lastChunkBytes = 5;
+    // Fields are held as read and as passed to the handler.
+    constexpr std::size_t copiesOfHead = 2;
     constexpr Milliseconds departureCheckPeriod { 200 };
     // A caller's deadline may have passed when its refusal is sent.
     constexpr Milliseconds minSendTime { 100 };
@@ -160,6 +162,8 @@
 ServerConnection::~ServerConnection()
 {
     m_listener->connections.erase(this);
+    if (m_budgetId)
+        m_listener->budget->remove(*m_budgetId);
     releaseBuffered(m_bufferedBytes);
     endExchange();
 }
@@ -177,10 +181,29 @@
 
 void ServerConnection::start()
 {
+    const auto onEviction = [self = weak_from_this()](EvictionReason reason) {
+        if (const auto connection = self.lock())
+            connection->handleEviction(reason);
+    };
+    m_budgetId = m_listener->budget->add(m_listener->address, onEviction, monotonicNow());
+    if (!m_budgetId) {
+        ++m_listener->rejections["too-many-connections"];
+        return close();
+    }
     prepareSocket(m_socket);
     readNext();
 }
 
+void ServerConnection::handleEviction(EvictionReason reason)
+{
+    if (m_isClosed || m_isRejected)
+        return close();
+    if (reason == EvictionReason::Memory && !m_isIdle)
+        return reject(statusRequestTimeout, "stalled");
+    ++m_listener->rejections["connection-evicted"];
+    close();
+}
+
 void ServerConnection::closeIfIdle()
 {
     if (m_isIdle)
@@ -210,6 +233,7 @@
     if (!m_isIdle)
         return readHeader();
     m_buffer.shrink_to_fit();
+    m_listener->budget->release(*m_budgetId, 0);
     armTimer(monotonicNow() + m_listener->limits().idleTimeout, [this] { close(); });
     m_socket.async_wait(TcpSocket::wait_read, [self = shared_from_this()](error_code error) {
         if (error || self->m_isClosed)
@@ -256,6 +280,7 @@
     if (m_isDiscarding)
         return discardInput();
     m_buffer.commit(size);
+    m_listener->budget->recordProgress(*m_budgetId, monotonicNow());
     parse();
 }
 
@@ -279,6 +304,8 @@
             return;
         if (isFramingTooLarge())
             return reject(statusHeaderTooLarge, "framing-too-large");
+        if (!reserveMemory())
+            return;
         if (m_parser->is_done())
             return dispatch();
         if (error)
@@ -294,6 +321,20 @@
     return m_bodyWireBytes > m_limits.headerBytes + bodyBytes * (1 + maxFramingPerByte);
 }
 
+std::size_t ServerConnection::memoryOfRequest() const
+{
+    const auto announced = m_parser->is_header_done() ? m_parser->content_length().value_or(0) : 0;
+    return copiesOfHead * m_headBytes + m_buffer.capacity() + std::max<std::size_t>(announced, m_parser->get().body().capacity());
+}
+
+bool ServerConnection::reserveMemory()
+{
+    if (m_listener->budget->reserve(*m_budgetId, memoryOfRequest(), monotonicNow()))
+        return true;
+    reject(statusUnavailable, "memory", m_listener->busyFields);
+    return false;
+}
+
 void ServerConnection::handleProtocolError(error_code error)
 {
     if (error == http::error::header_limit)
@@ -337,6 +378,8 @@
     m_isHeadMethod = message.method() == http::verb::head;
     if (m_parser->is_done())
         return true;
+    if (!reserveMemory())
+        return false;
     if (boost::beast::iequals(message[http::field::expect], "100-continue"))
         enqueue("HTTP/1.1 100 Continue\r\n\r\n", false);
     armTimer(monotonicNow() + bodyTimeout, [this] { reject(statusRequestTimeout, "slow-body"); });
@@ -353,6 +396,8 @@
         request.body.shrink_to_fit(); // it grew as the chunks came
     m_parser.reset();
     m_buffer.shrink_to_fit();
+    m_listener->budget->setAccepted(*m_budgetId, true);
+    m_listener->budget->release(*m_budgetId, copiesOfHead * m_headBytes + m_buffer.capacity() + request.body.capacity());
     request.waitedUnread = timeSinceReceived(m_socket);
     request.receivedAt = monotonicNow() - request.waitedUnread;
     m_exchange = std::make_shared<Exchange>(weak_from_this(), std::move(request));
@@ -365,6 +410,15 @@
     m_listener->handler(exchange);
 }
 
+// Requests that arrive ahead of their turn are not accepted yet, and have no claim on memory.
+bool ServerConnection::hasRoomToBuffer(std::size_t bytes)
+{
+    if (m_buffer.size() >= maxReadAheadBytes)
+        return false;
+    const auto& request = m_exchange->request();
+    return m_listener->budget->reserve(*m_budgetId, copiesOfHead * m_headBytes + request.body.capacity() + std::max(m_buffer.capacity(), m_buffer.size() + bytes), monotonicNow());
+}
+
 // While the request is being handled, a readable socket means that the caller closed its side
 // or already sent its next request.
 void ServerConnection::watchCaller()
@@ -376,6 +430,8 @@
     m_socket.async_wait(TcpSocket::wait_read, [self = shared_from_this(), watched](error_code error) {
         if (self->m_isClosed || self->m_exchange != watched)
             return;
+        if (!error && !self->hasRoomToBuffer(readBytes))
+            return self->watchDeparture();
         if (!error) {
             self->m_socket.non_blocking(true, error);
             const auto size = self->m_socket.receive(self->m_buffer.prepare(readBytes), 0, error);
@@ -401,7 +457,7 @@
     close();
 }
 
-void ServerConnection::reject(unsigned status, const char* reason)
+void ServerConnection::reject(unsigned status, const char* reason, HeaderFields fields)
 {
     ++m_listener->rejections[reason];
     m_isRejected = true;
@@ -411,7 +467,8 @@
     m_sendBy = monotonicNow() + lingerTime;
     m_parser.reset();
     m_request = {};
-    sendWhole(status, {}, std::string(reason) + "\n");
+    m_listener->budget->release(*m_budgetId, 0);
+    sendWhole(status, std::move(fields), std::string(reason) + "\n");
 }
 
 std::string ServerConnection::headText(unsigned status, const HeaderFields& fields, const std::string& framing) const
@@ -513,9 +570,13 @@
 void ServerConnection::answerDone()
 {
     m_isLastQueued = false;
+    m_listener->budget->release(*m_budgetId, m_buffer.capacity());
     endExchange();
+    // The connection does not give way to others before its caller has had time to read the answer.
     if (!m_isKeptAlive || (m_listener->isClosing && m_buffer.size() == 0))
         return closeLingering();
+    m_listener->budget->setAccepted(*m_budgetId, false);
+    m_listener->budget->recordProgress(*m_budgetId, monotonicNow());
     readNext();
 }
 
@@ -548,6 +609,8 @@
     error_code ignored;
     m_timer.cancel(ignored);
     m_socket.close(ignored);
+    if (m_budgetId)
+        m_listener->budget->remove(*m_budgetId);
     m_unsent.clear();
     releaseBuffered(m_bufferedBytes);
     m_sentBytes = 0;
--- a/modules/hyssopwick_gateway/http/ServerConnection.h
+++ b/modules/hyssopwick_gateway/http/ServerConnection.h
@@ -21,6 +21,9 @@
     }
 
     asio::ip::tcp::acceptor acceptor;
+    std::string address;
+    std::shared_ptr<RequestBudget> budget;
+    HeaderFields busyFields;
     HttpListener::Handler handler;
     HttpListener::LimitsSource limits;
     std::set<ServerConnection*> connections;
@@ -37,6 +40,7 @@
     ServerConnection(TcpSocket socket, std::shared_ptr<ListenerState> listener);
     ~ServerConnection();
 
+    /// Reads the first request, unless the process has no room for a further connection.
     void start();
 
     /// Closes the connection if no request is being read or answered.
@@ -56,6 +60,9 @@
     void parse();
     std::size_t minBytesToParse() const;
     bool acceptHead();
+    bool reserveMemory();
+    std::size_t memoryOfRequest() const;
+    bool hasRoomToBuffer(std::size_t bytes);
     bool isFramingTooLarge() const;
     void handleProtocolError(boost::system::error_code error);
     const char* framingProblem() const;
@@ -63,7 +70,8 @@
     void watchCaller();
     void watchDeparture();
     void handleCallerLeft();
-    void reject(unsigned status, const char* reason);
+    void handleEviction(EvictionReason reason);
+    void reject(unsigned status, const char* reason, HeaderFields fields = {});
     void decideConnectionEnd();
     void sendWhole(unsigned status, HeaderFields fields, std::string body);
     void sendStreamHead(unsigned status, const HeaderFields& fields);
@@ -88,6 +96,7 @@
     ServerRequest m_request; // the one that is being read
     std::size_t m_headBytes = 0; // of it
     std::size_t m_bodyWireBytes = 0; // of it, with the framing of chunks and trailers
+    std::optional<RequestBudget::ConnectionId> m_budgetId;
     std::shared_ptr<Exchange> m_exchange;
     std::shared_ptr<ServerConnection> m_self; // while an exchange is open
     std::deque<std::string> m_unsent;
--- a/tests/platform/MalformedAnswerTests.cpp
+++ b/tests/platform/MalformedAnswerTests.cpp
@@ -143,6 +143,26 @@
     }
 }
 
+// Each write ends with a line, so that nothing of the head is left over between them.
+TEST(MalformedAnswer, AHeadWithoutEndIsCutHoweverItsLinesArrive)
+{
+    asio::ip::tcp::acceptor acceptor(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::optional<WholeResponse> response;
+    const auto deadline = monotonicNow() + Milliseconds(10000); // only ends a failing test
+    fetchWhole(loop, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), { "GET", "/", {}, "" }, deadline, deadline, [&response](WholeResponse received) { response = std::move(received); });
+    auto server = acceptor.accept();
+    server.set_option(asio::ip::tcp::no_delay(true));
+    boost::system::error_code error;
+    asio::write(server, asio::buffer(std::string("HTTP/1.1 200 OK\r\n")), error);
+    for (int line = 0; line < 2000 && !response; ++line) {
+        asio::write(server, asio::buffer("X-More: " + std::string(100, 'm') + "\r\n"), error);
+        for (int i = 0; i < 3; ++i)
+            loop.run_one_for(Milliseconds(1));
+    }
+    CHECK(response.has_value());
+    CHECK(response->end == ExchangeEnd::Malformed);
+}
+
 TEST(MalformedAnswer, AStatusOutOfRangeIsNoAnswer)
 {
     for (const auto& status : malformedStatuses) {
