--- a/modules/hyssopwick_gateway/http/HttpListener.cpp
+++ b/modules/hyssopwick_gateway/http/HttpListener.cpp
@@ -8,15 +8,31 @@
     constexpr int acceptBacklog = 512;
     constexpr std::size_t maxUnusedBodyBytes = std::size_t(64) << 10;
 
+    // A failed accept leaves the client in the queue, so that the next one would fail at once.
+    constexpr Milliseconds acceptRetryDelay { 20 };
+
+    void acceptNext(const std::shared_ptr<ListenerState>& listener);
+
+    // Descriptors may be used up in spite of the budget, since the process has others.
+    void handleAcceptFailure(const std::shared_ptr<ListenerState>& listener)
+    {
+        ++listener->rejections["accept-failed"];
+        listener->budget->evictForConnection();
+        listener->acceptTimer.expires_after(acceptRetryDelay);
+        listener->acceptTimer.async_wait([listener](boost::system::error_code error) {
+            if (!error && listener->acceptor.is_open())
+                acceptNext(listener);
+        });
+    }
+
     void acceptNext(const std::shared_ptr<ListenerState>& listener)
     {
         listener->acceptor.async_accept([listener](boost::system::error_code error, TcpSocket socket) {
             if (!listener->acceptor.is_open())
                 return;
-            if (!error)
-                std::make_shared<ServerConnection>(std::move(socket), listener)->start();
-            else
-                ++listener->rejections["accept-failed"];
+            if (error)
+                return handleAcceptFailure(listener);
+            std::make_shared<ServerConnection>(std::move(socket), listener)->start();
             acceptNext(listener);
         });
     }
@@ -96,6 +112,7 @@
 {
     boost::system::error_code ignored;
     m_state->listener->acceptor.close(ignored);
+    m_state->listener->acceptTimer.cancel(ignored);
 }
 
 std::size_t HttpListener::openExchanges() const { return m_state->listener->openExchanges; }
--- a/modules/hyssopwick_gateway/http/ServerConnection.h
+++ b/modules/hyssopwick_gateway/http/ServerConnection.h
@@ -17,10 +17,12 @@
 struct ListenerState {
     explicit ListenerState(EventLoop& loop)
         : acceptor(loop)
+        , acceptTimer(loop)
     {
     }
 
     asio::ip::tcp::acceptor acceptor;
+    LoopTimer acceptTimer;
     std::string address;
     std::shared_ptr<RequestBudget> budget;
     HeaderFields busyFields;
