A view that a peer sends is decompressed to a part of the process's memory only

Callers saw: nothing that is known; by reading. An answer of 64 KB of a peer's address could decompress to 64 MiB, on VMs of 112 MB, and is parsed afterwards.

Cause: the limit on decompressed views was the same on all VMs.

Beyond it the answer is malformed, upon which another source is asked.

--- a/modules/hyssopwick_gateway/view/ViewMessage.cpp
+++ b/modules/hyssopwick_gateway/view/ViewMessage.cpp
@@ -12,8 +12,6 @@
 namespace {
     // A smaller update takes one or two packets, compressed or not.
     constexpr std::size_t minCompressedBytes = 4096;
-    // Only a sanity check: some hundred times a configuration of 1,370 routes.
-    constexpr std::size_t maxViewBytes = std::size_t(64) << 20;
     // Followers know the last revision or the one before; those that start know none. The
     // limit saves memory of the entry VM.
     constexpr std::size_t maxCachedEncodings = 4;
@@ -188,7 +186,7 @@
     return encoded;
 }
 
-Outcome<ReceivedView> decodeView(const HeaderFields& fields, const std::string& body)
+Outcome<ReceivedView> decodeView(const HeaderFields& fields, const std::string& body, std::size_t maxBytes)
 {
     BOOST_OUTCOME_TRY(times, decodeTimes(fields));
     BOOST_OUTCOME_TRY(versionAges, decodeVersionAges(headerValue(fields, versionAgesField)));
@@ -204,7 +202,7 @@
         BOOST_OUTCOME_TRY(update, decodeUpdate(body));
         return ReceivedView { std::move(update), times, std::move(versionAges), std::move(estimatedAges), contentDigest };
     }
-    BOOST_OUTCOME_TRY(bytes, decompress(body, maxViewBytes));
+    BOOST_OUTCOME_TRY(bytes, decompress(body, maxBytes));
     BOOST_OUTCOME_TRY(update, decodeUpdate(bytes));
     return ReceivedView { std::move(update), times, std::move(versionAges), std::move(estimatedAges), contentDigest };
 }
--- a/modules/hyssopwick_gateway/view/ViewMessage.h
+++ b/modules/hyssopwick_gateway/view/ViewMessage.h
@@ -68,9 +68,14 @@
 /// Encodes an update, compressed when it is large.
 EncodedView encodeView(const ViewUpdate& update);
 
-/// Decodes a peer's answer. Fails with ErrorCode::InvalidInput when it is malformed or comes
+/// A view that is larger than this is not decoded, whatever memory there is.
+constexpr std::size_t maxViewBytes = std::size_t(64) << 20;
+
+/// Decodes a peer's answer.
+/// \param maxBytes  of the view when it is decompressed
+/// Fails with ErrorCode::InvalidInput when it is malformed or comes
 /// from a build with another format.
-Outcome<ReceivedView> decodeView(const HeaderFields& fields, const std::string& body);
+Outcome<ReceivedView> decodeView(const HeaderFields& fields, const std::string& body, std::size_t maxBytes = maxViewBytes);
 
 /// Caches the encoded updates to the current position, one for each position that followers
 /// know.
--- a/modules/hyssopwick_gateway/view/ViewReplicator.cpp
+++ b/modules/hyssopwick_gateway/view/ViewReplicator.cpp
@@ -18,6 +18,8 @@
     constexpr Milliseconds maxTransferTime { 8000 };
     // Several times a configuration at the store's limit on values, encoded.
     constexpr std::uint64_t maxViewAnswerBytes = std::uint64_t(16) << 20;
+    // A view is decompressed and then parsed, which takes several times its size.
+    constexpr std::size_t viewMemoryDivisor = 16;
     // An answer that takes this long after the request arrives over a narrow link; the shortest bound on
     // the propagation of a change is 2 s.
     constexpr Milliseconds slowAnswerTime = ViewServer::maxWait + peerRoundTripTime + Milliseconds(200);
@@ -263,7 +265,7 @@
             return handleLag(peer);
         if (!response.isComplete() || response.status != statusOk)
             return handleIncomplete(peer, "", response, transfer);
-        const auto answer = decodeView(response.fields, response.body);
+        const auto answer = decodeView(response.fields, response.body, m_context.description.memoryBytes / viewMemoryDivisor);
         if (!answer)
             return handleFailure(peer, answer.error().message, transfer);
         if (answer.value().update.era < m_view.position().era)
@@ -314,7 +316,7 @@
     m_alternativeExchange.reset();
     const bool isSourceSlow = m_peerExchange != nullptr; // otherwise it has failed meanwhile
     transfer = recordTransfer(peer, transfer, response);
-    const auto answer = response.isComplete() && response.status == statusOk ? decodeView(response.fields, response.body) : Outcome<ReceivedView>(failure(ErrorCode::Unavailable, exchangeEndName(response.end)));
+    const auto answer = response.isComplete() && response.status == statusOk ? decodeView(response.fields, response.body, m_context.description.memoryBytes / viewMemoryDivisor) : Outcome<ReceivedView>(failure(ErrorCode::Unavailable, exchangeEndName(response.end)));
     const bool isUsable = answer && answer.value().update.era >= m_view.position().era && answer.value().times.age <= ViewSourceDecision::maxUsableAge();
     if (!isUsable)
         return isSourceSlow ? scheduleAlternative(slow, alternativeRetryDelay) : scheduleFollow(nextRetryDelay());
--- a/modules/hyssopwick_node/agent/AgentNode.cpp
+++ b/modules/hyssopwick_node/agent/AgentNode.cpp
@@ -78,8 +78,10 @@
             weights.serveManifest(*shared, *responder);
         else if (startsWith(shared->path, "/weights/"))
             weights.serveWeights(*shared, *responder);
-        else
+        else {
+            server->exportMetrics(context.metrics);
             answerOperationalPath(*shared, *responder, context.metrics, isReady());
+        }
     });
     if (!isQueued)
         responder->send(statusNotReady, "busy\n");
@@ -184,6 +186,8 @@
     options.address = state.context.settings.listen;
     options.threads = serverThreads;
     options.maxRequestBytes = maxChunkBytes;
+    const auto& settings = state.context.settings;
+    options.budget = RequestBudgetLimits::of(static_cast<std::size_t>(settings.memoryBytes), static_cast<std::size_t>(settings.maxDescriptors));
     state.server = std::make_unique<HttpServer>(options, [&state](HttpRequest request, HttpResponderPointer responder) { state.route(std::move(request), std::move(responder)); });
     const auto started = state.server->start();
     if (!started)
--- a/modules/hyssopwick_node/entry/EntryNode.cpp
+++ b/modules/hyssopwick_node/entry/EntryNode.cpp
@@ -104,8 +104,10 @@
         answerAddressQuery(responder);
     else if (request.path == "/v1/status")
         responder.send(statusOk, describe().dump(), json);
-    else
+    else {
+        server->exportMetrics(context.metrics);
         answerOperationalPath(request, responder, context.metrics, isReady());
+    }
 }
 
 void EntryNode::State::route(HttpRequest request, HttpResponderPointer responder)
@@ -216,6 +218,8 @@
     options.address = state.context.settings.listen;
     options.threads = serverThreads;
     options.maxRequestBytes = maxRequestBytes;
+    const auto& settings = state.context.settings;
+    options.budget = RequestBudgetLimits::of(static_cast<std::size_t>(settings.memoryBytes), static_cast<std::size_t>(settings.maxDescriptors));
     state.server = std::make_unique<HttpServer>(options, [&state](HttpRequest request, HttpResponderPointer responder) { state.route(std::move(request), std::move(responder)); });
     const auto started = state.server->start();
     if (!started)
--- a/modules/hyssopwick_records/settings/ProcessSettings.cpp
+++ b/modules/hyssopwick_records/settings/ProcessSettings.cpp
@@ -15,6 +15,10 @@
     constexpr std::int64_t defaultKeyValueCallsPerSecond = 40;
     constexpr std::int64_t defaultWorkerThreads = 48;
     constexpr std::size_t minPeerKeyLength = 16;
+    constexpr std::int64_t minMemoryBytes = 16'000'000;
+    constexpr std::int64_t maxMemoryBytes = 1'000'000'000'000;
+    constexpr std::int64_t minDescriptors = 256;
+    constexpr std::int64_t maxDescriptors = 10'000'000;
 
     bool isAddress(const std::string& text)
     {
@@ -81,6 +85,8 @@
         settings.listen = addresses.read("listen");
         settings.vm.address = settings.listen;
         settings.workerThreads = table.number("worker_threads", 1, 1024, defaultWorkerThreads);
+        settings.memoryBytes = table.number("memory_bytes", minMemoryBytes, maxMemoryBytes, settings.memoryBytes);
+        settings.maxDescriptors = table.number("max_descriptors", minDescriptors, maxDescriptors, settings.maxDescriptors);
     }
 
     void readPlatform(TableReader& table, AddressReader& addresses, ProcessSettings& settings)
--- a/modules/hyssopwick_records/settings/ProcessSettings.h
+++ b/modules/hyssopwick_records/settings/ProcessSettings.h
@@ -26,6 +26,8 @@
     std::int64_t weightBudgetBytes = 0; ///< agents only: memory for staged weights
     std::int64_t keyValueCallsPerSecond = 0;
     std::int64_t workerThreads = 0;
+    std::int64_t memoryBytes = 4'000'000'000; ///< that this process may use; bounds what requests may hold
+    std::int64_t maxDescriptors = 4096; ///< that this process may have open
 };
 
 /// Parses the settings of an entry process.
--- a/modules/hyssopwick_transport/http/HttpServer.h
+++ b/modules/hyssopwick_transport/http/HttpServer.h
@@ -9,8 +9,8 @@
     std::string address; ///< "ip:port"; port 0 picks a free one
     unsigned threads = 2;
     std::size_t maxRequestBytes = 1 << 20;
-    Milliseconds headerTimeout { 5000 };
-    Milliseconds bodyTimeout { 20000 };
+    Milliseconds bodyTimeout { 20000 }; ///< from the first byte of a connection to the end of its first request
+    RequestBudgetLimits budget = {}; ///< of all clients together
 };
 
 /// HTTP/1.1 server on Pistache.
@@ -30,6 +30,9 @@
     /// as when callers read slowly. stop() discards them.
     std::size_t pendingWrites() const;
 
+    /// Sets gauges that tell which clients were turned away.
+    void exportMetrics(MetricsRegistry& metrics) const;
+
     /// Returns the bound "ip:port".
     std::string address() const;
 
--- a/tests/platform/ViewTests.cpp
+++ b/tests/platform/ViewTests.cpp
@@ -341,6 +341,16 @@
     }
 }
 
+// A short answer may decompress to more than the process may hold.
+TEST(View, AnAnswerThatDecompressesToMoreThanTheLimitIsMalformed)
+{
+    const auto encoded = encodeView({ 9, true, { { "key", std::string(1 << 20, 'z'), 8, false } } });
+    CHECK(encoded.isCompressed);
+    CHECK(encoded.body.size() < 10'000);
+    CHECK(decodeView(encoded.fields({}), encoded.body, std::size_t(2) << 20).has_value());
+    CHECK_FALSE(decodeView(encoded.fields({}), encoded.body, std::size_t(1) << 20).has_value());
+}
+
 // Processes of another build may answer in an earlier format.
 TEST(View, AnswersInAnotherFormatAreMalformed)
 {
