--- a/modules/hyssopwick_transport/hyssopwick_transport.h
+++ b/modules/hyssopwick_transport/hyssopwick_transport.h
@@ -1,5 +1,5 @@
 // Module: hyssopwick_transport
-// Dependencies: hyssopwick_core, Pistache, libcurl, libjsonrpccpp, nlohmann-json
+// Dependencies: hyssopwick_core, Pistache, Boost.Beast, libcurl, libjsonrpccpp, nlohmann-json
 // Purpose: HTTP server and client, authenticated JSON-RPC between processes of this
 // system, and clients for the platform's key-value service and VM list.
 #pragma once
