HttpServer sends a rejection behind earlier answers; names of the platform leave the shared test files

A rejection was written to the socket at once, and could have come before an answer that Pistache had still to write; a line break that some clients send behind a body would have ended the use of their connection.

Change: a rejection passes through the same queue as answers, and the connection is shut down when it is written; spaces and line breaks between requests are skipped. Crowds and bounds are the same.

--- a/modules/hyssopwick_transport/http/HttpServer.cpp
+++ b/modules/hyssopwick_transport/http/HttpServer.cpp
@@ -400,7 +400,7 @@
             if (client.isRejected)
                 return discard(size, client, *peer);
             if (client.buffer.size() + size > maxHeadBytes + readBytes)
-                return reject(statusHeadTooLarge, client, *peer);
+                return reject(statusHeadTooLarge, client, peer);
             client.buffer.commit(boost::asio::buffer_copy(client.buffer.prepare(size), boost::asio::buffer(data, size)));
             read(client, peer);
         }
@@ -433,13 +433,13 @@
                 client.buffer.consume(size);
                 (isHead ? client.headBytes : client.bodyWireBytes) += size;
                 if (error && error != Beast::error::need_more)
-                    return reject(statusFor(error), client, *peer);
-                if (isHead && client.parser->is_header_done() && !acceptHead(client, *peer))
+                    return reject(statusFor(error), client, peer);
+                if (isHead && client.parser->is_header_done() && !acceptHead(client, peer))
                     return;
                 if (client.isFramingTooLarge())
-                    return reject(statusHeadTooLarge, client, *peer);
+                    return reject(statusHeadTooLarge, client, peer);
                 if (!m_clients->reserve(client.id, client.memory()))
-                    return reject(statusUnavailable, client, *peer);
+                    return reject(statusUnavailable, client, peer);
                 if (client.parser->is_done())
                     return dispatch(client, peer);
                 if (error)
@@ -455,7 +455,7 @@
             client.headBytes = client.bodyWireBytes = 0;
         }
 
-        bool acceptHead(Client& client, const Pistache::Tcp::Peer& peer)
+        bool acceptHead(Client& client, const std::shared_ptr<Pistache::Tcp::Peer>& peer)
         {
             const auto& message = client.parser->get();
             if (message.count(Beast::field::transfer_encoding) > 0 && !client.parser->chunked()) {
@@ -464,9 +464,9 @@
             }
             client.request = translateHead(message);
             client.parser->eager(true);
-            constexpr std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+            const std::string goOn = "HTTP/1.1 100 Continue\r\n\r\n";
             if (!client.parser->is_done() && boost::beast::iequals(message[Beast::field::expect], "100-continue"))
-                ::send(peer.fd(), goOn.data(), goOn.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+                peer->send(Pistache::RawBuffer(goOn, goOn.size())).then([](ssize_t) {}, [](const std::exception_ptr&) {});
             return true;
         }
 
@@ -488,7 +488,10 @@
             auto request = std::move(client.request);
             request.body = std::move(client.parser->get().body());
             client.parser.reset();
-            // Answers to requests that are sent ahead could overtake each other.
+            // Some clients end a body with a line break. Answers to requests that are sent ahead could
+            // overtake each other.
+            while (client.buffer.size() > 0 && std::isspace(*static_cast<const unsigned char*>(client.buffer.data().data())) != 0)
+                client.buffer.consume(1);
             client.isRejected = client.buffer.size() > 0;
             client.buffer.shrink_to_fit();
             m_handler(std::move(request), std::move(responder));
@@ -496,21 +499,23 @@
 
         // The connection carries no further request. What the client still sends is discarded, so that
         // its answer is not lost to a reset.
-        void reject(int status, Client& client, const Pistache::Tcp::Peer& peer)
+        void reject(int status, Client& client, const std::shared_ptr<Pistache::Tcp::Peer>& peer)
         {
             client.isRejected = true;
             client.parser.reset();
             client.buffer = {};
             if (m_clients->discard(client.id))
-                return; // the answers to earlier requests come first
+                return; // earlier requests are still being handled
             auto head = responseHead(status, { { "Connection", "close" }, { "Content-Length", "0" } });
             if (status == statusUnavailable)
                 head += "Retry-After: 1\r\n";
             head += "\r\n";
-            if (::send(peer.fd(), head.data(), head.size(), MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
-                ::shutdown(peer.fd(), SHUT_RDWR);
-            else
-                ::shutdown(peer.fd(), SHUT_WR);
+            const auto size = head.size();
+            const auto shutDown = [weak = std::weak_ptr<Pistache::Tcp::Peer>(peer)](ssize_t) {
+                if (const auto rejected = weak.lock())
+                    ::shutdown(rejected->fd(), SHUT_WR);
+            };
+            peer->send(Pistache::RawBuffer(std::move(head), size)).then(shutDown, [](const std::exception_ptr&) {});
         }
 
         static void discard(std::size_t size, Client& client, const Pistache::Tcp::Peer& peer)
--- a/tests/HostileCrowd.h
+++ b/tests/HostileCrowd.h
@@ -127,9 +127,10 @@
 };
 
 /// Returns the part of a hostile request up to its body.
-inline std::string hostileHead(const std::string& method, const std::string& target, const std::string& framing)
+/// \param fields  of the head, each with its line break
+inline std::string hostileHead(const std::string& method, const std::string& target, const std::string& fields)
 {
-    return method + " " + target + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: 0123456789abcdef\r\nDeadline-Ms: 30000\r\nAuthorization: Bearer key\r\n" + framing + "\r\n";
+    return method + " " + target + " HTTP/1.1\r\nHost: a.example\r\n" + fields + "\r\n";
 }
 
 /// Sends an ordinary request until it is answered with \p status, as clients do that were turned
--- a/tests/ProgramProcess.h
+++ b/tests/ProgramProcess.h
@@ -18,8 +18,10 @@
 public:
     /// \param settings         text of its settings file
     /// \param descriptorLimit  of the process, or 0 to leave it as it is
-    ProgramProcess(const std::string& program, const std::string& settings, rlim_t descriptorLimit)
-        : m_settingsPath((std::filesystem::temp_directory_path() / ("hyssopwick-" + std::to_string(getpid()) + "-" + program + ".toml")).string())
+    /// \param pathVariable     environment variable that names the settings file, beside the argument
+    ProgramProcess(const std::string& program, const std::string& settings, rlim_t descriptorLimit, const std::string& pathVariable = "SETTINGS")
+        : m_pathVariable(pathVariable)
+        , m_settingsPath((std::filesystem::temp_directory_path() / ("hyssopwick-" + std::to_string(getpid()) + "-" + program + ".toml")).string())
     {
         std::ofstream(m_settingsPath) << settings;
         const auto path = (std::filesystem::read_symlink("/proc/self/exe").parent_path() / program).string();
@@ -81,11 +83,12 @@
             const rlimit limit { descriptorLimit, descriptorLimit };
             setrlimit(RLIMIT_NOFILE, &limit);
         }
-        setenv("HYSSOPWICK_BOOT", m_settingsPath.c_str(), 1);
+        setenv(m_pathVariable.c_str(), m_settingsPath.c_str(), 1);
         execl(path.c_str(), path.c_str(), "--settings", m_settingsPath.c_str(), static_cast<char*>(nullptr));
         _exit(exitNotStarted);
     }
 
+    std::string m_pathVariable;
     std::string m_settingsPath;
     pid_t m_id = -1;
     int m_status = 0;
--- a/tests/platform/HostileClientSupport.h
+++ b/tests/platform/HostileClientSupport.h
@@ -137,6 +137,7 @@
     static constexpr std::size_t socketDescriptors = descriptors - 200;
     static constexpr std::size_t bodyBytes = std::size_t(1) << 20; // allowed by the configuration
     static constexpr std::size_t defaultBodyBytes = std::size_t(4) << 20; // on the other addresses
+    static constexpr const char* pathVariable = "HYSSOPWICK_BOOT";
     static constexpr std::uint16_t internalPort = 21761;
     static constexpr std::uint16_t metricsPort = 21762;
     static constexpr std::uint16_t callerPort = 21763;
@@ -152,13 +153,13 @@
 
     void startEntry()
     {
-        process = std::make_unique<ProgramProcess>("hyssopwick-platform-entry", settings(R"(front = ")" + at(callerPort) + "\"\nready = \"" + at(readyPort) + "\"\ndirectory = \"" + at(directoryPort) + "\"\n"), descriptors);
+        process = std::make_unique<ProgramProcess>("hyssopwick-platform-entry", settings(R"(front = ")" + at(callerPort) + "\"\nready = \"" + at(readyPort) + "\"\ndirectory = \"" + at(directoryPort) + "\"\n"), descriptors, pathVariable);
         CHECK(isAnswered(loop, at(callerPort), ordinaryCall(), 200));
     }
 
     void startAgent()
     {
-        process = std::make_unique<ProgramProcess>("hyssopwick-platform-agent", settings(""), descriptors);
+        process = std::make_unique<ProgramProcess>("hyssopwick-platform-agent", settings(""), descriptors, pathVariable);
         CHECK(isAnswered(loop, at(metricsPort), { "GET", "/metrics", {}, "" }, 200));
     }
 
--- a/tests/platform/HostileClientTests.cpp
+++ b/tests/platform/HostileClientTests.cpp
@@ -12,22 +12,28 @@
 constexpr std::size_t uploadersOfDefaultBodies = 32;
 constexpr std::size_t idlers = 600;
 
-const HostileRequest endlessTrailers { hostileHead("POST", "/q/a", "Transfer-Encoding: chunked\r\n") + "4\r\nbody\r\n0\r\n", "X-Trailer: and more\r\n", longSenderBytes };
-const HostileRequest endlessChunkHeader { hostileHead("POST", "/q/a", "Transfer-Encoding: chunked\r\n") + "4;name=", "z", longSenderBytes };
-const HostileRequest announcedTooLong { hostileHead("POST", "/q/a", "Content-Length: 1073741824\r\n"), "z", longSenderBytes };
-const HostileRequest sentTooLong { hostileHead("POST", "/q/a", "Transfer-Encoding: chunked\r\n"), "8\r\nzzzzzzzz\r\n", longSenderBytes };
+// Fields of an ordinary call, and those that say where its body ends.
+std::string callHead(const std::string& method, const std::string& target, const std::string& framing)
+{
+    return hostileHead(method, target, "Request-Id: 0123456789abcdef\r\nDeadline-Ms: 30000\r\nAuthorization: Bearer key\r\n" + framing);
+}
+
+const HostileRequest endlessTrailers { callHead("POST", "/q/a", "Transfer-Encoding: chunked\r\n") + "4\r\nbody\r\n0\r\n", "X-Trailer: and more\r\n", longSenderBytes };
+const HostileRequest endlessChunkHeader { callHead("POST", "/q/a", "Transfer-Encoding: chunked\r\n") + "4;name=", "z", longSenderBytes };
+const HostileRequest announcedTooLong { callHead("POST", "/q/a", "Content-Length: 1073741824\r\n"), "z", longSenderBytes };
+const HostileRequest sentTooLong { callHead("POST", "/q/a", "Transfer-Encoding: chunked\r\n"), "8\r\nzzzzzzzz\r\n", longSenderBytes };
 
 // One pattern is one chunk of 1 KiB.
 std::string chunkOfOneKibibyte() { return "400\r\n" + std::string(1024, 'z') + "\r\n"; }
 
-HostileRequest wholeBody(const std::string& target, std::size_t size) { return { hostileHead("POST", target, "Content-Length: " + std::to_string(size) + "\r\n"), "z", size }; }
+HostileRequest wholeBody(const std::string& target, std::size_t size) { return { callHead("POST", target, "Content-Length: " + std::to_string(size) + "\r\n"), "z", size }; }
 
 HostileRequest bodyInPieces(const std::string& target, std::size_t size)
 {
-    return { hostileHead("POST", target, "Transfer-Encoding: chunked\r\n"), chunkOfOneKibibyte(), size / 1024 * chunkOfOneKibibyte().size() };
+    return { callHead("POST", target, "Transfer-Encoding: chunked\r\n"), chunkOfOneKibibyte(), size / 1024 * chunkOfOneKibibyte().size() };
 }
 
-HostileRequest bodyWithoutItsLastByte(const std::string& target, std::size_t size) { return { hostileHead("POST", target, "Content-Length: " + std::to_string(size) + "\r\n"), "z", size - 1 }; }
+HostileRequest bodyWithoutItsLastByte(const std::string& target, std::size_t size) { return { callHead("POST", target, "Content-Length: " + std::to_string(size) + "\r\n"), "z", size - 1 }; }
 
 }
 
@@ -184,7 +190,7 @@
 TEST(HostileClients, ASingleBodyOfTheLargestSizeInPiecesIsServed)
 {
     startEntry();
-    auto text = hostileHead("POST", "/q/a", "Transfer-Encoding: chunked\r\n");
+    auto text = callHead("POST", "/q/a", "Transfer-Encoding: chunked\r\n");
     for (std::size_t piece = 0; piece < bodyBytes / 1024; ++piece)
         text += "400;name=\"value\"\r\n" + std::string(1024, 'z') + "\r\n";
     HostileCrowd client(loop, at(callerPort), 1, { text + "0\r\nX-Trailer: one\r\n\r\n", "", 0 });
