An ended answer is cut at its deadline, whatever its caller sends meanwhile

Callers saw: none of the honest ones. A caller that sent over 16 KB of its next requests while it read nothing of an answer kept the connection, with the whole answer, past the answer's deadline (5 s of TCP_USER_TIMEOUT in the test, without end as long as it acknowledges probes). Cause: ServerConnection has one timer. watchDeparture() armed it for the check whether the caller has left, and so replaced the time limit of the answer. Change: once an answer is complete, its time limit keeps the timer. It ends the connection in any case, so the check for the caller's leaving is not needed then.

--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -446,6 +446,9 @@
 
 void ServerConnection::watchDeparture()
 {
+    // The timer holds the time limit of an answer that is complete. It ends the connection in any case.
+    if (m_isLastQueued)
+        return;
     armTimer(monotonicNow() + departureCheckPeriod, [this] { isClosedByPeer(m_socket) ? handleCallerLeft() : watchCaller(); });
 }
 
--- a/tests/platform/SlowReaderTests.cpp
+++ b/tests/platform/SlowReaderTests.cpp
@@ -114,6 +114,8 @@
         asio::write(m_socket, asio::buffer("GET /x/a HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer secret-key\r\nRequest-Id: r1\r\nDeadline-Ms: " + deadline + "\r\n\r\n"));
     }
 
+    void send(const std::string& bytes) { asio::write(m_socket, asio::buffer(bytes)); }
+
     void read()
     {
         m_socket.async_read_some(asio::buffer(m_buffer), [this](boost::system::error_code error, std::size_t size) {
@@ -292,6 +294,27 @@
     LONGS_EQUAL(0, whole.bufferedBytes());
 }
 
+// Load: a caller that sends its next requests while it reads nothing of an ended answer. Guards
+// against a connection that stays open, with its answer, for as long as the caller likes.
+TEST(SlowReader, AnEndedAnswerIsCutAtItsDeadlineWhateverItsCallerSendsMeanwhile)
+{
+    std::size_t received = 0;
+    HttpListener whole(
+        loop, [&received](const ServerExchangePointer& exchange) {
+            ++received;
+            exchange->sendBy(monotonicNow() + Milliseconds(600));
+            exchange->respond(200, {}, std::string(std::size_t(16) << 20, 'x')); },
+        [] { return CallerLimits(); });
+    CHECK(whole.listen("127.0.0.1:0").has_value());
+    SlowCaller caller(loop, whole.port(), "600");
+    runUntil([&] { return received == 1; });
+    caller.send("POST /x/b HTTP/1.1\r\nHost: a.example\r\nContent-Length: 40000\r\n\r\n" + std::string(40000, 'z'));
+    runUntil([&] { return whole.openExchanges() == 0; });
+    LONGS_EQUAL(1, received);
+    LONGS_EQUAL(1, whole.unreadAnswers());
+    LONGS_EQUAL(0, whole.bufferedBytes());
+}
+
 // Load: callers that read nothing until the entry refuses one. Guards against a process that
 // grows over its memory, and against streams that take the memory of whole answers.
 TEST(SlowReader, CallsAreRefusedBeforeUnreadStreamsTakeTheMemoryOfWholeAnswers)
