HttpServer accepts no more connections than its clients may keep open

MoreUnfinishedHeadsThanDescriptorsAtAnAgent: 390 descriptors, bound 312. Cause: Pistache's listener accepts on a thread of its own and without a limit. The budget was applied by the other threads, when they took a connection over, and only shut the evicted ones down: while these threads are late, descriptors grow with the crowd. Sampled through such a crowd, 178 being allowed: 196 to 214 at rest, 254 to 307 beside 40 busy processes, most of them at 1.0 s, when dropped SYNs are repeated. Evidence: HttpServer.NoMoreConnectionsAreOpenThanAllowedWhileItsThreadsAreBusy holds the only thread: 104 sockets of 16 before. Also failing before: a second request that is never complete kept its connection (no time limit after the first), and stop() left connections open. Change: ClientAcceptor accepts on its own thread, through ClientRegistry, where a connection counts until its descriptor is closed; with no room it waits for one that gives way, and turns a client away only if all carry accepted requests. Pistache's transport reads and writes as before. Time limits of requests moved to the registry: each request has one, until it is accepted.

--- a/modules/hyssopwick_transport/http/HttpServer.cpp
+++ b/modules/hyssopwick_transport/http/HttpServer.cpp
@@ -1,15 +1,17 @@
 #include "HttpServer.h"
 
-#include <atomic>
+#include "ClientAcceptor.h"
+#include "PistacheResponder.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/optional.hpp>
 #include <map>
-#include <mutex>
-#include <pistache/endpoint.h>
-#include <pistache/http.h>
 #include <pistache/peer.h>
+#include <pistache/reactor.h>
+#include <pistache/tcp.h>
+#include <pistache/transport.h>
 #include <sys/socket.h>
 #include <unordered_map>
 
@@ -17,15 +19,8 @@
 
 namespace {
 
-    namespace Http = Pistache::Http;
     namespace Beast = boost::beast::http;
 
-    constexpr std::size_t maxResponseBytes = std::size_t(1) << 31;
-    // Minutes of a token stream; a caller that reads, however slowly, stays far below it.
-    constexpr std::size_t maxUnreadStreamBytes = std::size_t(2) << 20;
-    // Estimate of what Pistache allocates for each write beside its bytes.
-    constexpr std::size_t writeOverheadBytes = 512;
-    constexpr int listenBacklog = 1024;
     // A head, the framing of a body in chunks, and what is discarded after a rejection.
     constexpr std::size_t maxHeadBytes = std::size_t(64) << 10;
     constexpr std::size_t readBytes = std::size_t(16) << 10;
@@ -40,183 +35,20 @@
     constexpr int statusTooLarge = 413;
     constexpr int statusHeadTooLarge = 431;
     constexpr int statusUnavailable = 503;
-    // Also limits the duration of a streamed response.
-    constexpr Milliseconds keepaliveTimeout { 3'600'000 };
-
-    const char* reasonPhrase(int status) { return Http::codeString(static_cast<Http::Code>(status)); }
-
-    std::string responseHead(int status, const HttpHeaders& headers)
-    {
-        std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
-        for (const auto& [name, value] : headers)
-            head += name + ": " + value + "\r\n";
-        return head;
-    }
-
-    using WriteCounter = std::shared_ptr<std::atomic<std::size_t>>;
-
-    // Counts a write and its bytes until Pistache has ended it or has dropped it with its connection.
-    class PendingWrite {
-    public:
-        PendingWrite(WriteCounter counter, WriteCounter unreadBytes, std::size_t bytes)
-            : m_counter(std::move(counter))
-            , m_unreadBytes(std::move(unreadBytes))
-            , m_bytes(bytes + writeOverheadBytes)
-        {
-            ++*m_counter;
-            *m_unreadBytes += m_bytes;
-        }
-
-        ~PendingWrite()
-        {
-            --*m_counter;
-            *m_unreadBytes -= m_bytes;
-        }
-
-        PendingWrite(const PendingWrite&) = delete;
-        PendingWrite& operator=(const PendingWrite&) = delete;
-
-    private:
-        WriteCounter m_counter;
-        WriteCounter m_unreadBytes;
-        std::size_t m_bytes;
-    };
-
-    // Applies the budget of all clients to the connections of all threads.
-    class ClientRegistry {
-    public:
-        using Id = RequestBudget::ConnectionId;
-
-        explicit ClientRegistry(RequestBudgetLimits limits)
-            : m_budget(limits)
-        {
-        }
-
-        std::optional<Id> add(const std::shared_ptr<Pistache::Tcp::Peer>& peer)
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            // Pistache notices the end of the connection and then forgets it. It closes the descriptor
-            // only after remove().
-            const auto shutDown = [weak = std::weak_ptr<Pistache::Tcp::Peer>(peer)](EvictionReason) {
-                if (const auto evicted = weak.lock())
-                    ::shutdown(evicted->fd(), SHUT_RDWR);
-            };
-            const auto id = m_budget.add("", shutDown, monotonicNow());
-            if (id)
-                m_usage[*id] = {};
-            return id;
-        }
-
-        void remove(Id id)
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            m_budget.remove(id);
-            m_usage.erase(id);
-        }
-
-        // Lets a request that is being read hold some bytes.
-        bool reserve(Id id, std::size_t bytes)
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            const auto usage = m_usage.find(id);
-            const auto now = monotonicNow();
-            if (usage == m_usage.end() || !m_budget.reserve(id, usage->second.acceptedBytes + bytes, now))
-                return false;
-            m_budget.recordProgress(id, now);
-            usage->second.readBytes = bytes;
-            return true;
-        }
-
-        // What was being read is a request that is being handled now. Returns what it holds.
-        std::size_t accept(Id id)
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            auto& usage = m_usage[id];
-            const auto bytes = std::exchange(usage.readBytes, 0);
-            usage.acceptedBytes += bytes;
-            ++usage.acceptedRequests;
-            m_budget.setAccepted(id, true);
-            return bytes;
-        }
-
-        void endRequest(Id id, std::size_t bytes)
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            const auto usage = m_usage.find(id);
-            if (usage == m_usage.end())
-                return;
-            usage->second.acceptedBytes -= bytes;
-            m_budget.release(id, usage->second.acceptedBytes + usage->second.readBytes);
-            if (--usage->second.acceptedRequests > 0)
-                return;
-            m_budget.setAccepted(id, false);
-            m_budget.recordProgress(id, monotonicNow());
-        }
-
-        // Ends a request that is being read. Returns whether others of its connection are being handled.
-        bool discard(Id id)
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            const auto usage = m_usage.find(id);
-            if (usage == m_usage.end())
-                return false;
-            usage->second.readBytes = 0;
-            m_budget.release(id, usage->second.acceptedBytes);
-            return usage->second.acceptedRequests > 0;
-        }
-
-        void exportMetrics(MetricsRegistry& metrics) const
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            const auto& counters = m_budget.counters();
-            metrics.gauge("client_connections", double(m_budget.connections()));
-            metrics.gauge("request_bytes_held", double(m_budget.heldBytes()));
-            metrics.gauge("connections_evicted", double(counters.evictedForConnections));
-            metrics.gauge("requests_evicted_for_memory", double(counters.evictedForMemory));
-            metrics.gauge("connections_refused", double(counters.refusedConnections));
-            metrics.gauge("requests_refused_for_memory", double(counters.refusedReservations));
-        }
-
-    private:
-        struct Usage {
-            std::size_t readBytes = 0;
-            std::size_t acceptedBytes = 0;
-            std::size_t acceptedRequests = 0;
-        };
-
-        mutable std::mutex m_mutex; // guards the members below
-        RequestBudget m_budget;
-        std::map<Id, Usage> m_usage;
-    };
-
-    using ClientRegistryPointer = std::shared_ptr<ClientRegistry>;
-
-    // Keeps the memory of a request and its connection until the request has been answered.
-    class AcceptedRequest {
-    public:
-        AcceptedRequest(ClientRegistryPointer registry, ClientRegistry::Id id)
-            : m_registry(std::move(registry))
-            , m_id(id)
-            , m_bytes(m_registry->accept(id))
-        {
-        }
-
-        ~AcceptedRequest() { m_registry->endRequest(m_id, m_bytes); }
-
-        AcceptedRequest(const AcceptedRequest&) = delete;
-        AcceptedRequest& operator=(const AcceptedRequest&) = delete;
-
-    private:
-        ClientRegistryPointer m_registry;
-        ClientRegistry::Id m_id;
-        std::size_t m_bytes;
-    };
+    constexpr int statusRequestTimeout = 408;
+    // For the threads to close their connections.
+    constexpr Milliseconds maxStopTime { 1000 };
 
     using RequestParser = Beast::request_parser<Beast::string_body>;
 
     // A connection and the request that is being read from it.
     struct Client {
-        ClientRegistry::Id id = 0;
+        explicit Client(ClientRegistry::Id identifier)
+            : id(identifier)
+        {
+        }
+
+        ClientRegistry::Id id;
         boost::optional<RequestParser> parser;
         boost::beast::flat_buffer buffer; // received and not parsed
         std::size_t headBytes = 0;
@@ -237,93 +69,6 @@
         std::size_t minBytesToParse() const { return parser && parser->is_header_done() && parser->chunked() ? lastChunkBytes : 1; }
     };
 
-    // Pistache's ResponseStream flushes the transport's queue on the calling thread,
-    // although that queue allows one consumer only. Responses are therefore passed to
-    // Peer::send(), which may be called from any thread.
-    class PistacheResponder : public HttpResponder {
-    public:
-        PistacheResponder(std::unique_ptr<AcceptedRequest> accepted, std::weak_ptr<Pistache::Tcp::Peer> peer, WriteCounter pendingWrites)
-            : m_accepted(std::move(accepted))
-            , m_peer(std::move(peer))
-            , m_pendingWrites(std::move(pendingWrites))
-        {
-        }
-
-        void send(int status, std::string body, const HttpHeaders& headers) override
-        {
-            auto message = responseHead(status, headers);
-            message += "Connection: Keep-Alive\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-            message += body;
-            enqueue(std::move(message));
-        }
-
-        void startStream(int status, const HttpHeaders& headers) override
-        {
-            enqueue(responseHead(status, headers) + "Connection: Keep-Alive\r\nTransfer-Encoding: chunked\r\n\r\n");
-        }
-
-        bool write(std::string_view data) override
-        {
-            if (data.empty())
-                return isConnected();
-            char size[20];
-            const int sizeLength = std::snprintf(size, sizeof size, "%zx\r\n", data.size());
-            std::string message(size, static_cast<std::size_t>(sizeLength));
-            message += data;
-            message += "\r\n";
-            return !closeUnread() && enqueue(std::move(message));
-        }
-
-        void finish() override { enqueue("0\r\n\r\n"); }
-
-        bool isConnected() const override { return !m_isClosed; }
-
-        bool isUnread() const override { return m_isUnread; }
-
-        void close()
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            m_isClosed = true;
-        }
-
-    private:
-        // Closes the connection if its caller reads too slowly, so that the stream does not seem
-        // complete. Pistache notices that and discards what is not written.
-        bool closeUnread()
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            if (m_isUnread || m_isClosed || *m_unreadBytes <= maxUnreadStreamBytes)
-                return m_isUnread;
-            m_isUnread = true;
-            // Pistache closes the descriptor only after close().
-            if (const auto peer = m_peer.lock())
-                ::shutdown(peer->fd(), SHUT_RDWR);
-            return true;
-        }
-
-        bool enqueue(std::string message)
-        {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            if (m_isClosed || m_isUnread)
-                return false;
-            const auto peer = m_peer.lock();
-            if (!peer)
-                return false;
-            const auto size = message.size();
-            const auto write = std::make_shared<PendingWrite>(m_pendingWrites, m_unreadBytes, size);
-            peer->send(Pistache::RawBuffer(std::move(message), size)).then([write](ssize_t) {}, [write](const std::exception_ptr&) {});
-            return true;
-        }
-
-        std::unique_ptr<AcceptedRequest> m_accepted;
-        std::weak_ptr<Pistache::Tcp::Peer> m_peer;
-        WriteCounter m_pendingWrites;
-        WriteCounter m_unreadBytes = std::make_shared<std::atomic<std::size_t>>(0);
-        std::mutex m_mutex;
-        std::atomic<bool> m_isClosed { false };
-        std::atomic<bool> m_isUnread { false };
-    };
-
     std::string lowerCase(std::string text)
     {
         for (auto& character : text)
@@ -360,23 +105,40 @@
         return translated;
     }
 
+    // Ends only the sending side: a reset could cost the client this answer.
+    void sendRejection(const std::shared_ptr<Pistache::Tcp::Peer>& peer, int status)
+    {
+        auto head = responseHead(status, { { "Connection", "close" }, { "Content-Length", "0" } });
+        if (status == statusUnavailable)
+            head += "Retry-After: 1\r\n";
+        head += "\r\n";
+        const auto size = head.size();
+        const auto shutDown = [weak = std::weak_ptr<Pistache::Tcp::Peer>(peer)](ssize_t) {
+            if (const auto rejected = weak.lock())
+                ::shutdown(rejected->fd(), SHUT_WR);
+        };
+        peer->send(Pistache::RawBuffer(std::move(head), size)).then(shutDown, [](const std::exception_ptr&) {});
+    }
+
     // Pistache clones the handler for each of its threads, so the table of open
     // responders needs no lock. Its parser does not return from a body in chunks of which a part is
     // missing, and limits each request only; so requests are read by Beast's, within the budget of all.
-    class PistacheHandler : public Http::Handler {
+    class PistacheHandler : public Pistache::Tcp::Handler {
     public:
-        HTTP_PROTOTYPE(PistacheHandler)
+        PROTOTYPE_OF(Pistache::Tcp::Handler, PistacheHandler)
 
-        PistacheHandler(HttpHandler handler, WriteCounter pendingWrites, ClientRegistryPointer clients)
+        PistacheHandler(HttpHandler handler, std::size_t maxRequestBytes, WriteCounter pendingWrites, ClientRegistryPointer clients)
             : m_handler(std::move(handler))
+            , m_maxRequestBytes(maxRequestBytes)
             , m_pendingWrites(std::move(pendingWrites))
             , m_clients(std::move(clients))
         {
         }
 
         PistacheHandler(const PistacheHandler& other)
-            : Http::Handler(other)
+            : Pistache::Tcp::Handler(other)
             , m_handler(other.m_handler)
+            , m_maxRequestBytes(other.m_maxRequestBytes)
             , m_pendingWrites(other.m_pendingWrites)
             , m_clients(other.m_clients)
         {
@@ -384,14 +146,7 @@
 
         void onConnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override
         {
-            peer->putData(ParserData, std::make_shared<Http::RequestParser>(0)); // asked for the time of its start
-            const auto client = std::make_shared<Client>();
-            if (const auto id = m_clients->add(peer))
-                client->id = *id;
-            client->isRejected = client->id == 0;
-            peer->putData(clientData, client);
-            if (client->isRejected)
-                ::shutdown(peer->fd(), SHUT_RDWR);
+            peer->putData(clientData, std::make_shared<Client>(ClientConnection::of(*peer)->id()));
         }
 
         void onInput(const char* data, std::size_t size, const std::shared_ptr<Pistache::Tcp::Peer>& peer) override
@@ -405,9 +160,6 @@
             read(client, peer);
         }
 
-        // Requests are passed to the handler by onInput().
-        void onRequest(const Http::Request&, Http::ResponseWriter) override { }
-
         void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override
         {
             m_clients->remove(std::static_pointer_cast<Client>(peer->getData(clientData))->id);
@@ -451,7 +203,7 @@
         {
             client.parser.emplace();
             client.parser->header_limit(maxHeadBytes);
-            client.parser->body_limit(getMaxRequestSize());
+            client.parser->body_limit(m_maxRequestBytes);
             client.headBytes = client.bodyWireBytes = 0;
         }
 
@@ -479,11 +231,13 @@
 
         void dispatch(Client& client, const std::shared_ptr<Pistache::Tcp::Peer>& peer)
         {
-            // Pistache sends 408 on a connection that has not been marked idle for longer
-            // than the header or body timeout, even while its request is being handled and
-            // after the response; the client would take it for its next response.
-            peer->setIdle(true);
-            auto responder = std::make_shared<PistacheResponder>(std::make_unique<AcceptedRequest>(m_clients, client.id), peer, m_pendingWrites);
+            auto accepted = m_clients->accept(client.id);
+            if (!accepted) {
+                client.isRejected = true;
+                client.parser.reset();
+                return;
+            }
+            auto responder = std::make_shared<PistacheResponder>(std::move(accepted), peer, m_pendingWrites);
             m_openResponders[peer->getID()] = responder;
             auto request = std::move(client.request);
             request.body = std::move(client.parser->get().body());
@@ -504,18 +258,8 @@
             client.isRejected = true;
             client.parser.reset();
             client.buffer = {};
-            if (m_clients->discard(client.id))
-                return; // earlier requests are still being handled
-            auto head = responseHead(status, { { "Connection", "close" }, { "Content-Length", "0" } });
-            if (status == statusUnavailable)
-                head += "Retry-After: 1\r\n";
-            head += "\r\n";
-            const auto size = head.size();
-            const auto shutDown = [weak = std::weak_ptr<Pistache::Tcp::Peer>(peer)](ssize_t) {
-                if (const auto rejected = weak.lock())
-                    ::shutdown(rejected->fd(), SHUT_WR);
-            };
-            peer->send(Pistache::RawBuffer(std::move(head), size)).then(shutDown, [](const std::exception_ptr&) {});
+            if (!m_clients->reject(client.id)) // otherwise earlier requests are still being handled
+                sendRejection(peer, status);
         }
 
         static void discard(std::size_t size, Client& client, const Pistache::Tcp::Peer& peer)
@@ -526,6 +270,7 @@
         }
 
         HttpHandler m_handler;
+        std::size_t m_maxRequestBytes;
         WriteCounter m_pendingWrites;
         ClientRegistryPointer m_clients;
         std::unordered_map<std::size_t, std::weak_ptr<PistacheResponder>> m_openResponders;
@@ -534,54 +279,58 @@
 }
 
 struct HttpServer::State {
+    State(HttpServerOptions serverOptions, HttpHandler handler)
+        : options(std::move(serverOptions))
+        , clients(std::make_shared<ClientRegistry>(options.budget, options.bodyTimeout))
+        , reactor(Pistache::Aio::Reactor::create())
+        , acceptor(
+              clients, [this](const auto& peer) { passToThread(peer); }, [](const auto& peer) { sendRejection(peer, statusRequestTimeout); })
+    {
+        reactor->init(Pistache::Aio::AsyncContext(options.threads));
+        transports = reactor->addHandler(std::make_shared<Pistache::Tcp::Transport>(std::make_shared<PistacheHandler>(std::move(handler), options.maxRequestBytes, pendingWrites, clients)));
+    }
+
+    void passToThread(const std::shared_ptr<Pistache::Tcp::Peer>& peer) const
+    {
+        const auto threads = reactor->handlers(transports);
+        const auto& thread = threads.at(static_cast<std::size_t>(peer->fd()) % threads.size());
+        std::static_pointer_cast<Pistache::Tcp::Transport>(thread)->handleNewPeer(peer);
+    }
+
     HttpServerOptions options;
-    HttpHandler handler;
     WriteCounter pendingWrites = std::make_shared<std::atomic<std::size_t>>(0);
     ClientRegistryPointer clients;
-    std::unique_ptr<Http::Endpoint> endpoint;
-    std::string host;
+    std::shared_ptr<Pistache::Aio::Reactor> reactor;
+    Pistache::Aio::Reactor::Key transports; // one for each thread
+    ClientAcceptor acceptor;
+    bool isRunning = false;
 };
 
 HttpServer::HttpServer(HttpServerOptions options, HttpHandler handler)
-    : m_state(std::make_unique<State>())
+    : m_state(std::make_unique<State>(std::move(options), std::move(handler)))
 {
-    m_state->options = std::move(options);
-    m_state->handler = std::move(handler);
-    m_state->clients = std::make_shared<ClientRegistry>(m_state->options.budget);
 }
 
 HttpServer::~HttpServer() { stop(); }
 
 Outcome<void> HttpServer::start()
 {
-    const auto& options = m_state->options;
-    try {
-        const Pistache::Address address(options.address);
-        m_state->host = address.host();
-        m_state->endpoint = std::make_unique<Http::Endpoint>(address);
-        m_state->endpoint->init(Http::Endpoint::options()
-                                    .threads(static_cast<int>(options.threads))
-                                    .backlog(listenBacklog)
-                                    .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay)
-                                    .maxRequestSize(options.maxRequestBytes)
-                                    .maxResponseSize(maxResponseBytes)
-                                    .headerTimeout(options.bodyTimeout) // Pistache does not see when the head is complete
-                                    .bodyTimeout(options.bodyTimeout)
-                                    .keepaliveTimeout(keepaliveTimeout));
-        m_state->endpoint->setHandler(std::make_shared<PistacheHandler>(m_state->handler, m_state->pendingWrites, m_state->clients));
-        m_state->endpoint->serveThreaded();
-    } catch (const std::exception& exception) {
-        return failure(ErrorCode::Unavailable, "cannot listen on " + options.address + ": " + exception.what());
-    }
+    const auto started = m_state->acceptor.start(m_state->options.address);
+    if (!started)
+        return started;
+    m_state->reactor->run();
+    m_state->isRunning = true;
     return success();
 }
 
 void HttpServer::stop()
 {
-    if (!m_state->endpoint)
+    if (!std::exchange(m_state->isRunning, false))
         return;
-    m_state->endpoint->shutdown();
-    m_state->endpoint.reset();
+    m_state->acceptor.stop();
+    m_state->clients->closeAll(monotonicNow() + maxStopTime);
+    m_state->reactor->shutdown();
+    m_state->reactor.reset();
 }
 
 std::size_t HttpServer::pendingWrites() const { return *m_state->pendingWrites; }
@@ -590,9 +339,8 @@
 
 std::string HttpServer::address() const
 {
-    if (!m_state->endpoint)
-        return m_state->options.address;
-    return m_state->host + ":" + std::to_string(static_cast<std::uint16_t>(m_state->endpoint->getPort()));
+    const auto bound = m_state->acceptor.address();
+    return bound.empty() ? m_state->options.address : bound;
 }
 
 }
--- a/modules/hyssopwick_transport/http/HttpServer.h
+++ b/modules/hyssopwick_transport/http/HttpServer.h
@@ -9,7 +9,7 @@
     std::string address; ///< "ip:port"; port 0 picks a free one
     unsigned threads = 2;
     std::size_t maxRequestBytes = 1 << 20;
-    Milliseconds bodyTimeout { 20000 }; ///< from the first byte of a connection to the end of its first request
+    Milliseconds bodyTimeout { 20000 }; ///< for each request, from its first byte (of the first one: from the connection) to its end
     RequestBudgetLimits budget = {}; ///< of all clients together
 };
 
@@ -23,7 +23,7 @@
     /// Fails with ErrorCode::Unavailable when the address cannot be bound.
     Outcome<void> start();
 
-    /// Closes the listening socket and all connections.
+    /// Closes the listening socket and all connections. The server does not start again.
     void stop();
 
     /// Returns the number of answers and parts of streamed ones that are not yet written whole,
--- /dev/null
+++ b/tests/HttpServerTests.cpp
@@ -0,0 +1,249 @@
+#include "TestSupport.h"
+
+#include <condition_variable>
+#include <filesystem>
+#include <hyssopwick_gateway.h>
+#include <hyssopwick_transport.h>
+#include <thread>
+
+using namespace hyssopwick;
+
+namespace {
+
+constexpr std::size_t maxConnections = 16;
+constexpr Milliseconds answerTimeout { 10'000 };
+const std::string unfinishedHead = "POST /x HTTP/1.1\r\nHost: a.exam";
+
+// Pistache keeps some descriptors of its threads for as long as the process lives.
+std::size_t openSockets()
+{
+    std::size_t count = 0;
+    for (const auto& descriptor : std::filesystem::directory_iterator("/proc/self/fd")) {
+        std::error_code closed; // the folder's own descriptor
+        count += std::filesystem::read_symlink(descriptor.path(), closed).string().rfind("socket:", 0) == 0;
+    }
+    return count;
+}
+
+/// A client that is driven step by step.
+class Client {
+public:
+    Client(EventLoop& loop, const std::string& address)
+        : m_socket(loop)
+    {
+        m_socket.connect(parseEndpoint(address).value());
+        m_socket.non_blocking(true);
+    }
+
+    void send(const std::string& bytes)
+    {
+        boost::system::error_code ignored;
+        asio::write(m_socket, asio::buffer(bytes), ignored);
+    }
+
+    /// Takes what has arrived.
+    void read()
+    {
+        std::array<char, 4096> buffer;
+        for (boost::system::error_code error; !isDisconnected;) {
+            const auto size = m_socket.read_some(asio::buffer(buffer), error);
+            received.append(buffer.data(), size);
+            if (error == asio::error::would_block)
+                return;
+            isDisconnected = static_cast<bool>(error);
+        }
+    }
+
+    std::string received;
+    bool isDisconnected = false;
+
+private:
+    TcpSocket m_socket;
+};
+
+}
+
+TEST_GROUP(HttpServer)
+{
+    EventLoop loop { 1 };
+    std::mutex mutex;
+    std::condition_variable wake;
+    std::size_t arrived = 0;
+    bool isHeld = false;
+    std::vector<HttpResponderPointer> kept;
+    std::unique_ptr<HttpServer> server;
+
+    void start(unsigned threads, Milliseconds bodyTimeout = Milliseconds(20'000))
+    {
+        HttpServerOptions options;
+        options.address = "127.0.0.1:0";
+        options.threads = threads;
+        options.bodyTimeout = bodyTimeout;
+        options.budget.connections = maxConnections;
+        server = std::make_unique<HttpServer>(options, [this](const HttpRequest& request, const HttpResponderPointer& responder) { handle(request, responder); });
+        CHECK(server->start().has_value());
+    }
+
+    void teardown() override
+    {
+        release();
+        kept.clear();
+        server.reset();
+    }
+
+    // The thread that handles /hold does nothing else until release(); /keep is answered later.
+    void handle(const HttpRequest& request, const HttpResponderPointer& responder)
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        ++arrived;
+        wake.notify_all();
+        if (request.path == "/keep") {
+            kept.push_back(responder);
+            return;
+        }
+        if (request.path == "/hold")
+            wake.wait(lock, [this] { return !isHeld; });
+        responder->send(200, request.path);
+    }
+
+    void release()
+    {
+        std::lock_guard<std::mutex> lock(mutex);
+        isHeld = false;
+        wake.notify_all();
+    }
+
+    void awaitRequests(std::size_t count)
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        CHECK(wake.wait_for(lock, answerTimeout, [&] { return arrived >= count; }));
+    }
+
+    static void awaitThat(Client & client, const std::function<bool()>& isTrue)
+    {
+        for (const auto deadline = monotonicNow() + answerTimeout; !isTrue() && monotonicNow() < deadline;) {
+            std::this_thread::sleep_for(Milliseconds(5));
+            client.read();
+        }
+        CHECK(isTrue());
+    }
+
+    static void awaitAnswer(Client & client, const std::string& text)
+    {
+        awaitThat(client, [&] { return client.received.find(text) != std::string::npos; });
+    }
+
+    // Until the server has accepted what it accepts.
+    static std::size_t settledSockets()
+    {
+        constexpr Milliseconds quietTime { 300 };
+        auto count = openSockets();
+        for (auto quietSince = monotonicNow(); monotonicNow() < quietSince + quietTime;) {
+            std::this_thread::sleep_for(Milliseconds(5));
+            if (std::exchange(count, openSockets()) != count)
+                quietSince = monotonicNow();
+        }
+        return count;
+    }
+};
+
+// Load: more clients than the process has room for, while its threads are late. Guards against
+// connections that are accepted before others were closed for them.
+TEST(HttpServer, NoMoreConnectionsAreOpenThanAllowedWhileItsThreadsAreBusy)
+{
+    constexpr std::size_t clients = 100;
+    start(1);
+    const auto before = openSockets();
+    isHeld = true;
+    Client held(loop, server->address());
+    held.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    awaitRequests(1);
+    std::vector<std::unique_ptr<Client>> crowd;
+    for (std::size_t number = 0; number < clients; ++number) {
+        crowd.push_back(std::make_unique<Client>(loop, server->address()));
+        crowd.back()->send(unfinishedHead);
+    }
+    const auto open = settledSockets() - before - clients - 1;
+    CHECK_TEXT(open <= maxConnections, std::to_string(open).c_str());
+    release();
+    awaitAnswer(held, "/hold");
+    Client ordinary(loop, server->address());
+    ordinary.send("GET /ordinary HTTP/1.1\r\nHost: a\r\n\r\n");
+    awaitAnswer(ordinary, "/ordinary");
+}
+
+TEST(HttpServer, ClientsAreTurnedAwayWhileAllConnectionsCarryAcceptedRequests)
+{
+    start(2);
+    std::vector<std::unique_ptr<Client>> accepted;
+    for (std::size_t number = 0; number < maxConnections; ++number) {
+        accepted.push_back(std::make_unique<Client>(loop, server->address()));
+        accepted.back()->send("GET /keep HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+    awaitRequests(maxConnections);
+    Client further(loop, server->address());
+    awaitThat(further, [&] { return further.isDisconnected; });
+    for (const auto& responder : kept)
+        responder->send(200, "kept");
+    kept.clear();
+    for (const auto& client : accepted)
+        awaitAnswer(*client, "kept");
+    Client later(loop, server->address());
+    later.send("GET /ordinary HTTP/1.1\r\nHost: a\r\n\r\n");
+    awaitAnswer(later, "/ordinary");
+}
+
+TEST(HttpServer, ARequestThatIsNotCompleteInTimeIsEndedAndSaysSo)
+{
+    start(2, Milliseconds(300));
+    Client client(loop, server->address());
+    client.send(unfinishedHead);
+    awaitThat(client, [&] { return client.isDisconnected; });
+    STRCMP_CONTAINS("HTTP/1.1 408 ", client.received.c_str());
+}
+
+// Regression: only the first request of a connection had to be complete in time.
+TEST(HttpServer, ALaterRequestOfAConnectionHasTheSameTime)
+{
+    start(2, Milliseconds(300));
+    Client client(loop, server->address());
+    client.send("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+    awaitAnswer(client, "/first");
+    client.send(unfinishedHead);
+    awaitThat(client, [&] { return client.isDisconnected; });
+    STRCMP_CONTAINS("HTTP/1.1 408 ", client.received.c_str());
+}
+
+TEST(HttpServer, NeitherAnAnswerThatTakesLongNorAnIdleConnectionIsEnded)
+{
+    start(2, Milliseconds(300));
+    Client client(loop, server->address());
+    client.send("GET /keep HTTP/1.1\r\nHost: a\r\n\r\n");
+    awaitRequests(1);
+    std::this_thread::sleep_for(Milliseconds(1500));
+    kept.front()->send(200, "kept");
+    kept.clear();
+    awaitAnswer(client, "kept");
+    std::this_thread::sleep_for(Milliseconds(1500));
+    client.send("GET /again HTTP/1.1\r\nHost: a\r\n\r\n");
+    awaitAnswer(client, "/again");
+    CHECK(client.received.find(" 408 ") == std::string::npos);
+}
+
+TEST(HttpServer, StoppingClosesAllConnections)
+{
+    const auto before = openSockets();
+    start(2);
+    {
+        Client idle(loop, server->address());
+        idle.send("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+        awaitAnswer(idle, "/first");
+        Client unfinished(loop, server->address());
+        unfinished.send(unfinishedHead);
+        server->stop();
+        awaitThat(idle, [&] { return idle.isDisconnected; });
+        awaitThat(unfinished, [&] { return unfinished.isDisconnected; });
+    }
+    server.reset();
+    CHECK_EQUAL(before, openSockets());
+}
