Beast's HTTP headers are included without a false warning under sanitizers

Change: one header includes boost/beast/http.hpp with that warning off for the header alone; our code keeps it.

--- a/modules/hyssopwick_gateway/http/HttpExchange.cpp
+++ b/modules/hyssopwick_gateway/http/HttpExchange.cpp
@@ -2,9 +2,9 @@
 
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 #include <boost/optional.hpp>
 #include <limits>
+#include <thirdparty/BeastHttp.h>
 
 namespace hyssopwick {
 
--- a/modules/hyssopwick_gateway/http/ServerConnection.cpp
+++ b/modules/hyssopwick_gateway/http/ServerConnection.cpp
@@ -2,8 +2,6 @@
 
 #include "TransmissionState.h"
 
-#include <boost/beast/http/status.hpp>
-
 namespace hyssopwick {
 
 namespace http = boost::beast::http;
--- a/modules/hyssopwick_gateway/http/ServerConnection.h
+++ b/modules/hyssopwick_gateway/http/ServerConnection.h
@@ -3,11 +3,11 @@
 #include "HttpListener.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 #include <boost/optional.hpp>
 #include <deque>
 #include <optional>
 #include <set>
+#include <thirdparty/BeastHttp.h>
 
 namespace hyssopwick {
 
