No client of HttpServer receives what was sent to an earlier one

Callers saw: nothing reported. A caller of hyssopwick_node could receive the answer of another one in front of its own. Cause: Pistache 0.0.5 addresses queued writes by descriptor. If a client leaves and a new connection with its descriptor is taken over before the queue is read, the answer goes to the new client. Change: each write is counted for its connection until it was ended or dropped; ClientAcceptor gives a new connection another descriptor while writes to its own are counted. Nothing is written to a connection after it was closed, so none comes later.

--- a/modules/hyssopwick_transport/http/ClientAcceptor.cpp
+++ b/modules/hyssopwick_transport/http/ClientAcceptor.cpp
@@ -4,8 +4,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <fcntl.h>
 #include <pistache/peer.h>
 #include <thread>
+#include <unistd.h>
+#include <unordered_map>
 
 namespace hyssopwick {
 
@@ -84,12 +87,39 @@
         error_code error;
         socket.set_option(tcp::no_delay(true), error);
         socket.native_non_blocking(true, error);
-        const auto descriptor = socket.release(error);
+        const auto descriptor = withoutPendingWrites(socket.release(error));
+        if (descriptor < 0)
+            return;
         const auto peer = Pistache::Tcp::Peer::Create(descriptor, Pistache::Address(remote.address().to_string(), Pistache::Port(remote.port())));
-        peer->putData(connectionData, std::make_shared<ClientConnection>(registry, registry->add(peer)));
+        const auto connection = std::make_shared<ClientConnection>(registry, registry->add(peer));
+        writesByDescriptor[descriptor] = connection->pendingWrites();
+        peer->putData(connectionData, connection);
         onAccepted(peer);
     }
 
+    // Pistache addresses what it still has to send by descriptor, so that a client could receive what
+    // was for an earlier one. Returns a descriptor of the same connection without such writes, or -1
+    // if there is none; the connection is closed then.
+    int withoutPendingWrites(int accepted) const
+    {
+        auto descriptor = accepted;
+        while (descriptor >= 0 && hasPendingWrites(descriptor)) {
+            const auto next = ::fcntl(accepted, F_DUPFD_CLOEXEC, descriptor + 1);
+            if (descriptor != accepted)
+                ::close(descriptor);
+            descriptor = next;
+        }
+        if (descriptor != accepted)
+            ::close(accepted);
+        return descriptor;
+    }
+
+    bool hasPendingWrites(int descriptor) const
+    {
+        const auto writes = writesByDescriptor.find(descriptor);
+        return writes != writesByDescriptor.end() && *writes->second > 0;
+    }
+
     void awaitExpiry()
     {
         expiryTimer.expires_after(expiryPeriod);
@@ -114,6 +144,7 @@
     tcp::acceptor acceptor { loop };
     asio::steady_timer retryTimer { loop };
     asio::steady_timer expiryTimer { loop };
+    std::unordered_map<int, WriteCounter> writesByDescriptor; // of the latest connection with each
     bool isRoomAwaited = false;
     std::string address;
     std::thread thread; // runs the loop
--- a/modules/hyssopwick_transport/http/ClientAcceptor.h
+++ b/modules/hyssopwick_transport/http/ClientAcceptor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ClientRegistry.h"
+#include "PendingWrite.h"
 
 namespace hyssopwick {
 
@@ -20,11 +21,15 @@
 
     ClientRegistry::Id id() const { return m_id; }
 
+    /// Each write on the connection has to be counted here.
+    const WriteCounter& pendingWrites() const { return m_pendingWrites; }
+
     static std::shared_ptr<ClientConnection> of(const Pistache::Tcp::Peer& peer);
 
 private:
     ClientRegistryPointer m_registry;
     ClientRegistry::Id m_id;
+    WriteCounter m_pendingWrites = std::make_shared<std::atomic<std::size_t>>(0);
 };
 
 /// Accepts the connections of an HttpServer on a thread of its own, and no more than its clients
--- a/modules/hyssopwick_transport/http/HttpServer.cpp
+++ b/modules/hyssopwick_transport/http/HttpServer.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 #include <boost/optional.hpp>
 #include <map>
 #include <pistache/peer.h>
@@ -13,6 +12,7 @@
 #include <pistache/tcp.h>
 #include <pistache/transport.h>
 #include <sys/socket.h>
+#include <thirdparty/BeastHttp.h>
 #include <unordered_map>
 
 namespace hyssopwick {
@@ -105,19 +105,24 @@
         return translated;
     }
 
+    void sendTo(
+        const std::shared_ptr<Pistache::Tcp::Peer>& peer, std::string message, const std::function<void()>& onSent = [] {})
+    {
+        const auto write = std::make_shared<PendingWrite>(ClientConnection::of(*peer)->pendingWrites());
+        const auto size = message.size();
+        peer->send(Pistache::RawBuffer(std::move(message), size)).then([write, onSent](ssize_t) { onSent(); }, [write](const std::exception_ptr&) {});
+    }
+
     // Ends only the sending side: a reset could cost the client this answer.
     void sendRejection(const std::shared_ptr<Pistache::Tcp::Peer>& peer, int status)
     {
         auto head = responseHead(status, { { "Connection", "close" }, { "Content-Length", "0" } });
         if (status == statusUnavailable)
             head += "Retry-After: 1\r\n";
-        head += "\r\n";
-        const auto size = head.size();
-        const auto shutDown = [weak = std::weak_ptr<Pistache::Tcp::Peer>(peer)](ssize_t) {
+        sendTo(peer, head + "\r\n", [weak = std::weak_ptr<Pistache::Tcp::Peer>(peer)] {
             if (const auto rejected = weak.lock())
                 ::shutdown(rejected->fd(), SHUT_WR);
-        };
-        peer->send(Pistache::RawBuffer(std::move(head), size)).then(shutDown, [](const std::exception_ptr&) {});
+        });
     }
 
     // Pistache clones the handler for each of its threads, so the table of open
@@ -216,9 +221,8 @@
             }
             client.request = translateHead(message);
             client.parser->eager(true);
-            const std::string goOn = "HTTP/1.1 100 Continue\r\n\r\n";
             if (!client.parser->is_done() && boost::beast::iequals(message[Beast::field::expect], "100-continue"))
-                peer->send(Pistache::RawBuffer(goOn, goOn.size())).then([](ssize_t) {}, [](const std::exception_ptr&) {});
+                sendTo(peer, "HTTP/1.1 100 Continue\r\n\r\n");
             return true;
         }
 
--- a/modules/hyssopwick_transport/http/PistacheResponder.cpp
+++ b/modules/hyssopwick_transport/http/PistacheResponder.cpp
@@ -1,5 +1,7 @@
 #include "PistacheResponder.h"
 
+#include "ClientAcceptor.h"
+
 #include <pistache/http_defs.h>
 #include <pistache/peer.h>
 #include <sys/socket.h>
@@ -13,31 +15,10 @@
     // Estimate of what Pistache allocates for each write beside its bytes.
     constexpr std::size_t writeOverheadBytes = 512;
 
-    // Counts a write and its bytes until Pistache has ended it or has dropped it with its connection.
-    class PendingWrite {
-    public:
-        PendingWrite(WriteCounter counter, WriteCounter unreadBytes, std::size_t bytes)
-            : m_counter(std::move(counter))
-            , m_unreadBytes(std::move(unreadBytes))
-            , m_bytes(bytes + writeOverheadBytes)
-        {
-            ++*m_counter;
-            *m_unreadBytes += m_bytes;
-        }
-
-        ~PendingWrite()
-        {
-            --*m_counter;
-            *m_unreadBytes -= m_bytes;
-        }
-
-        PendingWrite(const PendingWrite&) = delete;
-        PendingWrite& operator=(const PendingWrite&) = delete;
-
-    private:
-        WriteCounter m_counter;
-        WriteCounter m_unreadBytes;
-        std::size_t m_bytes;
+    struct PendingPart {
+        PendingWrite ofServer;
+        PendingWrite ofConnection;
+        PendingWrite unreadBytes;
     };
 
 }
@@ -50,10 +31,11 @@
     return head;
 }
 
-PistacheResponder::PistacheResponder(std::unique_ptr<AcceptedRequest> accepted, std::weak_ptr<Pistache::Tcp::Peer> peer, WriteCounter pendingWrites)
+PistacheResponder::PistacheResponder(std::unique_ptr<AcceptedRequest> accepted, const ClientRegistry::PeerPointer& peer, WriteCounter writesOfServer)
     : m_accepted(std::move(accepted))
-    , m_peer(std::move(peer))
-    , m_pendingWrites(std::move(pendingWrites))
+    , m_peer(peer)
+    , m_writesOfServer(std::move(writesOfServer))
+    , m_writesOfConnection(ClientConnection::of(*peer)->pendingWrites())
 {
 }
 
@@ -115,7 +97,7 @@
     if (!peer)
         return false;
     const auto size = message.size();
-    const auto write = std::make_shared<PendingWrite>(m_pendingWrites, m_unreadBytes, size);
+    const auto write = std::shared_ptr<PendingPart>(new PendingPart { PendingWrite(m_writesOfServer), PendingWrite(m_writesOfConnection), PendingWrite(m_unreadBytes, size + writeOverheadBytes) });
     peer->send(Pistache::RawBuffer(std::move(message), size)).then([write](ssize_t) {}, [write](const std::exception_ptr&) {});
     return true;
 }
--- a/modules/hyssopwick_transport/http/PistacheResponder.h
+++ b/modules/hyssopwick_transport/http/PistacheResponder.h
@@ -2,13 +2,10 @@
 
 #include "ClientRegistry.h"
 #include "HttpMessages.h"
-
-#include <atomic>
+#include "PendingWrite.h"
 
 namespace hyssopwick {
 
-using WriteCounter = std::shared_ptr<std::atomic<std::size_t>>;
-
 /// Returns the first lines of a response, without the empty line that ends its head.
 std::string responseHead(int status, const HttpHeaders& headers);
 
@@ -17,7 +14,8 @@
 /// therefore passed to Peer::send(), which may be called from any thread.
 class PistacheResponder : public HttpResponder {
 public:
-    PistacheResponder(std::unique_ptr<AcceptedRequest> accepted, std::weak_ptr<Pistache::Tcp::Peer> peer, WriteCounter pendingWrites);
+    /// \param writesOfServer  counts those of all connections
+    PistacheResponder(std::unique_ptr<AcceptedRequest> accepted, const ClientRegistry::PeerPointer& peer, WriteCounter writesOfServer);
     ~PistacheResponder() override;
 
     void send(int status, std::string body, const HttpHeaders& headers) override;
@@ -36,7 +34,8 @@
 
     std::unique_ptr<AcceptedRequest> m_accepted;
     std::weak_ptr<Pistache::Tcp::Peer> m_peer;
-    WriteCounter m_pendingWrites;
+    WriteCounter m_writesOfServer;
+    WriteCounter m_writesOfConnection;
     WriteCounter m_unreadBytes = std::make_shared<std::atomic<std::size_t>>(0);
     std::mutex m_mutex;
     std::atomic<bool> m_isClosed { false };
--- a/tests/HttpServerTests.cpp
+++ b/tests/HttpServerTests.cpp
@@ -28,13 +28,29 @@
 /// A client that is driven step by step.
 class Client {
 public:
+    explicit Client(EventLoop& loop)
+        : m_socket(loop, asio::ip::tcp::v4())
+    {
+    }
+
     Client(EventLoop& loop, const std::string& address)
-        : m_socket(loop)
+        : Client(loop)
+    {
+        connect(address);
+    }
+
+    void connect(const std::string& address)
     {
         m_socket.connect(parseEndpoint(address).value());
         m_socket.non_blocking(true);
     }
 
+    void close()
+    {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+    }
+
     void send(const std::string& bytes)
     {
         boost::system::error_code ignored;
@@ -69,7 +85,7 @@
     std::mutex mutex;
     std::condition_variable wake;
     std::size_t arrived = 0;
-    bool isHeld = false;
+    std::size_t holds = 0; // that release() has not ended
     std::vector<HttpResponderPointer> kept;
     std::unique_ptr<HttpServer> server;
 
@@ -86,12 +102,13 @@
 
     void teardown() override
     {
-        release();
+        while (holds > 0)
+            release();
         kept.clear();
         server.reset();
     }
 
-    // The thread that handles /hold does nothing else until release(); /keep is answered later.
+    // The thread that handles /hold does nothing else until the next release(); /keep is answered later.
     void handle(const HttpRequest& request, const HttpResponderPointer& responder)
     {
         std::unique_lock<std::mutex> lock(mutex);
@@ -101,15 +118,17 @@
             kept.push_back(responder);
             return;
         }
-        if (request.path == "/hold")
-            wake.wait(lock, [this] { return !isHeld; });
+        if (request.path == "/hold") {
+            const auto before = holds++;
+            wake.wait(lock, [&] { return holds <= before; });
+        }
         responder->send(200, request.path);
     }
 
     void release()
     {
         std::lock_guard<std::mutex> lock(mutex);
-        isHeld = false;
+        --holds;
         wake.notify_all();
     }
 
@@ -154,7 +173,6 @@
     constexpr std::size_t clients = 100;
     start(1);
     const auto before = openSockets();
-    isHeld = true;
     Client held(loop, server->address());
     held.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
     awaitRequests(1);
@@ -172,6 +190,42 @@
     awaitAnswer(ordinary, "/ordinary");
 }
 
+// Regression: Pistache addresses what it has to send by descriptor, and a new connection may have
+// that of an earlier one.
+TEST(HttpServer, AnAnswerWhoseClientHasLeftReachesNoOtherClient)
+{
+    constexpr Milliseconds eventTime { 100 }; // for the server's other threads
+    start(1);
+    Client leaving(loop, server->address());
+    leaving.send("GET /keep HTTP/1.1\r\nHost: a\r\n\r\n");
+    awaitRequests(1);
+    Client second(loop, server->address());
+    second.send("GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+    awaitAnswer(second, "/second");
+    Client other(loop); // its own descriptor is not that of the client that leaves
+    Client first(loop, server->address());
+    first.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    awaitRequests(3);
+    // These wait for the only thread, which takes them in this order.
+    leaving.close();
+    std::this_thread::sleep_for(eventTime);
+    second.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::this_thread::sleep_for(eventTime);
+    Client idle(loop, server->address());
+    std::this_thread::sleep_for(eventTime);
+    kept.front()->send(200, "an answer for the client that has left");
+    kept.clear();
+    release();
+    awaitRequests(4);
+    other.connect(server->address());
+    std::this_thread::sleep_for(eventTime);
+    release();
+    awaitAnswer(second, "/hold");
+    other.send("GET /other HTTP/1.1\r\nHost: a\r\n\r\n");
+    awaitAnswer(other, "/other");
+    LONGS_EQUAL(std::string::npos, other.received.find("has left"));
+}
+
 TEST(HttpServer, ClientsAreTurnedAwayWhileAllConnectionsCarryAcceptedRequests)
 {
     start(2);
