--- a/tests/HttpServerTests.cpp
+++ b/tests/HttpServerTests.cpp
@@ -247,6 +247,27 @@
     awaitAnswer(later, "/ordinary");
 }
 
+// Guards against a connection that is counted for ever, as the server would accept none at last.
+TEST(HttpServer, ConnectionsLeaveRoomHoweverTheyEnd)
+{
+    start(2);
+    const std::vector<std::string> requests = { "", unfinishedHead, "GET /whole HTTP/1.1\r\nHost: a\r\n\r\n", "no request\r\n\r\n",
+        "POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n" };
+    for (std::size_t round = 0; round < maxConnections * requests.size(); ++round) {
+        Client client(loop, server->address());
+        client.send(requests[round % requests.size()]);
+        if (round % 2 == 0)
+            client.read();
+    }
+    std::vector<std::unique_ptr<Client>> accepted;
+    for (std::size_t number = 0; number < maxConnections; ++number) {
+        accepted.push_back(std::make_unique<Client>(loop, server->address()));
+        accepted.back()->send("GET /last HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+    for (const auto& client : accepted)
+        awaitAnswer(*client, "/last");
+}
+
 TEST(HttpServer, ARequestThatIsNotCompleteInTimeIsEndedAndSaysSo)
 {
     start(2, Milliseconds(300));
