--- a/tests/HttpServerTests.cpp
+++ b/tests/HttpServerTests.cpp
@@ -14,7 +14,7 @@
 constexpr Milliseconds answerTimeout { 10'000 };
 const std::string unfinishedHead = "POST /x HTTP/1.1\r\nHost: a.exam";
 
-// Pistache keeps some descriptors of its threads for as long as the process lives.
+// Event loops have descriptors of other kinds, of which Pistache's threads keep some after a stop.
 std::size_t openSockets()
 {
     std::size_t count = 0;
