--- a/review/common-3/Deployment.hpp
+++ b/review/common-3/Deployment.hpp
@@ -40,6 +40,8 @@
     StoreStandIn& store() { return m_store; }
     /// How late this process, which runs all stand-ins, was with an event.
     Clock::duration largestDelay() const { return m_largestDelay; }
+    /// Ids of the streams whose callers left after a pause without events, and when.
+    const std::map<std::string, TimePoint>& leftStreams() const { return m_left; }
     const Counts& streams() const { return m_streams; }
     const Counts& plain() const { return m_plain; }
 
@@ -64,6 +66,7 @@
     bool m_isCalling = false;
     unsigned m_calls = 0;
     Clock::duration m_largestDelay {};
+    std::map<std::string, TimePoint> m_left;
     Counts m_streams;
     Counts m_plain;
 };
--- a/review/common-3/Worker.cc
+++ b/review/common-3/Worker.cc
@@ -83,8 +83,25 @@
     m_store.set("servers/" + m_settings.id, { { "service", "models" }, { "address", m_settings.address }, { "zone", "north-a" }, { "version", "1" }, { "slots", m_settings.slots }, { "state", "ready" }, { "coldLeftMs", 0 }, { "sequence", m_sequence }, { "born", m_born }, { "stage", "colocated" }, { "models", models() }, { "layers", layers() } });
 }
 
+void Worker::freeze(TimePoint until)
+{
+    m_frozenUntil = until;
+    m_record.line(m_settings.id, " stands still, with ", m_running.size(), " streams");
+    runAfter(m_loop, until - now(), [this] { m_record.line(m_settings.id, " goes on"); });
+}
+
+bool Worker::isFrozen(std::function<void()> handler)
+{
+    if (now() >= m_frozenUntil)
+        return false;
+    runAfter(m_loop, m_frozenUntil - now(), std::move(handler));
+    return true;
+}
+
 void Worker::serve(const ServerConnectionPointer& connection)
 {
+    if (isFrozen([this, connection] { if (connection->isOpen()) serve(connection); }))
+        return;
     const auto path = connection->request().path();
     if (path == "/health")
         return connection->respond(200, { { "Instance-Id", m_settings.id } }, "");
@@ -233,7 +250,7 @@
         return refuse(connection, 503, "no layers");
     if (m_waiting.size() >= m_settings.queue)
         return refuse(connection, 503, "full");
-    const auto stream = std::make_shared<Stream>(Stream { connection, request.field("Request-Id"), static_cast<unsigned>(std::stoul("0" + request.parameter("events"))), static_cast<unsigned>(std::stoul("0" + request.field("Last-Event-Id"))) + 1, now() + Milliseconds(std::stoll("0" + request.field("Deadline-Ms"))), false, Timer(m_loop) });
+    const auto stream = std::make_shared<Stream>(Stream { connection, request.field("Request-Id"), static_cast<unsigned>(std::stoul("0" + request.parameter("events"))), static_cast<unsigned>(std::stoul("0" + request.field("Last-Event-Id"))) + 1, now() + Milliseconds(std::stoll("0" + request.field("Deadline-Ms"))), false, Timer(m_loop), nullptr });
     connection->onPeerClosed([this, weak = std::weak_ptr<Stream>(stream)] {
         if (const auto closed = weak.lock())
             finish(closed);
@@ -252,6 +269,8 @@
             continue;
         }
         m_running.insert(stream);
+        m_runs.push_back({ stream->id, std::nullopt });
+        stream->run = &m_runs.back();
         const auto tokens = std::stoul("0" + stream->connection->request().field("Token-Counts"));
         scheduleEvent(stream, double(tokens) / tokensReadPerMs + stepMs);
     }
@@ -268,6 +287,8 @@
 
 void Worker::sendEvent(const StreamPointer& stream)
 {
+    if (m_running.count(stream) == 0 || isFrozen([this, stream] { sendEvent(stream); }))
+        return;
     if (!stream->hasHead) {
         stream->hasHead = true;
         stream->connection->startChunks({ { "Content-Type", "text/event-stream" }, { "Request-Id", stream->id }, { "Server-Seal", "seal-" + stream->id }, { "Weight-Versions", std::to_string(m_loaded) } });
@@ -289,6 +310,10 @@
 
 void Worker::finish(const StreamPointer& stream)
 {
+    if (isFrozen([this, stream] { finish(stream); }))
+        return;
+    if (stream->run && !stream->run->endedAt)
+        stream->run->endedAt = now();
     stream->timer.cancel();
     m_running.erase(stream);
     const auto waiting = std::find(m_waiting.begin(), m_waiting.end(), stream);
--- a/review/common-3/Worker.hpp
+++ b/review/common-3/Worker.hpp
@@ -5,6 +5,7 @@
 #include "StoreStandIn.h"
 
 #include <deque>
+#include <optional>
 #include <map>
 #include <set>
 
@@ -44,6 +45,16 @@
     /// Changes how long the worker takes to accept an order.
     void setAcceptance(Milliseconds time) { m_settings.acceptance = time; }
 
+    /// Stands still until then, as its machine does: what arrives meanwhile is handled afterwards.
+    void freeze(TimePoint until);
+
+    struct Run {
+        std::string id;
+        std::optional<TimePoint> endedAt;
+    };
+    /// All requests that were begun.
+    const std::deque<Run>& runs() const { return m_runs; }
+
     /// Until then, this share of the answers to reports and to calls for staged pieces is sent a second time, late.
     void sendExtraAnswers(double share, TimePoint until);
     unsigned answers() const { return m_answers; }
@@ -64,6 +75,7 @@
         TimePoint deadline;
         bool hasHead = false;
         Timer timer;
+        Run* run = nullptr;
     };
     using StreamPointer = std::shared_ptr<Stream>;
 
@@ -84,10 +96,15 @@
     Json models() const;
     Json layers() const;
 
+    /// Returns whether the worker stands still; the handler is called afterwards.
+    bool isFrozen(std::function<void()> handler);
+
     EventLoop& m_loop;
     StoreStandIn& m_store;
     Record& m_record;
     Settings m_settings;
+    TimePoint m_frozenUntil;
+    std::deque<Run> m_runs; // references stay valid
     std::int64_t m_born;
     std::map<unsigned, std::string> m_staged;
     std::uint64_t m_loaded = 0;
