--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the programs that the cases 11 to 15 start beside those of the deploy file. Some of the
-# soak's stand-ins are a part of them. Usage: review/build-3.sh
+# Builds the program that case 11 starts beside those of the deploy file. Some of the
+# soak's stand-ins are a part of it. Usage: review/build-3.sh
 set -euo pipefail
 cd "$(dirname "$0")/.."
 soak=tests/platform/soak
--- a/review/common-3/Deployment.cc
+++ b/review/common-3/Deployment.cc
@@ -18,8 +18,6 @@
     constexpr Milliseconds startTimeout { 15000 };
     constexpr Milliseconds streamTimeout { 6000 };
     constexpr Milliseconds plainTimeout { 1500 };
-    // Clients leave a stream after 2 s, four times the objective or eight times the pause, whichever is longest.
-    constexpr Milliseconds maxPause { 3200 };
     // The programs of deploy/system.toml, started in the repository root.
     constexpr const char* entryProgram = "target/bin/hyssopwick-entry";
     constexpr const char* agentProgram = "target/bin/hyssopwick-agent";
@@ -147,19 +145,7 @@
         if (!error)
             end("time limit");
     });
-    const auto pauseTimer = std::make_shared<Timer>(m_loop);
-    const auto watchPause = [this, pauseTimer, end, id, isEnded] {
-        pauseTimer->expires_after(maxPause);
-        pauseTimer->async_wait([this, end, id, isEnded](boost::system::error_code error) {
-            if (error || *isEnded)
-                return;
-            m_left[id] = now();
-            end("left after a pause");
-        });
-    };
-    if (isStream)
-        watchPause();
-    connection->exchange(requestText(isStream ? "POST" : "GET", target, fields, isStream ? "prompt" : ""), { nullptr, [isStream, watchPause] { isStream ? watchPause() : void(); }, [end, pauseTimer](ExchangeEnd how) { pauseTimer->cancel(); end(how == ExchangeEnd::Complete ? "complete" : how == ExchangeEnd::NotConnected ? "no channel" : "broken"); } });
+    connection->exchange(requestText(isStream ? "POST" : "GET", target, fields, isStream ? "prompt" : ""), { nullptr, nullptr, [end](ExchangeEnd how) { end(how == ExchangeEnd::Complete ? "complete" : how == ExchangeEnd::NotConnected ? "no channel" : "broken"); } });
 }
 
 int runCase(int argc, char** argv, const Deployment::Options& options, double seconds, const std::function<void(EventLoop&, Deployment&, Record&, bool)>& begin, const std::function<bool(Deployment&, Record&)>& holds)
--- a/review/common-3/Deployment.hpp
+++ b/review/common-3/Deployment.hpp
@@ -33,15 +33,11 @@
 
     void nameVersion(std::uint64_t version);
 
-    Origin& origin() { return m_origin; }
     std::vector<std::unique_ptr<Worker>>& workers() { return m_workers; }
     std::vector<std::unique_ptr<ProcessControl>>& entries() { return m_entries; }
     std::vector<std::unique_ptr<ProcessControl>>& agents() { return m_agents; }
-    StoreStandIn& store() { return m_store; }
     /// How late this process, which runs all stand-ins, was with an event.
     Clock::duration largestDelay() const { return m_largestDelay; }
-    /// Ids of the streams whose callers left after a pause without events, and when.
-    const std::map<std::string, TimePoint>& leftStreams() const { return m_left; }
     const Counts& streams() const { return m_streams; }
     const Counts& plain() const { return m_plain; }
 
@@ -66,7 +62,6 @@
     bool m_isCalling = false;
     unsigned m_calls = 0;
     Clock::duration m_largestDelay {};
-    std::map<std::string, TimePoint> m_left;
     Counts m_streams;
     Counts m_plain;
 };
--- a/review/common-3/Worker.cc
+++ b/review/common-3/Worker.cc
@@ -83,25 +83,8 @@
     m_store.set("servers/" + m_settings.id, { { "service", "models" }, { "address", m_settings.address }, { "zone", "north-a" }, { "version", "1" }, { "slots", m_settings.slots }, { "state", "ready" }, { "coldLeftMs", 0 }, { "sequence", m_sequence }, { "born", m_born }, { "stage", "colocated" }, { "models", models() }, { "layers", layers() } });
 }
 
-void Worker::freeze(TimePoint until)
-{
-    m_frozenUntil = until;
-    m_record.line(m_settings.id, " stands still, with ", m_running.size(), " streams");
-    runAfter(m_loop, until - now(), [this] { m_record.line(m_settings.id, " goes on"); });
-}
-
-bool Worker::isFrozen(std::function<void()> handler)
-{
-    if (now() >= m_frozenUntil)
-        return false;
-    runAfter(m_loop, m_frozenUntil - now(), std::move(handler));
-    return true;
-}
-
 void Worker::serve(const ServerConnectionPointer& connection)
 {
-    if (isFrozen([this, connection] { if (connection->isOpen()) serve(connection); }))
-        return;
     const auto path = connection->request().path();
     if (path == "/health")
         return connection->respond(200, { { "Instance-Id", m_settings.id } }, "");
@@ -118,7 +101,7 @@
 
 void Worker::serveReport(const ServerConnectionPointer& connection)
 {
-    answer(connection, 200, { { "Content-Type", "application/json" } }, Json { { "stage", "colocated" }, { "models", models() }, { "layers", layers() }, { "busy", m_isOrdered }, { "sequence", m_sequence }, { "queued", m_waiting.size() }, { "running", m_running.size() }, { "kvUsed", m_running.size() * tokensOfStream * layerTotal }, { "kvTotal", std::uint64_t(tokenCapacity) * layerTotal }, { "handles", 0 }, { "pace", 1.0 }, { "born", m_born } }.dump());
+    connection->respondJson(200, Json { { "stage", "colocated" }, { "models", models() }, { "layers", layers() }, { "busy", m_isOrdered }, { "sequence", m_sequence }, { "queued", m_waiting.size() }, { "running", m_running.size() }, { "kvUsed", m_running.size() * tokensOfStream * layerTotal }, { "kvTotal", std::uint64_t(tokenCapacity) * layerTotal }, { "handles", 0 }, { "pace", 1.0 }, { "born", m_born } }.dump());
 }
 
 void Worker::serveStage(const ServerConnectionPointer& connection, bool isWrite)
@@ -128,42 +111,16 @@
     const auto number = static_cast<unsigned>(std::stoul("0" + text));
     if (isWrite) {
         m_staged[number] = request.body;
-        return answer(connection, 200, {}, "");
+        return connection->respond(200, {}, "");
     }
     if (text.empty()) {
         auto held = Json::array();
         for (const auto& [piece, bytes] : m_staged)
             held.push_back(piece);
-        return answer(connection, 200, { { "Content-Type", "application/json" } }, Json { { "held", held } }.dump());
+        return connection->respondJson(200, Json { { "held", held } }.dump());
     }
     const auto found = m_staged.find(number);
-    answer(connection, found == m_staged.end() ? 404 : 200, {}, found == m_staged.end() ? "" : found->second);
-}
-
-void Worker::sendExtraAnswers(double share, TimePoint until)
-{
-    m_extraShare = share;
-    m_extraUntil = until;
-}
-
-void Worker::answer(const ServerConnectionPointer& connection, unsigned status, const Fields& fields, const std::string& body)
-{
-    constexpr double maxDelayMs = 10;
-    connection->respond(status, fields, body);
-    const bool isDisturbed = now() < m_extraUntil;
-    m_answers += isDisturbed;
-    if (!isDisturbed || status != 200 || !m_random.chance(m_extraShare))
-        return;
-    runAfter(m_loop, fromSeconds(m_random.between(0, maxDelayMs) / 1000), [this, connection, fields, body] {
-        if (!connection->isOpen())
-            return;
-        ++m_extraAnswers;
-        m_record.line(m_settings.id, " sends an answer a second time, of ", body.size(), " bytes");
-        connection->startChunks(fields);
-        if (!body.empty())
-            connection->writeChunk(body);
-        connection->writeChunk(""); // the last chunk
-    });
+    connection->respond(found == m_staged.end() ? 404 : 200, {}, found == m_staged.end() ? "" : found->second);
 }
 
 void Worker::serveOrder(const ServerConnectionPointer& connection)
@@ -250,7 +207,7 @@
         return refuse(connection, 503, "no layers");
     if (m_waiting.size() >= m_settings.queue)
         return refuse(connection, 503, "full");
-    const auto stream = std::make_shared<Stream>(Stream { connection, request.field("Request-Id"), static_cast<unsigned>(std::stoul("0" + request.parameter("events"))), static_cast<unsigned>(std::stoul("0" + request.field("Last-Event-Id"))) + 1, now() + Milliseconds(std::stoll("0" + request.field("Deadline-Ms"))), false, Timer(m_loop), nullptr });
+    const auto stream = std::make_shared<Stream>(Stream { connection, request.field("Request-Id"), static_cast<unsigned>(std::stoul("0" + request.parameter("events"))), static_cast<unsigned>(std::stoul("0" + request.field("Last-Event-Id"))) + 1, now() + Milliseconds(std::stoll("0" + request.field("Deadline-Ms"))), false, Timer(m_loop) });
     connection->onPeerClosed([this, weak = std::weak_ptr<Stream>(stream)] {
         if (const auto closed = weak.lock())
             finish(closed);
@@ -269,8 +226,6 @@
             continue;
         }
         m_running.insert(stream);
-        m_runs.push_back({ stream->id, std::nullopt });
-        stream->run = &m_runs.back();
         const auto tokens = std::stoul("0" + stream->connection->request().field("Token-Counts"));
         scheduleEvent(stream, double(tokens) / tokensReadPerMs + stepMs);
     }
@@ -287,8 +242,6 @@
 
 void Worker::sendEvent(const StreamPointer& stream)
 {
-    if (m_running.count(stream) == 0 || isFrozen([this, stream] { sendEvent(stream); }))
-        return;
     if (!stream->hasHead) {
         stream->hasHead = true;
         stream->connection->startChunks({ { "Content-Type", "text/event-stream" }, { "Request-Id", stream->id }, { "Server-Seal", "seal-" + stream->id }, { "Weight-Versions", std::to_string(m_loaded) } });
@@ -310,10 +263,6 @@
 
 void Worker::finish(const StreamPointer& stream)
 {
-    if (isFrozen([this, stream] { finish(stream); }))
-        return;
-    if (stream->run && !stream->run->endedAt)
-        stream->run->endedAt = now();
     stream->timer.cancel();
     m_running.erase(stream);
     const auto waiting = std::find(m_waiting.begin(), m_waiting.end(), stream);
@@ -329,31 +278,14 @@
 {
 }
 
-void Origin::spoilManifests(std::uint64_t version, unsigned count)
-{
-    m_spoiltVersion = version;
-    m_toSpoil = count;
-}
-
 void Origin::serve(const ServerConnectionPointer& connection)
 {
     const auto& request = connection->request();
     const auto path = request.path();
     const auto version = std::stoull("0" + request.parameter("version"));
-    ++m_answers;
     if (path == std::string("/-/manifest/") + model) {
-        auto json = manifest(version);
-        if (version == m_spoiltVersion && m_toSpoil > 0) {
-            --m_toSpoil;
-            ++m_spoilt;
-            auto digest = json["digests"][7].get<std::string>();
-            digest[10] = digest[10] == '0' ? '1' : '0';
-            json["digests"][7] = digest;
-            m_record.line("origin: manifest of version ", version, ", SPOILT in one digit");
-        } else {
-            m_record.line("origin: manifest of version ", version);
-        }
-        return connection->respondJson(200, json.dump());
+        m_record.line("origin: manifest of version ", version);
+        return connection->respondJson(200, manifest(version).dump());
     }
     const auto number = std::stoul("0" + request.parameter("num"));
     if (path == std::string("/-/piece/") + model && number < pieceTotal)
