--- a/review/common-3/case_overtaken.cc
+++ b/review/common-3/case_overtaken.cc
@@ -18,6 +18,8 @@
     options.plainPerSecond = 1;
     const char* text = std::getenv("ACCEPT_MS"); // for other values by hand
     const Milliseconds acceptance(text ? std::atoi(text) : 100);
+    for (std::uint64_t made = 1; made < 2 + 3 * seconds / std::chrono::duration<double>(pairPeriod).count(); ++made)
+        manifest(made); // so that this process is not late when they are asked for
     const auto random = std::make_shared<Random>(std::random_device {}());
     const auto begin = [=](EventLoop& loop, Deployment& deployment, Record&, bool hasTrouble) {
         const auto version = std::make_shared<std::uint64_t>(1);
@@ -30,8 +32,6 @@
         };
         for (const auto& worker : deployment.workers())
             worker->setAcceptance(acceptance);
-        for (std::uint64_t made = 2; made < 2 + 3 * seconds / std::chrono::duration<double>(pairPeriod).count(); ++made)
-            manifest(made); // so that this process is not late when they are asked for
         runAfter(loop, Milliseconds(2000), [pair] { (*pair)(); });
     };
     const auto holds = [](Deployment& deployment, Record& record) {
