--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the program that case 11 starts beside those of the deploy file. Some of the
+# Builds the programs that the cases start beside those of the deploy file. Some of the
 # soak's stand-ins are a part of it. Usage: review/build-3.sh
 set -euo pipefail
 cd "$(dirname "$0")/.."
